--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/requirements.stamp
+
+.PHONY: demo test lint format idl soak bench slopes clean
+
+demo: $(STAMP)
+	$(PYTHON) -m bench.demo
+
+test: $(STAMP)
+	$(PYTHON) -m tests.run
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+# Generated code is committed; this needs Apache's thrift compiler.
+idl:
+	for name in shard peer; do \
+	  mkdir -p build-idl && thrift --gen py:slots -out build-idl idl/$$name.thrift && \
+	  cp build-idl/clementinebay/$$name/wire/*.py clementinebay/$$name/wire/; \
+	done; rm -r build-idl
+
+$(STAMP): requirements.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and figures."""
--- /dev/null
+++ b/clementinebay/clock.py
@@ -0,0 +1,35 @@
+"""Clocks.  All times are seconds since the Unix epoch, so deadlines cross VMs."""
+
+import time
+from abc import ABC, abstractmethod
+
+
+class Clock(ABC):
+    """Tells the time in seconds since the Unix epoch."""
+
+    @abstractmethod
+    def now(self):
+        """Return the current time in seconds."""
+
+
+class SystemClock(Clock):
+    """The clock of the VM."""
+
+    def now(self):
+        """Return the VM's time in seconds."""
+        return time.time()
+
+
+class ManualClock(Clock):
+    """A clock for tests that moves only when told to."""
+
+    def __init__(self, start=1_000_000.0):
+        self.time = start
+
+    def now(self):
+        """Return the time that was last set."""
+        return self.time
+
+    def advance(self, seconds):
+        """Move the clock forward by ``seconds``."""
+        self.time += seconds
--- /dev/null
+++ b/clementinebay/cmdline.py
@@ -0,0 +1,423 @@
+"""Command lines of the daemon ``clementined`` and the tool ``clementinectl``."""
+
+import argparse
+import asyncio
+import getpass
+import json
+import os
+import signal
+import sys
+
+import httpx
+
+from clementinebay import __version__, config, errors, log, settings
+from clementinebay.kernel import Kernel
+from clementinebay.services import DAEMON
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+
+#: Daemon that is asked when neither --daemon nor the environment names one.
+DEFAULT_DAEMON = "http://127.0.0.1:7000"
+#: Longest wait for an answer of the daemon, in seconds.
+TIMEOUT_SECONDS = 30.0
+
+EXIT_CODES = """\
+exit codes:
+  0  done
+  1  refused or failed; the message says why
+  2  wrong usage, or a wrong settings file or document
+  3  conflict: somebody else changed the same thing first
+  4  the daemon or the platform cannot be reached; a change may have taken effect
+"""
+
+EXAMPLES = """\
+examples:
+  clementinectl config check cluster.ini
+  clementinectl config apply cluster.ini --base 12
+  clementinectl service submit call-in --count 6 --processors 2 --urgency urgent
+  clementinectl job submit minutes --count 40 --run-seconds 90 --team summaries
+  clementinectl domain out almaty-2
+  clementinectl --json status
+"""
+
+
+# The daemon
+
+
+def daemon_main(argv=None):
+    """Run a daemon until it is told to stop; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="clementined",
+        description="Runs one daemon of clementinebay.",
+        epilog="example:\n  clementined --settings /etc/clementined.ini\n\n"
+        "exit codes:\n  0  stopped after SIGTERM or SIGINT\n  1  cannot run\n"
+        "  2  wrong usage or settings",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE", help="INI file")
+    parser.add_argument("--check", action="store_true", help="check the file and exit")
+    parser.add_argument("--version", action="version", version=__version__)
+    arguments = parser.parse_args(argv)
+    try:
+        values = settings.read(arguments.settings)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    if arguments.check:
+        return EXIT_OK
+    log.configure(values.log_level)
+    try:
+        asyncio.run(run_daemon(values))
+    except (errors.ClementineError, OSError) as error:
+        print(f"clementined: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+async def run_daemon(values):
+    """Run the services of a daemon until SIGTERM or SIGINT."""
+    async with Kernel(values) as kernel:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, kernel.stopping.set)
+        await kernel.run(DAEMON)
+
+
+# The tool
+
+
+class Client:
+    """Talks to one daemon; raises `ToolError` with an exit code."""
+
+    def __init__(self, url):
+        self.http = httpx.Client(base_url=url, timeout=TIMEOUT_SECONDS)
+
+    def call(self, method, path, body=None):
+        """Return the decoded answer."""
+        try:
+            response = self.http.request(method, path, json=body)
+        except httpx.HTTPError as error:
+            raise ToolError(
+                EXIT_UNREACHABLE, f"{self.http.base_url}: {error}"
+            ) from error
+        if response.is_success:
+            return response.json()
+        code = {409: EXIT_CONFLICT, 422: EXIT_USAGE}.get(
+            response.status_code, EXIT_FAILED
+        )
+        if response.status_code in (503, 504):
+            code = EXIT_UNREACHABLE
+        raise ToolError(code, failure_text(response))
+
+
+def failure_text(response):
+    """Return what a failed answer says, one problem a line."""
+    try:
+        body = response.json()
+        return f"{body['code']}: {body['message']}"
+    except (ValueError, KeyError, TypeError):
+        return f"status {response.status_code}: {response.text}"
+
+
+class ToolError(errors.ClementineError):
+    """A command failed with an exit code."""
+
+    code = "tool"
+
+    def __init__(self, exit_code, message):
+        self.exit_code = exit_code
+        super().__init__(message)
+
+
+def main(argv=None):
+    """Run one command of the tool; return its exit code."""
+    arguments = build_parser().parse_args(argv)
+    try:
+        result = arguments.run(arguments, Client(arguments.daemon))
+    except ToolError as error:
+        print(f"clementinectl: {error}", file=sys.stderr)
+        return error.exit_code
+    except errors.ConfigInvalidError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    except OSError as error:
+        print(f"clementinectl: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if arguments.json:
+        print(json.dumps(result, indent=2))
+    else:
+        show(result)
+    return EXIT_OK
+
+
+def build_parser():
+    """Return the parser of the tool's command line."""
+    parser = argparse.ArgumentParser(
+        prog="clementinectl",
+        description="Operates clementinebay through any of its daemons.",
+        epilog=EXAMPLES + "\n" + EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--daemon",
+        metavar="URL",
+        default=os.environ.get("CLEMENTINE_DAEMON", DEFAULT_DAEMON),
+        help="daemon to ask; the default is $CLEMENTINE_DAEMON or " + DEFAULT_DAEMON,
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON for scripts")
+    parser.add_argument("--version", action="version", version=__version__)
+    groups = parser.add_subparsers(required=True, metavar="COMMAND")
+    add_config(groups)
+    add_jobs(groups, "job", "batch jobs", service=False)
+    add_jobs(groups, "service", "services", service=True)
+    add_standing(groups)
+    return parser
+
+
+def add_command(group, name, help, run):
+    """Add command ``name`` that calls ``run`` and return its parser."""
+    parser = group.add_parser(name, help=help, description=help)
+    parser.set_defaults(run=run)
+    return parser
+
+
+def add_config(groups):
+    """Add the commands for the configuration document."""
+    group = groups.add_parser("config", help="the configuration document")
+    group = group.add_subparsers(required=True, metavar="COMMAND")
+    command = add_command(group, "check", "Check a document.", config_check)
+    command.add_argument("file")
+    command = add_command(
+        group,
+        "apply",
+        "Put the sections of a document in force; others stay as they are.",
+        config_apply,
+    )
+    command.add_argument("file")
+    command.add_argument("--base", type=int, help="revision that was edited")
+    command.add_argument("--delete", action="append", default=[], metavar="SECTION")
+    command.add_argument("--author", default=getpass.getuser())
+    command = add_command(group, "show", "Show the document in force.", config_show)
+    command.add_argument("section", nargs="?")
+    command = add_command(group, "history", "Show the newest changes.", config_history)
+    command.add_argument("--limit", type=int, default=20)
+
+
+def add_jobs(groups, name, noun, service):
+    """Add the commands for jobs or services."""
+    group = groups.add_parser(name, help=noun)
+    group = group.add_subparsers(required=True, metavar="COMMAND")
+    command = add_command(group, "submit", f"Submit one of the {noun}.", job_submit)
+    command.set_defaults(service=service)
+    command.add_argument("name")
+    command.add_argument("--count", type=int, default=1, help="tasks or replicas")
+    command.add_argument("--team", default="default")
+    command.add_argument(
+        "--urgency",
+        choices=("batch", "normal", "urgent"),
+        default="urgent" if service else "batch",
+    )
+    command.add_argument("--kind", default="", help="what interferes alike")
+    command.add_argument("--processors", type=float, default=1.0)
+    command.add_argument("--memory-mb", type=int, default=256)
+    command.add_argument("--accelerators", type=int, default=0)
+    command.add_argument("--run-seconds", type=float, default=0.0, help="declared")
+    command.add_argument("--max-attempts", type=int, default=5)
+    command = add_command(group, "list", f"List all {noun}.", job_list)
+    command.set_defaults(service=service)
+    command = add_command(group, "show", "Show one by domain.", job_show)
+    command.add_argument("name")
+    command = add_command(group, "cancel", "Cancel one.", job_cancel)
+    command.add_argument("name")
+
+
+def add_standing(groups):
+    """Add the commands that show and change the system's standing."""
+    group = groups.add_parser("endpoint", help="endpoints")
+    group = group.add_subparsers(required=True, metavar="COMMAND")
+    add_command(group, "list", "List the endpoints.", endpoint_list)
+    group = groups.add_parser("domain", help="failure domains")
+    group = group.add_subparsers(required=True, metavar="COMMAND")
+    for state in ("out", "in"):
+        command = add_command(group, state, f"Take a domain {state}.", domain_change)
+        command.set_defaults(state=state)
+        command.add_argument("name")
+        command.add_argument("--author", default=getpass.getuser())
+    add_command(group, "list", "List the domains.", domain_list)
+    add_command(groups, "status", "Show the daemon's standing.", status)
+    command = add_command(groups, "trace", "Show the spans of a request.", trace)
+    command.add_argument("id")
+
+
+def config_check(arguments, _client):
+    """Check a document without a daemon."""
+    sections = read_document(arguments.file)
+    return {"sections": len(sections)}
+
+
+def read_document(path):
+    """Return the sections of a document file; raise `ConfigInvalidError` if it is wrong."""
+    with open(path, encoding="utf-8") as file:
+        sections = config.split(file.read())
+    if problems := config.check(sections):
+        raise errors.ConfigInvalidError(problems)
+    return sections
+
+
+def config_apply(arguments, client):
+    """Apply a document's sections."""
+    sections = dict(read_document(arguments.file))
+    sections.update(dict.fromkeys(arguments.delete))
+    base = arguments.base
+    if base is None:
+        base = client.call("GET", "/v1/config")["revision"]
+    body = {"sections": sections, "base": base, "author": arguments.author}
+    return client.call("POST", "/v1/config", body)
+
+
+def config_show(arguments, client):
+    """Show the document or one section."""
+    document = client.call("GET", "/v1/config")
+    sections = document["sections"]
+    if arguments.section is not None:
+        if arguments.section not in sections:
+            raise ToolError(EXIT_FAILED, f"there is no section [{arguments.section}]")
+        sections = {arguments.section: sections[arguments.section]}
+    if arguments.json:
+        return {"revision": document["revision"], "sections": sections}
+    return f"# revision {document['revision']}\n{config.join(sections)}"
+
+
+def config_history(arguments, client):
+    """Show the newest changes."""
+    changes = client.call("GET", f"/v1/config/history?limit={arguments.limit}")
+    if not arguments.json:
+        for change in changes:
+            change["sections"] = ", ".join(sorted(change["sections"]))
+            del change["nonce"]
+    return changes
+
+
+def job_submit(arguments, client):
+    """Submit a job or service."""
+    body = {
+        name: getattr(arguments, name)
+        for name in (
+            "name",
+            "service",
+            "count",
+            "team",
+            "urgency",
+            "kind",
+            "processors",
+            "memory_mb",
+            "accelerators",
+            "run_seconds",
+            "max_attempts",
+        )
+    }
+    return client.call("POST", "/v1/jobs", body)
+
+
+def job_list(arguments, client):
+    """List jobs or services, summed over domains."""
+    totals = {}
+    for part in client.call("GET", "/v1/jobs"):
+        if part["is_service"] != arguments.service:
+            continue
+        total = totals.setdefault(
+            part["origin"], {"name": part["origin"], "team": part["team"]}
+        )
+        for key in ("waiting", "running", "done", "parked"):
+            total[key] = total.get(key, 0) + part[key]
+    return list(totals.values())
+
+
+def job_show(arguments, client):
+    """Show the parts of a job."""
+    return client.call("GET", f"/v1/jobs/{arguments.name}")
+
+
+def job_cancel(arguments, client):
+    """Cancel a job."""
+    return client.call("DELETE", f"/v1/jobs/{arguments.name}")
+
+
+def endpoint_list(_arguments, client):
+    """List the endpoints."""
+    return client.call("GET", "/v1/endpoints")
+
+
+def domain_change(arguments, client):
+    """Take a domain out or in."""
+    body = {"state": arguments.state, "author": arguments.author}
+    return client.call("PUT", f"/v1/domains/{arguments.name}", body)
+
+
+def domain_list(_arguments, client):
+    """List the domains."""
+    return client.call("GET", "/v1/domains")
+
+
+def status(_arguments, client):
+    """Show the daemon's standing."""
+    return client.call("GET", "/v1/status")
+
+
+def trace(arguments, client):
+    """Show the spans of a trace, as a tree unless for scripts."""
+    spans = client.call("GET", f"/v1/traces/{arguments.id}")
+    if arguments.json or not spans:
+        return spans
+    return "\n".join(span_lines(spans))
+
+
+def span_lines(spans):
+    """Yield one line a span, indented below its parent."""
+    known = {span["span_id"] for span in spans}
+    children = {}
+    for span in spans:
+        parent = span["parent_id"] if span["parent_id"] in known else ""
+        children.setdefault(parent, []).append(span)
+    start = min(span["start"] for span in spans)
+
+    def walk(parent, depth):
+        for span in children.get(parent, ()):
+            name = "  " * depth + span["name"]
+            offset = (span["start"] - start) * 1000
+            took = span["seconds"] * 1000
+            yield f"{name:24} {span['daemon']:16} +{offset:8.2f} ms {took:8.2f} ms"
+            yield from walk(span["span_id"], depth + 1)
+
+    return walk("", 0)
+
+
+def show(result):
+    """Print a result for people: texts as they are, lists as tables."""
+    if isinstance(result, str):
+        print(result)
+    elif isinstance(result, dict):
+        for key, value in result.items():
+            print(f"{key:24} {value}")
+    elif not result:
+        print("nothing")
+    else:
+        print("\n".join(table(result)))
+
+
+def table(rows):
+    """Yield the lines of a table of dictionaries with the same keys."""
+    cells = [list(rows[0])] + [[str(value) for value in row.values()] for row in rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(cells[0]))]
+    for row in cells:
+        yield "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/clementinebay/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""How endpoints are driven: requests, task starts, stops, renewals and reports."""
--- /dev/null
+++ b/clementinebay/metrics.py
@@ -0,0 +1,36 @@
+"""Metrics of the daemon, kept by prometheus_client."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+#: Upper bounds of latency buckets, in seconds.
+LATENCY_BUCKETS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+PLATFORM_CALLS = Counter(
+    "clementine_platform_calls", "Calls to the platform.", ["kind"]
+)
+PLATFORM_WATCHES = Gauge("clementine_platform_watches", "Watches that wait.")
+REQUESTS = Counter("clementine_requests", "Client requests by outcome.", ["outcome"])
+REQUEST_SECONDS = Histogram(
+    "clementine_request_seconds", "Time to answer a request.", buckets=LATENCY_BUCKETS
+)
+FORWARDS = Counter("clementine_forwards", "Requests forwarded to peers.")
+PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
+RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
+REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
+TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
+EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
+CONFIG_REVISION = Gauge("clementine_config_revision", "Configuration in force.")
--- /dev/null
+++ b/clementinebay/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The link between daemons: thrift messages in frames over TCP."""
--- /dev/null
+++ b/clementinebay/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: state and clock in, decision out."""
--- /dev/null
+++ b/clementinebay/requestapi.py
@@ -0,0 +1,115 @@
+"""Clients' requests over HTTP: one POST, one typed outcome.
+
+The path is ``/v1/services/SERVICE/requests``.  Request headers: ``X-Client``,
+``X-Deadline`` (seconds since the Unix epoch), ``Idempotency-Key`` for a request that
+runs at most once, ``X-Repeatable: true`` for one that may be sent again, and
+``traceparent``.  The answer's ``X-Outcome`` is done, not-run or unknown.
+"""
+
+import uuid
+
+import msgspec
+
+from clementinebay import errors, metrics, model, tracing
+
+#: Status of an answer that carries an error, by error class, most special first.
+STATUSES = (
+    (errors.BadRequestError, 400),
+    (errors.DuplicateKeyError, 409),
+    (errors.NotRunError, 503),
+    (errors.OutcomeUnknownError, 504),
+)
+
+
+class Failure(msgspec.Struct):
+    """Body of an answer that carries an error."""
+
+    outcome: str
+    code: str
+    message: str
+
+
+def status_of(error):
+    """Return the HTTP status that stands for a `RequestError`."""
+    return next((s for kind, s in STATUSES if isinstance(error, kind)), 504)
+
+
+class RequestApi:
+    """An ASGI application for the path of requests, beside the framework's routing."""
+
+    def __init__(self, kernel):
+        self.router = kernel.find("router")
+        self.tracer = kernel.find("tracing").tracer
+        self.clock = kernel.clock
+        self.settings = kernel.settings
+
+    async def __call__(self, scope, receive, send):
+        """Answer one request."""
+        headers = {
+            k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]
+        }
+        request_id = uuid.uuid4().hex
+        start = self.clock.now()
+        with self.tracer.span("client", headers.get("traceparent")):
+            trace = tracing.traceparent()
+            try:
+                request = await self.read(scope, receive, headers, request_id)
+                answer = await self.router.route(request)
+                status, body, outcome = answer.status, answer.body, "done"
+            except errors.RequestError as error:
+                status, outcome = status_of(error), error.outcome
+                failure = Failure(outcome, error.code, str(error))
+                body = msgspec.json.encode(failure)
+        metrics.REQUESTS.labels(outcome).inc()
+        metrics.REQUEST_SECONDS.observe(self.clock.now() - start)
+        await respond(send, status, body, outcome, request_id, trace)
+
+    async def read(self, scope, receive, headers, request_id):
+        """Return the `model.Request`; raise `BadRequestError` if it is malformed."""
+        body = await self.read_body(receive)
+        now = self.clock.now()
+        deadline = now + self.settings.router_default_deadline_seconds
+        if "x-deadline" in headers:
+            try:
+                deadline = float(headers["x-deadline"])
+            except ValueError as error:
+                raise errors.BadRequestError("X-Deadline is not a number") from error
+        if not deadline > now:
+            raise errors.DeadlinePassedError("the deadline has passed")
+        return model.Request(
+            service=scope["path"].split("/")[3],
+            client=headers.get("x-client", ""),
+            id=request_id,
+            deadline=deadline,
+            repeatable=headers.get("x-repeatable", "") == "true",
+            key=headers.get("idempotency-key", ""),
+            body=body,
+        )
+
+    async def read_body(self, receive):
+        """Return the whole body; raise `BadRequestError` if it is too large or cut."""
+        parts = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise errors.BadRequestError("the client left")
+            parts.append(message.get("body", b""))
+            size += len(parts[-1])
+            if size > self.settings.front_max_body_bytes:
+                raise errors.BadRequestError("the body is too large")
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+
+async def respond(send, status, body, outcome, request_id, trace):
+    """Send the answer."""
+    headers = [
+        (b"content-length", str(len(body)).encode()),
+        (b"x-outcome", outcome.encode()),
+        (b"x-request-id", request_id.encode()),
+    ]
+    if trace:
+        headers.append((b"traceparent", trace.encode()))
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/clementinebay/services/__init__.py
@@ -0,0 +1,34 @@
+"""Services that the kernel starts, found by name."""
+
+import importlib
+
+from clementinebay import errors
+
+#: Service name -> (module, class).
+SERVICES = {
+    "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
+    "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
+    "driver": ("clementinebay.services.driver", "DriverService"),
+    "front": ("clementinebay.services.front", "Front"),
+    "jobs": ("clementinebay.services.jobs", "Jobs"),
+    "livelist": ("clementinebay.services.livelist", "LiveListWatcher"),
+    "mover": ("clementinebay.services.mover", "Mover"),
+    "peers": ("clementinebay.services.peers", "Peers"),
+    "platform": ("clementinebay.services.platform", "Platform"),
+    "router": ("clementinebay.services.router", "Router"),
+    "scheduler": ("clementinebay.services.scheduler", "Scheduler"),
+    "shard": ("clementinebay.services.shard", "ShardFollower"),
+    "tracing": ("clementinebay.services.tracing", "Tracing"),
+}
+
+#: What a daemon runs; each starts what it requires first.
+DAEMON = ("scheduler", "mover", "front")
+
+
+def find_service_class(name):
+    """Return the class of service ``name``; raise `KernelError` if there is none."""
+    try:
+        module, class_name = SERVICES[name]
+    except KeyError:
+        raise errors.KernelError(f"no service is named {name}") from None
+    return getattr(importlib.import_module(module), class_name)
--- /dev/null
+++ b/clementinebay/services/configwatcher.py
@@ -0,0 +1,51 @@
+"""Service "config": holds the document in force, newer revisions only."""
+
+import asyncio
+
+from clementinebay import config, errors, metrics
+from clementinebay.configstore import ConfigStore
+from clementinebay.log import Log
+from clementinebay.service import Service
+
+#: Time between two reads of the revision, in seconds.
+POLL_SECONDS = 1.0
+
+log = Log("config")
+
+
+class ConfigWatcher(Service):
+    """Holds ``document``; ``confirmed_at`` is when it was last known to be newest."""
+
+    name = "config"
+    requires = ("platform",)
+
+    async def start(self):
+        """Begin to read."""
+        self.store = ConfigStore(self.kernel.find("platform").store, self.clock)
+        self.document = config.Document(config.Head(), {})
+        self.confirmed_at = 0.0
+        self.background.spawn(self.watch)
+
+    async def watch(self):
+        """Read the revision at every interval."""
+        while True:
+            await self.read()
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def read(self):
+        """Read the revision, and the document if it is newer."""
+        asked_at = self.clock.now()
+        try:
+            if await self.store.revision() > self.document.revision:
+                self.adopt(await self.store.document(self.document))
+        except errors.PlatformError as error:
+            log.debug("Cannot read the revision: %s.", error)
+            return
+        self.confirmed_at = asked_at
+
+    def adopt(self, document):
+        """Put ``document`` in force if it is newer than the one that is."""
+        if document.revision > self.document.revision:
+            self.document = document
+            metrics.CONFIG_REVISION.set(document.revision)
+            log.info("Revision %d is in force.", document.revision)
--- /dev/null
+++ b/clementinebay/services/livelist.py
@@ -0,0 +1,68 @@
+"""Service "livelist": the platform's list of VMs, read again and again."""
+
+import asyncio
+
+from clementinebay import errors
+from clementinebay.log import Log
+from clementinebay.platform.livelist import HttpLiveList
+from clementinebay.service import Service
+
+log = Log("livelist")
+
+
+class LiveListWatcher(Service):
+    """Holds ``vms`` by id; ``confirmed_at`` is when the last read was asked."""
+
+    name = "livelist"
+
+    async def start(self):
+        """Begin to read."""
+        self.live_list = HttpLiveList(
+            self.settings.platform_live_list_url,
+            self.settings.platform_timeout_seconds,
+        )
+        self.vms = {}
+        self.confirmed_at = 0.0
+        self.background.spawn(self.watch)
+
+    async def watch(self):
+        """Read the list at every interval."""
+        while True:
+            await self.read()
+            await asyncio.sleep(self.settings.platform_live_list_seconds)
+
+    async def read(self):
+        """Read the list once."""
+        asked_at = self.clock.now()
+        try:
+            vms = await self.live_list.read()
+        except errors.PlatformError as error:
+            log.debug("Cannot read the live list: %s.", error)
+            return
+        self.confirmed_at = asked_at
+        if vms is not None:
+            self.vms = {vm.id: vm for vm in vms}
+
+    def endpoints(self, domain):
+        """Return the endpoints of ``domain``."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if vm.role == "endpoint" and vm.failure_domain == domain
+        ]
+
+    def daemons(self):
+        """Return the entry VMs other than this one."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if vm.role == "entry" and vm.id != self.settings.daemon_name
+        ]
+
+    def domains(self):
+        """Return the names of all failure domains on the list, sorted."""
+        return sorted({vm.failure_domain for vm in self.vms.values()})
+
+    async def stop(self):
+        """Close the client."""
+        await self.live_list.close()
--- /dev/null
+++ b/clementinebay/settings.py
@@ -0,0 +1,190 @@
+"""Settings of a daemon: read from INI, checked as a whole before anything starts."""
+
+import configparser
+
+from clementinebay import errors, log
+
+REQUIRED = object()
+
+
+class Option:
+    """One key of the settings file: its type, default and allowed values."""
+
+    __slots__ = ("section", "key", "default", "kind", "low", "high", "choices", "help")
+
+    def __init__(
+        self, section, key, default, help, kind=str, low=None, high=None, choices=None
+    ):
+        self.section = section
+        self.key = key
+        self.default = default
+        self.help = help
+        self.kind = kind
+        self.low = low
+        self.high = high
+        self.choices = choices
+
+    @property
+    def attribute(self):
+        """Name of the attribute of `Settings` that holds the value."""
+        return f"{self.section}_{self.key}"
+
+    @property
+    def allowed(self):
+        """What the value may be, in words."""
+        if self.choices:
+            return "one of " + ", ".join(self.choices)
+        if self.kind is str:
+            return "a text that is not empty"
+        noun = "a whole number" if self.kind is int else "a number"
+        return f"{noun} from {self.low} to {self.high}"
+
+    def parse(self, text):
+        """Return the value that ``text`` stands for; raise `ValueError` if none."""
+        value = self.kind(text)
+        if self.choices and value not in self.choices:
+            raise ValueError(text)
+        if self.kind is str:
+            if not value:
+                raise ValueError(text)
+        elif not self.low <= value <= self.high:
+            raise ValueError(text)
+        return value
+
+
+def _port(section):
+    return Option(section, "port", REQUIRED, "TCP port.", int, low=1, high=65535)
+
+
+def _seconds(section, key, default, help, low=0.01, high=86400.0):
+    return Option(section, key, default, help, float, low=low, high=high)
+
+
+def _count(section, key, default, help, low=1, high=1_000_000):
+    return Option(section, key, default, help, int, low=low, high=high)
+
+
+OPTIONS = (
+    Option("daemon", "name", REQUIRED, "Name of this daemon, unique in the system."),
+    Option("daemon", "failure_domain", REQUIRED, "Failure domain of this VM."),
+    Option("daemon", "region", "main", "Region of this VM."),
+    _seconds("daemon", "drain_seconds", 20.0, "Longest graceful shutdown."),
+    Option("front", "address", "127.0.0.1", "IP address for clients and operators."),
+    _port("front"),
+    _count("front", "max_body_bytes", 1_000_000, "Largest request body in bytes."),
+    Option("peer", "address", "127.0.0.1", "IP address for peer daemons."),
+    _port("peer"),
+    _count("peer", "max_frame_bytes", 2_000_000, "Largest frame in bytes.", low=1024),
+    _seconds("peer", "gossip_seconds", 1.0, "Time between two gossip messages."),
+    Option("platform", "store", "etcd-json", "Protocol of the key-value service."),
+    Option("platform", "url", REQUIRED, "URL of the key-value service."),
+    Option("platform", "live_list_url", REQUIRED, "URL of the list of VMs."),
+    _seconds("platform", "timeout_seconds", 2.0, "Longest wait for one call."),
+    _seconds("platform", "live_list_seconds", 1.0, "Time between two list reads."),
+    _count("platform", "reads_per_second", 200, "This daemon's share of reads."),
+    _count("platform", "writes_per_second", 40, "This daemon's share of writes."),
+    _count("router", "queue_limit", 512, "Requests that may wait."),
+    _count("router", "concurrency", 256, "Requests in progress at once."),
+    _count("router", "retry_percent", 10, "Retries allowed per 100 requests.", 0, 100),
+    _seconds(
+        "router", "default_deadline_seconds", 10.0, "Deadline when none is given."
+    ),
+    _seconds("scheduler", "tick_seconds", 0.1, "Time between two decisions."),
+    _seconds("scheduler", "poll_seconds", 1.0, "Time between two endpoint reports."),
+    _seconds("scheduler", "start_grace_seconds", 3.0, "First lease after a read."),
+    _seconds("scheduler", "lease_seconds", 10.0, "Length of a renewed lease."),
+    _seconds("scheduler", "reclaim_after_seconds", 30.0, "Renewals while cut off."),
+    _seconds(
+        "scheduler", "clock_skew_seconds", 0.5, "Bound on clock differences.", 0.0
+    ),
+    _seconds("scheduler", "leader_seconds", 4.0, "Lease of the shard's scheduler."),
+    _seconds("scheduler", "retention_seconds", 120.0, "Truncated records are kept."),
+    _count("scheduler", "snapshot_batches", 200, "Batches between two snapshots."),
+    Option("log", "level", "info", "Lowest level to log.", choices=log.LEVELS),
+    Option("trace", "sample_percent", 1.0, "Traces kept.", float, low=0.0, high=100.0),
+    _count("trace", "spans", 20_000, "Recent spans kept in memory."),
+)
+
+
+class Settings:
+    """Checked settings; one attribute per option, named ``section_key``."""
+
+    __slots__ = tuple(option.attribute for option in OPTIONS)
+
+    def __init__(self, **values):
+        for option in OPTIONS:
+            setattr(
+                self, option.attribute, values.pop(option.attribute, option.default)
+            )
+        if values:
+            raise errors.SettingsError([f"unknown option {name}" for name in values])
+
+
+class Problem:
+    """One thing wrong with a settings file."""
+
+    __slots__ = ("file", "section", "key", "value", "allowed")
+
+    def __init__(self, file, section, key, value, allowed):
+        self.file = file
+        self.section = section
+        self.key = key
+        self.value = value
+        self.allowed = allowed
+
+    def __str__(self):
+        place = f"{self.file}: [{self.section}] {self.key}"
+        return f"{place} = {self.value!r}: allowed is {self.allowed}"
+
+
+def parse(text, file="settings"):
+    """Return `Settings` for INI ``text``; raise `SettingsError` with all problems."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        raise errors.SettingsError([f"{file}: {error.message}"]) from error
+    problems = list(_unknown(parser, file))
+    values = {}
+    for option in OPTIONS:
+        given = parser.get(option.section, option.key, fallback=None)
+        if given is None:
+            if option.default is REQUIRED:
+                problems.append(
+                    Problem(file, option.section, option.key, None, option.allowed)
+                )
+            continue
+        try:
+            values[option.attribute] = option.parse(given)
+        except ValueError:
+            problems.append(
+                Problem(file, option.section, option.key, given, option.allowed)
+            )
+    if problems:
+        raise errors.SettingsError(problems)
+    return Settings(**values)
+
+
+def _unknown(parser, file):
+    known = {}
+    for option in OPTIONS:
+        known.setdefault(option.section, []).append(option.key)
+    for section in parser.sections():
+        if section not in known:
+            yield Problem(
+                file, section, "*", None, "one of the sections " + ", ".join(known)
+            )
+            continue
+        for key, value in parser.items(section):
+            if key not in known[section]:
+                allowed = "one of the keys " + ", ".join(known[section])
+                yield Problem(file, section, key, value, allowed)
+
+
+def read(path):
+    """Return the `Settings` in file ``path``; raise `SettingsError` if it is wrong."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return parse(file.read(), path)
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
--- /dev/null
+++ b/clementinebay/shard/__init__.py
@@ -0,0 +1,1 @@
+"""A failure domain's replicated state: records, state machine, log and snapshot."""
--- /dev/null
+++ b/clementinebay/shard/leader.py
@@ -0,0 +1,62 @@
+"""Election of one scheduler for a shard, by a lease of the platform.
+
+The lease only saves work: the log keeps its promises with any number of writers.
+"""
+
+from clementinebay import errors
+
+
+class LeaderLease:
+    """Holds key ``shard/<domain>/leader`` for ``holder`` while it is renewed.
+
+    ``held_until`` is the deadline in seconds; the lease is renewed from the middle of
+    its time on.
+    """
+
+    def __init__(self, store, domain, holder, ttl, clock):
+        self.store = store
+        self.key = f"shard/{domain}/leader"
+        self.holder = holder
+        self.ttl = ttl
+        self.clock = clock
+        self.lease = 0
+        self.held_until = 0.0
+
+    @property
+    def held(self):
+        """Whether the lease is held at this time."""
+        return self.clock.now() < self.held_until
+
+    async def hold(self):
+        """Acquire or renew the lease if it is time; return whether it is held."""
+        now = self.clock.now()
+        if now < self.held_until - self.ttl / 2:
+            return True
+        try:
+            if self.lease and await self.store.keep_alive(self.lease):
+                self.held_until = now + self.ttl
+            else:
+                await self.acquire(now)
+        except errors.CompareFailedError:
+            self.held_until = 0.0
+        except errors.PlatformError:
+            pass
+        return self.held
+
+    async def acquire(self, now):
+        """Create the key under a new lease; raise `CompareFailedError` if another has it."""
+        entry = await self.store.get(self.key)
+        if entry is not None:
+            raise errors.CompareFailedError(self.key, entry)
+        self.lease = await self.store.grant(max(1, round(self.ttl)))
+        await self.store.create(self.key, self.holder.encode(), self.lease)
+        self.held_until = now + self.ttl
+
+    async def give_up(self):
+        """End the lease so that another may take it at once."""
+        lease, self.lease, self.held_until = self.lease, 0, 0.0
+        if lease:
+            try:
+                await self.store.revoke(lease)
+            except errors.PlatformError:
+                pass
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,315 @@
+"""A small system of real processes on loopback, for the demo, tests and the bench."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpx
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+#: Longest wait for a process to answer or to end, in seconds.
+WAIT_SECONDS = 20.0
+
+SETTINGS = """\
+[daemon]
+name = {name}
+failure_domain = {domain}
+[front]
+port = {front}
+[peer]
+port = {peer}
+[platform]
+url = {platform}
+live_list_url = {live_list}
+[trace]
+sample_percent = 100
+{extra}
+"""
+
+
+def free_ports(count):
+    """Return ports of loopback that are free now."""
+    sockets = []
+    for _number in range(count):
+        opened = socket.socket()
+        opened.bind(("127.0.0.1", 0))
+        sockets.append(opened)
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
+
+
+def free_range(count):
+    """Return the first of ``count`` consecutive free ports."""
+    while True:
+        first = free_ports(1)[0]
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + count):
+                    opened = stack.enter_context(socket.socket())
+                    opened.bind(("127.0.0.1", port))
+                return first
+            except (OSError, OverflowError):
+                continue
+
+
+def wait_for(what, condition, seconds=WAIT_SECONDS):
+    """Return ``condition()`` once it is true; raise `TimeoutError` naming ``what``."""
+    limit = time.monotonic() + seconds
+    while True:
+        try:
+            if found := condition():
+                return found
+        except httpx.HTTPError:
+            pass
+        if time.monotonic() > limit:
+            raise TimeoutError(f"waited {seconds} s for {what}")
+        time.sleep(0.05)
+
+
+class Process:
+    """A child process with its log file."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.arguments = arguments
+        self.path = os.path.join(folder, f"{name}.log")
+        self.child = None
+        self.start()
+
+    def start(self):
+        """Start the process, again after it ended."""
+        with open(self.path, "ab") as output:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", *self.arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def signal(self, number):
+        """Send a signal."""
+        self.child.send_signal(number)
+
+    def stop(self, seconds=WAIT_SECONDS):
+        """Ask the process to end and return its exit code."""
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.terminate()
+        try:
+            return self.child.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            self.child.wait()
+            raise
+
+    def kill(self):
+        """End the process at once."""
+        self.child.kill()
+        self.child.wait()
+
+
+class Daemon:
+    """A daemon process with its addresses."""
+
+    def __init__(self, name, domain, front, peer):
+        self.name = name
+        self.domain = domain
+        self.front = front
+        self.peer = peer
+        self.process = None
+
+    @property
+    def url(self):
+        """URL of the daemon's HTTP interface."""
+        return f"http://127.0.0.1:{self.front}"
+
+
+class Cluster:
+    """Platform, endpoints and daemons; a context manager that ends them all.
+
+    ``daemon_platform`` and ``endpoint_ports`` may be replaced by addresses of a proxy
+    before the daemons start.
+    """
+
+    def __init__(
+        self, domains=("a", "b", "c"), daemons=2, endpoints=2, extra="", **size
+    ):
+        self.domains = domains
+        self.extra = extra
+        self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
+        self.endpoints_per_domain = endpoints
+        self.daemons_per_domain = daemons
+        self.folder = tempfile.mkdtemp(prefix="clementinebay-")
+        self.processes = []
+        self.daemons = []
+        self.endpoints = {}
+        self.http = httpx.Client(timeout=10.0)
+        self.platform_url = ""
+        self.platform = None
+
+    def __enter__(self):
+        try:
+            self.start_platform()
+            self.start_endpoints()
+            self.start_daemons()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(self, *exc):
+        for process in reversed(self.processes):
+            if process.child.poll() is None:
+                process.child.send_signal(signal.SIGCONT)
+                process.child.terminate()
+        for process in self.processes:
+            try:
+                process.stop()
+            except subprocess.TimeoutExpired:
+                pass
+        self.http.close()
+
+    def spawn(self, name, *arguments):
+        """Start a process that ends with the cluster."""
+        process = Process(name, arguments, self.folder)
+        self.processes.append(process)
+        return process
+
+    def start_platform(self):
+        """Start the platform's stand-in."""
+        port = free_ports(1)[0]
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self.platform = self.spawn("platform", "standins.platform", "--port", str(port))
+        wait_for("the platform", lambda: self.http.get(f"{self.platform_url}/vms"))
+
+    def start_endpoints(self):
+        """Start one process of endpoints a domain and list them."""
+        for domain in self.domains:
+            count = self.endpoints_per_domain
+            first = free_range(count)
+            options = ["--name", domain, "--port", str(first), "--count", str(count)]
+            for key, value in self.size.items():
+                options += [f"--{key.replace('_', '-')}", str(value)]
+            self.spawn(f"endpoints-{domain}", "standins.endpoint", *options)
+            for number in range(count):
+                self.endpoints[f"{domain}-{number}"] = f"127.0.0.1:{first + number}"
+        for address in self.endpoints.values():
+            url = f"http://{address}/control/runs"
+            wait_for(f"endpoint {address}", lambda url=url: self.http.get(url))
+        self.list_vms([self.endpoint_vm(name) for name in self.endpoints])
+
+    def endpoint_vm(self, name):
+        """Return an endpoint's entry of the live list."""
+        domain, _dash, number = name.rpartition("-")
+        return {
+            "id": name,
+            "role": "endpoint",
+            "address": self.endpoints[name],
+            "failure_domain": domain,
+            "rack": f"{domain}-rack-{int(number) % 3}",
+            "processors_milli": self.size["processors"] * 1000,
+            "memory_mb": self.size["memory_mb"],
+            "accelerators": self.size["accelerators"],
+        }
+
+    def list_vms(self, put=(), remove=()):
+        """Change the live list."""
+        body = {"put": list(put), "remove": list(remove)}
+        self.http.post(f"{self.platform_url}/control/vms", json=body)
+
+    def start_daemons(self):
+        """Start the daemons and wait until they are ready."""
+        for domain in self.domains:
+            for number in range(self.daemons_per_domain):
+                front, peer = free_ports(2)
+                daemon = Daemon(f"{domain}-entry-{number}", domain, front, peer)
+                self.daemons.append(daemon)
+                self.start_daemon(daemon)
+        self.list_vms([self.daemon_vm(daemon) for daemon in self.daemons])
+        for daemon in self.daemons:
+            self.wait_ready(daemon)
+
+    def daemon_vm(self, daemon):
+        """Return a daemon's entry of the live list."""
+        return {
+            "id": daemon.name,
+            "role": "entry",
+            "address": f"127.0.0.1:{daemon.peer}",
+            "failure_domain": daemon.domain,
+        }
+
+    def start_daemon(self, daemon):
+        """Start one daemon process."""
+        path = os.path.join(self.folder, f"{daemon.name}.ini")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(
+                SETTINGS.format(
+                    name=daemon.name,
+                    domain=daemon.domain,
+                    front=daemon.front,
+                    peer=daemon.peer,
+                    platform=self.platform_of(daemon),
+                    live_list=f"{self.platform_of(daemon)}/vms",
+                    extra=self.extra,
+                )
+            )
+        daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
+
+    def platform_of(self, _daemon):
+        """Return the platform's URL as a daemon sees it."""
+        return self.platform_url
+
+    def wait_ready(self, daemon):
+        """Wait until a daemon says that it is ready."""
+        url = f"{daemon.url}/ready"
+        wait_for(daemon.name, lambda: self.http.get(url).status_code == 200)
+
+    # Faults and what was seen
+
+    def platform_faults(self, **faults):
+        """Set faults of the platform."""
+        self.http.post(f"{self.platform_url}/control/faults", json=faults)
+
+    def endpoint_faults(self, name, **faults):
+        """Set faults of an endpoint."""
+        address = self.endpoints[name]
+        self.http.post(f"http://{address}/control/faults", json=faults)
+
+    def runs(self):
+        """Return every run at any endpoint, with the endpoint's name."""
+        found = []
+        for name, address in self.endpoints.items():
+            answer = self.http.get(f"http://{address}/control/runs").json()
+            found += [{**run, "endpoint": name} for run in answer["runs"]]
+        return found
+
+    def violations(self):
+        """Return over-commits, and pairs of runs of one batch task that overlap."""
+        found = []
+        for name, address in self.endpoints.items():
+            answer = self.http.get(f"http://{address}/control/runs").json()
+            found += [{**item, "endpoint": name} for item in answer["violations"]]
+        return found + overlaps(self.runs())
+
+
+def overlaps(runs):
+    """Return pairs of runs of one task that overlap in time."""
+    found = []
+    last = {}
+    for run in sorted(runs, key=lambda run: run["started"]):
+        if run["service"]:
+            continue
+        key = (run["origin"], run["index"])
+        before = last.get(key)
+        if before and (before["ended"] is None or before["ended"] > run["started"]):
+            found.append({"kind": "double-run", "runs": [before, run]})
+        last[key] = run
+    return found
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,244 @@
+"""Stand-in for the platform: etcd's JSON gateway and the list of VMs, with faults.
+
+Faults are set by ``POST /control/faults`` with any of: ``down`` (refuse all calls),
+``delay`` (seconds before each call), ``lose`` (share of writes that take effect and are
+not answered), ``watch_lag`` (seconds), ``list_lag`` (seconds).
+"""
+
+import argparse
+import asyncio
+import base64
+import random
+from collections import deque
+
+import msgspec
+
+from clementinebay import errors
+from clementinebay.clock import SystemClock
+from clementinebay.platform.base import Put
+from clementinebay.platform.keyspace import KeySpace
+from standins import web
+
+#: A watch line without events is sent after so long, in seconds.
+PROGRESS_SECONDS = 10.0
+
+
+def decode(text):
+    """Return the bytes that base64 ``text`` stands for."""
+    return base64.b64decode(text)
+
+
+def encode(data):
+    """Return ``data`` in base64."""
+    return base64.b64encode(data).decode()
+
+
+class Platform:
+    """One key space, one list of VMs, and the faults that are set."""
+
+    def __init__(self, seed):
+        self.space = KeySpace(SystemClock())
+        self.vms = {}
+        self.lists = deque([(0.0, [])])
+        self.rng = random.Random(seed)
+        self.counts = {"read": 0, "write": 0, "watch": 0}
+        self.faults = {
+            "down": False,
+            "delay": 0.0,
+            "lose": 0.0,
+            "watch_lag": 0.0,
+            "list_lag": 0.0,
+        }
+
+    def header(self):
+        """Return the header of every answer."""
+        return {"revision": str(self.space.revision)}
+
+    async def kv(self, call):
+        """Answer a call of the key-value service."""
+        if self.faults["down"]:
+            return web.Reply({"error": "down"}, 503)
+        if self.faults["delay"]:
+            await asyncio.sleep(self.faults["delay"])
+        if call.path == "/v3/watch":
+            self.counts["watch"] += 1
+            return Watch(self, call.json()["create_request"])
+        action = {
+            "/v3/kv/range": self.range,
+            "/v3/kv/txn": self.transact,
+            "/v3/lease/grant": self.grant,
+            "/v3/lease/keepalive": self.keep_alive,
+            "/v3/lease/revoke": self.revoke,
+        }[call.path]
+        writing = call.path != "/v3/kv/range"
+        self.counts["write" if writing else "read"] += 1
+        answer = action(call.json())
+        if writing and self.rng.random() < self.faults["lose"]:
+            return None
+        return web.Reply({"header": self.header(), **answer})
+
+    def item(self, entry):
+        """Return an entry as the gateway writes it."""
+        return {
+            "key": encode(entry.key.encode()),
+            "value": encode(entry.value or b""),
+            "mod_revision": str(entry.version),
+            "lease": str(entry.lease),
+        }
+
+    def range(self, body):
+        """Answer a read."""
+        start = decode(body["key"]).decode()
+        end = (
+            decode(body["range_end"]).decode() if "range_end" in body else start + "\0"
+        )
+        entries = self.space.range(start, end, int(body.get("limit", 0)))
+        return {"kvs": [self.item(entry) for entry in entries]}
+
+    def transact(self, body):
+        """Answer a transaction."""
+        compares = [
+            (decode(c["key"]).decode(), int(c["mod_revision"])) for c in body["compare"]
+        ]
+        puts, deletes = [], []
+        for operation in body["success"]:
+            if "request_put" in operation:
+                put = operation["request_put"]
+                key, value = decode(put["key"]).decode(), decode(put["value"])
+                puts.append(Put(key, value, int(put.get("lease", 0))))
+            else:
+                span = operation["request_delete_range"]
+                start = decode(span["key"]).decode()
+                deletes.append((start, decode(span["range_end"]).decode()))
+        try:
+            self.space.commit(compares, puts, deletes)
+        except errors.CompareFailedError:
+            found = [self.range(op["request_range"]) for op in body["failure"]]
+            return {"responses": [{"response_range": answer} for answer in found]}
+        return {"succeeded": True}
+
+    def grant(self, body):
+        """Answer a lease grant."""
+        return {"ID": str(self.space.grant(int(body["TTL"]))), "TTL": body["TTL"]}
+
+    def keep_alive(self, body):
+        """Answer a lease renewal."""
+        ttl = self.space.keep_alive(int(body["ID"]))
+        return {"result": {"ID": body["ID"], "TTL": str(ttl)}}
+
+    def revoke(self, body):
+        """Answer the end of a lease."""
+        self.space.revoke(int(body["ID"]))
+        return {}
+
+    # The list of VMs
+
+    async def vm_list(self, call):
+        """Answer a read of the list, as it was ``list_lag`` seconds ago."""
+        if self.faults["down"]:
+            return web.Reply({"error": "down"}, 503)
+        now = self.space.clock.now()
+        shown = now - self.faults["list_lag"]
+        while len(self.lists) > 1 and self.lists[1][0] <= shown:
+            self.lists.popleft()
+        tag = f'"{self.lists[0][0]}"'
+        if call.headers.get("if-none-match") == tag:
+            return web.Reply(status=304)
+        return web.Reply(self.lists[0][1], headers=[("ETag", tag)])
+
+    async def control_vms(self, call):
+        """Add, change or remove VMs: a list of objects, or of ids to remove."""
+        body = call.json()
+        for vm in body.get("put", ()):
+            self.vms[vm["id"]] = {**self.vms.get(vm["id"], {}), **vm}
+        for name in body.get("remove", ()):
+            self.vms.pop(name, None)
+        self.lists.append((self.space.clock.now(), list(self.vms.values())))
+        return web.Reply({})
+
+    async def control_faults(self, call):
+        """Set faults."""
+        self.faults.update(call.json())
+        return web.Reply(self.faults)
+
+    async def control_counts(self, _call):
+        """Return how many calls there were."""
+        return web.Reply(self.counts)
+
+
+class Watch:
+    """The answer to a watch: one line of JSON a change."""
+
+    def __init__(self, platform, request):
+        self.platform = platform
+        self.start = decode(request["key"]).decode()
+        self.end = decode(request["range_end"]).decode()
+        self.revision = int(request.get("start_revision", 1)) - 1
+
+    async def stream(self, receive, send):
+        """Send changes until the client leaves or the platform goes down."""
+        left = asyncio.create_task(self.wait_until_left(receive))
+        start = {"type": "http.response.start", "status": 200, "headers": []}
+        await send(start)
+        try:
+            while not left.done() and not self.platform.faults["down"]:
+                await self.step(send)
+        finally:
+            left.cancel()
+
+    @staticmethod
+    async def wait_until_left(receive):
+        """Return when the client closes the connection."""
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    async def step(self, send):
+        """Send what changed, or wait for a change."""
+        space = self.platform.space
+        changed = space.changed
+        entries = space.changes(self.start, self.end, self.revision)
+        if not entries:
+            try:
+                async with asyncio.timeout(0.5):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+            return
+        self.revision = entries[-1].version
+        if self.platform.faults["watch_lag"]:
+            await asyncio.sleep(self.platform.faults["watch_lag"])
+        events = [
+            {
+                "type": "PUT" if entry.value is not None else "DELETE",
+                "kv": self.platform.item(entry),
+            }
+            for entry in entries
+        ]
+        header = {"revision": str(self.revision)}
+        line = msgspec.json.encode({"result": {"header": header, "events": events}})
+        await send(
+            {"type": "http.response.body", "body": line + b"\n", "more_body": True}
+        )
+
+
+def main():
+    """Serve until told to stop."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    platform = Platform(arguments.seed)
+    app = web.App(
+        {
+            "/v3/": platform.kv,
+            "/vms": platform.vm_list,
+            "/control/vms": platform.control_vms,
+            "/control/faults": platform.control_faults,
+            "/control/counts": platform.control_counts,
+        }
+    )
+    asyncio.run(web.serve({arguments.port: app}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/system/test_path.py
@@ -0,0 +1,50 @@
+import httpx
+import pytest
+
+from bench import demo
+from standins.cluster import Cluster, wait_for
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(domains=("a", "b"), daemons=1, endpoints=1) as cluster:
+        operator = cluster.daemons[0]
+        demo.tool(operator, "service", "submit", "call-in", "--count", "1")
+        wait_for("the replica", lambda: demo.running(operator, "service", "call-in"))
+        yield cluster
+
+
+def post(daemon, headers=None, service="call-in"):
+    url = f"{daemon.url}/v1/services/{service}/requests"
+    return httpx.post(url, content=b"tank 7", headers=headers or {}, timeout=20)
+
+
+def test_request_is_answered_through_either_daemon(cluster):
+    for daemon in cluster.daemons:
+        answers = [post(daemon) for _number in range(3)]
+        assert {answer.headers["X-Outcome"] for answer in answers} == {"done"}
+        assert {answer.content for answer in answers} == {b"tank 7"}
+
+
+def test_once_only_key_runs_once(cluster):
+    keys = {"Idempotency-Key": "dispatch-crew-1"}
+    outcomes = [post(d, keys).headers["X-Outcome"] for d in cluster.daemons]
+    assert outcomes == ["done", "not-run"]
+
+
+def test_unknown_service_is_not_run(cluster):
+    answer = post(cluster.daemons[0], service="nothing")
+    assert answer.status_code == 503
+    assert answer.json()["code"] == "no-endpoint"
+
+
+def test_job_runs_to_its_end(cluster):
+    operator = cluster.daemons[1]
+    demo.tool(operator, "job", "submit", "minutes", "--count", "8")
+    wait_for("the job", lambda: done(operator) == 8)
+    assert not cluster.violations()
+
+
+def done(daemon):
+    rows = demo.tool(daemon, "job", "list")
+    return sum(row["done"] for row in rows)
