--- a/clementinebay/claims.py
+++ b/clementinebay/claims.py
@@ -32,8 +32,8 @@
     async def claim(self, key, claimant, deadline):
         """Claim ``key`` for ``claimant``, unique for each attempt to claim.
 
-        Raises `DuplicateKeyError` if it was claimed before, `KeyNotClaimedError` if the platform
-        does not say so by ``deadline``.
+        Raises `DuplicateKeyError` if it was claimed before, `KeyNotClaimedError` if the
+        platform does not say so by ``deadline``.
         """
         day = int(self.clock.now() // DAY_SECONDS)
         mine = claim_key(day, key)
--- a/clementinebay/cmdline.py
+++ b/clementinebay/cmdline.py
@@ -260,7 +260,7 @@
 
 
 def read_document(path):
-    """Return the sections of a document file; raise `ConfigInvalidError` if it is wrong."""
+    """Return the sections of a document file; raise `ConfigInvalidError`."""
     with open(path, encoding="utf-8") as file:
         sections = config.split(file.read())
     if problems := config.check(sections):
--- a/clementinebay/configstore.py
+++ b/clementinebay/configstore.py
@@ -85,8 +85,8 @@
 
         ``changes`` maps sections to texts, or to ``None`` to delete; ``base`` is the
         revision on which they were made.  Changes to other sections are merged; a
-        newer change to the same section raises `ConfigConflictError`, a document that would
-        be wrong `ConfigInvalidError`.
+        newer change to the same section raises `ConfigConflictError`, a document that
+        would be wrong `ConfigInvalidError`.
         """
         nonce = uuid.uuid4().hex
         known = None
--- a/clementinebay/endpoint/base.py
+++ b/clementinebay/endpoint/base.py
@@ -85,8 +85,8 @@
     """Drives endpoints at their addresses.
 
     Each call raises `EndpointUnreachableError` when nothing reached the endpoint,
-    `EndpointRefusedError` when the endpoint said that it did not carry out the call, and
-    `EndpointAnswerLostError` when that is not known.
+    `EndpointRefusedError` when the endpoint said that it did not carry out the call,
+    and `EndpointAnswerLostError` when that is not known.
     """
 
     @abstractmethod
--- a/clementinebay/peer/frame.py
+++ b/clementinebay/peer/frame.py
@@ -12,7 +12,7 @@
 
 
 def encode(envelope, limit):
-    """Return the frame of ``envelope``; raise `FrameTooLargeError` over ``limit`` bytes."""
+    """Return the frame of ``envelope``; raise `FrameTooLargeError` over ``limit``."""
     data = thriftcodec.encode(envelope)
     if len(data) > limit:
         raise errors.FrameTooLargeError(f"{len(data)} bytes, at most {limit}")
@@ -28,7 +28,7 @@
 
 
 def check_header(header, limit):
-    """Return the length in ``header``; raise `FrameVersionError` or `FrameTooLargeError`."""
+    """Return the length in ``header``; raise a `FrameError` if it is not allowed."""
     length, version = HEADER.unpack(header)
     if version != VERSION:
         raise errors.FrameVersionError(f"version {version}, not {VERSION}")
--- a/clementinebay/peer/link.py
+++ b/clementinebay/peer/link.py
@@ -103,8 +103,8 @@
     async def call(self, kind, message, reply_kind, deadline, traceparent=""):
         """Send ``message`` and return the peer's reply of class ``reply_kind``.
 
-        Raises `PeerUnreachableError` when nothing was sent, `PeerAnswerLostError` when no answer
-        came by ``deadline``, and the error that the peer reported.
+        Raises `PeerUnreachableError` when nothing was sent, `PeerAnswerLostError` when
+        no answer came by ``deadline``, and the error that the peer reported.
         """
         payload = thriftcodec.encode(message)
         number = next(self.ids)
--- a/clementinebay/platform/base.py
+++ b/clementinebay/platform/base.py
@@ -40,8 +40,9 @@
 class KeyValueStore(ABC):
     """The platform's key-value service.
 
-    Keys are texts and values bytes.  Every call raises `PlatformUnavailableError` when it
-    had no effect and `PlatformOutcomeUnknownError` when a write may have taken effect.
+    Keys are texts and values bytes.  Every call raises `PlatformUnavailableError` when
+    it had no effect and `PlatformOutcomeUnknownError` when a write may have taken
+    effect.
     """
 
     @abstractmethod
--- a/clementinebay/platform/keyspace.py
+++ b/clementinebay/platform/keyspace.py
@@ -86,7 +86,7 @@
         self.changed = asyncio.Event()
 
     def changes(self, start, end, revision):
-        """Return changes in the range after ``revision``; `LogGapError` if forgotten."""
+        """Return changes after ``revision``; raise `LogGapError` if forgotten."""
         if self.compacted and revision < self.history[0].version - 1:
             raise errors.LogGapError("history is compacted")
         found = []
--- a/clementinebay/shard/leader.py
+++ b/clementinebay/shard/leader.py
@@ -44,7 +44,7 @@
         return self.held
 
     async def acquire(self, now):
-        """Create the key under a new lease; raise `CompareFailedError` if another has it."""
+        """Create the key under a new lease; raise `CompareFailedError` if it exists."""
         entry = await self.store.get(self.key)
         if entry is not None:
             raise errors.CompareFailedError(self.key, entry)
--- a/clementinebay/shard/log.py
+++ b/clementinebay/shard/log.py
@@ -129,9 +129,9 @@
     async def append(self, records):
         """Write ``records`` as one batch; return a refusal or ``None`` for each.
 
-        Raises `LogConflictError` after catching up if another writer was first, or if it
-        cannot be told any more who was.  A lost answer is settled by writing the same
-        bytes again: only one of the copies can take effect.
+        Raises `LogConflictError` after catching up if another writer was first, or if
+        it cannot be told any more who was.  A lost answer is settled by writing the
+        same bytes again: only one of the copies can take effect.
         """
         async with self.lock:
             index = self.state.index + 1
@@ -173,7 +173,7 @@
     # Snapshot and truncation
 
     async def write_snapshot(self):
-        """Write the state as the new snapshot; raise `LogConflictError` if another did."""
+        """Write the state as a snapshot; raise `LogConflictError` if another did."""
         async with self.lock:
             image = snapshot.take(self.state)
             data = thriftcodec.encode(image)
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -395,7 +395,7 @@
     # Assertions
 
     def check(self):
-        """Raise `InvariantBrokenError` if a promise does not hold; for tests and soaks."""
+        """Raise `InvariantBrokenError` if a promise does not hold."""
         held = {}
         for name, job in self.jobs.items():
             for index, task in job.tasks.items():
@@ -411,7 +411,7 @@
             raise errors.InvariantBrokenError(f"unknown endpoints {sorted(held)}")
 
     def check_endpoint(self, name, endpoint):
-        """Raise `InvariantBrokenError` if the sums of ``endpoint`` are wrong or too high."""
+        """Raise `InvariantBrokenError` if an endpoint's sums are wrong or too high."""
         sizes = [self.jobs[job].spec.size for job, _index in endpoint.held]
         sums = (
             sum(size.processors_milli for size in sizes),
--- a/clementinebay/thriftcodec.py
+++ b/clementinebay/thriftcodec.py
@@ -27,7 +27,7 @@
 
 
 def decode(kind, data):
-    """Return the structure of class ``kind`` in ``data``; raise `FrameMalformedError`."""
+    """Return the ``kind`` in ``data``; raise `FrameMalformedError` if there is none."""
     try:
         return deserialize(kind(), data, FACTORY)
     except DECODE_FAILURES as error:
