--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -15,6 +15,7 @@
     "mover": ("clementinebay.services.mover", "Mover"),
     "peers": ("clementinebay.services.peers", "Peers"),
     "platform": ("clementinebay.services.platform", "Platform"),
+    "renewals": ("clementinebay.services.renewals", "Renewals"),
     "router": ("clementinebay.services.router", "Router"),
     "scheduler": ("clementinebay.services.scheduler", "Scheduler"),
     "shard": ("clementinebay.services.shard", "ShardFollower"),
--- a/clementinebay/services/dispatcher.py
+++ b/clementinebay/services/dispatcher.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from clementinebay import errors
-from clementinebay.endpoint.base import Renewal, TaskStart, TaskStop
+from clementinebay.endpoint.base import TaskStart, TaskStop
 from clementinebay.log import Log
 from clementinebay.service import Service
 from clementinebay.shard.state import HOLDING, Phase
@@ -23,18 +23,15 @@
     """Drives the endpoints of one domain; ``records`` are for the log."""
 
     name = "dispatcher"
-    requires = ("shard", "driver", "config", "livelist")
+    requires = ("shard", "driver")
 
     async def start(self):
-        """Begin to renew leases and take reports."""
+        """Begin to take orders."""
         self.shard = self.kernel.find("shard")
         self.driver = self.kernel.find("driver").driver
         self.records = []
         self.orders = {}
-        self.versions = {}
         self.slots = asyncio.Semaphore(ORDERS)
-        self.active = False
-        self.background.spawn(self.poll)
 
     async def stop(self):
         """Abandon orders in progress; they are idempotent."""
@@ -122,46 +119,6 @@
 
     # Reports
 
-    async def poll(self):
-        """Renew leases and take reports at every interval."""
-        while True:
-            if self.active or not self.platform_answers():
-                endpoints = list(self.shard.state.endpoints.values())
-                await asyncio.gather(*(self.renew(e) for e in endpoints if not e.lost))
-            await asyncio.sleep(self.settings.scheduler_poll_seconds)
-
-    def platform_answers(self):
-        """Return whether the platform was read lately."""
-        age = self.clock.now() - self.kernel.find("config").confirmed_at
-        return age < self.settings.scheduler_leader_seconds
-
-    def lease_deadline(self):
-        """Return the deadline of renewals.
-
-        It never passes the last confirmed read of the shard by more than
-        ``reclaim_after``, which is what a reader of the log waits for.
-        """
-        settings = self.settings
-        confirmed = self.shard.log.confirmed_at
-        return min(
-            self.clock.now() + settings.scheduler_lease_seconds,
-            confirmed + settings.scheduler_reclaim_after_seconds,
-        )
-
-    async def renew(self, endpoint):
-        """Renew the leases at one endpoint and take its report."""
-        name = endpoint.seen.id
-        renewal = Renewal(self.lease_deadline(), self.versions.get(name, 0))
-        async with self.slots:
-            try:
-                report = await self.driver.renew(endpoint.seen.address, renewal)
-            except errors.EndpointError as error:
-                log.debug("%s: %s.", name, error)
-                return
-        self.versions[name] = report.version
-        for task in report.tasks:
-            self.take_report(task)
-
     def take_report(self, report):
         """Turn a report of an attempt into a record, if it says something new."""
         job = self.shard.state.jobs.get(report.job)
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -16,13 +16,14 @@
     """Appends decisions to the shard's log and has the dispatcher act on them."""
 
     name = "scheduler"
-    requires = ("shard", "dispatcher", "config", "livelist", "platform")
+    requires = ("shard", "dispatcher", "renewals", "config", "livelist", "platform")
 
     async def start(self):
         """Begin to decide."""
         settings = self.settings
         self.shard = self.kernel.find("shard")
         self.dispatcher = self.kernel.find("dispatcher")
+        self.renewals = self.kernel.find("renewals")
         self.config = self.kernel.find("config")
         self.livelist = self.kernel.find("livelist")
         self.domain = settings.daemon_failure_domain
@@ -43,8 +44,8 @@
     async def run(self):
         """Decide at every tick while the lease is held."""
         while True:
-            self.dispatcher.active = await self.leader.hold()
-            if self.dispatcher.active and self.shard.log.confirmed_at:
+            self.renewals.active = await self.leader.hold()
+            if self.renewals.active and self.shard.log.confirmed_at:
                 await self.tick()
             await asyncio.sleep(self.settings.scheduler_tick_seconds)
 
@@ -57,7 +58,7 @@
             except (errors.LogConflictError, errors.PlatformError) as error:
                 # Whatever is still true is reported and decided again.
                 log.debug("Nothing was written: %s.", error)
-                self.dispatcher.versions.clear()
+                self.renewals.ask_again()
         await self.keep_log_short()
         self.dispatcher.reconcile()
 
