Wait in the path's test until each daemon knows the replica

The daemon of the other domain learns of a replica by gossip, up to a second after it runs; until then not-run is the right answer.

--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -11,9 +11,15 @@
         operator = cluster.daemons[0]
         demo.tool(operator, "service", "submit", "call-in", "--count", "1")
         wait_for("the replica", lambda: demo.running(operator, "service", "call-in"))
+        for daemon in cluster.daemons:
+            wait_for(f"{daemon.name} to know it", lambda d=daemon: knows(d))
         yield cluster
 
 
+def knows(daemon):
+    return post(daemon).headers["X-Outcome"] == "done"
+
+
 def post(daemon, headers=None, service="call-in"):
     url = f"{daemon.url}/v1/services/{service}/requests"
     return httpx.post(url, content=b"tank 7", headers=headers or {}, timeout=20)
