Let a daemon that starts while the platform is away ask its peers

Cause: a daemon replaced during an outage knew neither replicas nor peers, so its failure domain lost an entry VM until the platform came back.

Seen: without the service the new test times out after 20 s with not-run; with it the replaced daemon serves.

config apply takes the base revision from a document that config show printed.

--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,12 @@
 
 # Generated code is committed; this needs Apache's thrift compiler.
 idl:
-	for name in shard peer; do \
-	  mkdir -p build-idl && thrift --gen py:slots -out build-idl idl/$$name.thrift && \
-	  cp build-idl/clementinebay/$$name/wire/*.py clementinebay/$$name/wire/; \
-	done; rm -r build-idl
+	mkdir -p build-idl
+	thrift --gen py:slots -out build-idl idl/shard.thrift
+	thrift --gen py:slots -out build-idl idl/peer.thrift
+	cp build-idl/clementinebay/shard/wire/*.py clementinebay/shard/wire/
+	cp build-idl/clementinebay/peer/wire/*.py clementinebay/peer/wire/
+	rm -r build-idl
 
 $(STAMP): requirements.txt
 	python3 -m venv $(VENV)
--- a/clementinebay/cmdline.py
+++ b/clementinebay/cmdline.py
@@ -25,6 +25,9 @@
 #: Longest wait for an answer of the daemon, in seconds.
 TIMEOUT_SECONDS = 30.0
 
+#: Begin of the first line of a document as ``config show`` prints it.
+REVISION_LINE = "# revision "
+
 EXIT_CODES = """\
 exit codes:
   0  done
@@ -198,7 +201,12 @@
         config_apply,
     )
     command.add_argument("file")
-    command.add_argument("--base", type=int, help="revision that was edited")
+    command.add_argument(
+        "--base",
+        type=int,
+        help="revision that was edited; the default is the one in the first line of a "
+        "document that config show printed, else the newest",
+    )
     command.add_argument("--delete", action="append", default=[], metavar="SECTION")
     command.add_argument("--author", default=getpass.getuser())
     command = add_command(group, "show", "Show the document in force.", config_show)
@@ -268,11 +276,21 @@
     return sections
 
 
+def shown_revision(path):
+    """Return the revision in the first line that ``config show`` wrote, or ``None``."""
+    with open(path, encoding="utf-8") as file:
+        first = file.readline()
+    number = first.removeprefix(REVISION_LINE).strip()
+    return int(number) if first.startswith(REVISION_LINE) and number.isdigit() else None
+
+
 def config_apply(arguments, client):
     """Apply a document's sections."""
     sections = dict(read_document(arguments.file))
     sections.update(dict.fromkeys(arguments.delete))
     base = arguments.base
+    if base is None:
+        base = shown_revision(arguments.file)
     if base is None:
         base = client.call("GET", "/v1/config")["revision"]
     body = {"sections": sections, "base": base, "author": arguments.author}
@@ -289,7 +307,7 @@
         sections = {arguments.section: sections[arguments.section]}
     if arguments.json:
         return {"revision": document["revision"], "sections": sections}
-    return f"# revision {document['revision']}\n{config.join(sections)}"
+    return f"{REVISION_LINE}{document['revision']}\n{config.join(sections)}"
 
 
 def config_history(arguments, client):
--- a/clementinebay/peer/wire/ttypes.py
+++ b/clementinebay/peer/wire/ttypes.py
@@ -24,6 +24,7 @@
     SPANS = 4
     CONFIG = 5
     JOBS = 6
+    STATE = 7
 
     _VALUES_TO_NAMES = {
         0: "REPLY",
@@ -33,6 +34,7 @@
         4: "SPANS",
         5: "CONFIG",
         6: "JOBS",
+        7: "STATE",
     }
 
     _NAMES_TO_VALUES = {
@@ -43,6 +45,7 @@
         "SPANS": 4,
         "CONFIG": 5,
         "JOBS": 6,
+        "STATE": 7,
     }
 
 
@@ -1396,6 +1399,166 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class StateQuery(object):
+    """
+    Attributes:
+     - domain
+
+    """
+
+    __slots__ = (
+        'domain',
+    )
+
+
+    def __init__(self, domain=None,):
+        self.domain = domain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StateQuery')
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 1)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StateReply(object):
+    """
+    Attributes:
+     - snapshot
+     - confirmed_at
+     - vms
+
+    """
+
+    __slots__ = (
+        'snapshot',
+        'confirmed_at',
+        'vms',
+    )
+
+
+    def __init__(self, snapshot=None, confirmed_at=float(0), vms=None,):
+        self.snapshot = snapshot
+        self.confirmed_at = confirmed_at
+        self.vms = vms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.snapshot = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.confirmed_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.vms = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StateReply')
+        if self.snapshot is not None:
+            oprot.writeFieldBegin('snapshot', TType.STRING, 1)
+            oprot.writeBinary(self.snapshot)
+            oprot.writeFieldEnd()
+        if self.confirmed_at is not None:
+            oprot.writeFieldBegin('confirmed_at', TType.DOUBLE, 2)
+            oprot.writeDouble(self.confirmed_at)
+            oprot.writeFieldEnd()
+        if self.vms is not None:
+            oprot.writeFieldBegin('vms', TType.STRING, 3)
+            oprot.writeBinary(self.vms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1495,5 +1658,17 @@
     None,  # 0
     (1, TType.LIST, 'jobs', (TType.STRUCT, [JobStanding, None], False), None, ),  # 1
 )
+all_structs.append(StateQuery)
+StateQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'domain', 'UTF8', None, ),  # 1
+)
+all_structs.append(StateReply)
+StateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'snapshot', 'BINARY', None, ),  # 1
+    (2, TType.DOUBLE, 'confirmed_at', None, float(0), ),  # 2
+    (3, TType.STRING, 'vms', 'BINARY', None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -6,6 +6,7 @@
 
 #: Service name -> (module, class).
 SERVICES = {
+    "bootstrap": ("clementinebay.services.bootstrap", "Bootstrap"),
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
@@ -23,7 +24,7 @@
 }
 
 #: What a daemon runs; each starts what it requires first.
-DAEMON = ("scheduler", "mover", "front")
+DAEMON = ("scheduler", "mover", "bootstrap", "front")
 
 
 def find_service_class(name):
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -7,6 +7,16 @@
 REQUIRED = object()
 
 
+def addresses(text):
+    """Return the list of ``host:port`` in a comma-separated text."""
+    found = [part.strip() for part in text.split(",") if part.strip()]
+    for address in found:
+        host, _colon, port = address.rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError(address)
+    return found
+
+
 class Option:
     """One key of the settings file: its type, default and allowed values."""
 
@@ -36,6 +46,8 @@
             return "one of " + ", ".join(self.choices)
         if self.kind is str:
             return "a text that is not empty"
+        if self.kind is addresses:
+            return "addresses HOST:PORT separated by commas"
         noun = "a whole number" if self.kind is int else "a number"
         return f"{noun} from {self.low} to {self.high}"
 
@@ -47,7 +59,7 @@
         if self.kind is str:
             if not value:
                 raise ValueError(text)
-        elif not self.low <= value <= self.high:
+        elif self.low is not None and not self.low <= value <= self.high:
             raise ValueError(text)
         return value
 
@@ -75,6 +87,13 @@
     Option("peer", "address", "127.0.0.1", "IP address for peer daemons."),
     _port("peer"),
     _count("peer", "max_frame_bytes", 2_000_000, "Largest frame in bytes.", low=1024),
+    Option(
+        "peer",
+        "seeds",
+        (),
+        "Peers to ask for state while the platform is away.",
+        kind=addresses,
+    ),
     _seconds("peer", "gossip_seconds", 1.0, "Time between two gossip messages."),
     Option("platform", "store", "etcd-json", "Protocol of the key-value service."),
     Option("platform", "url", REQUIRED, "URL of the key-value service."),
--- a/clementinebay/shard/log.py
+++ b/clementinebay/shard/log.py
@@ -97,6 +97,17 @@
                 self.revision = revision
                 return
 
+    async def adopt(self, image, confirmed_at):
+        """Take a snapshot from a peer that read the log to its end at ``confirmed_at``.
+
+        For a reader that cannot reach the platform; it changes nothing that the log
+        will not say again.
+        """
+        async with self.lock:
+            if image.index > self.state.index:
+                self.state = snapshot.restore(image)
+                self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
     async def follow(self):
         """Apply batches as they are written, until the watch breaks."""
         await self.load()
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,7 +1,7 @@
 // Messages between daemons.  Times are seconds since the Unix epoch.
 namespace py clementinebay.peer.wire
 
-enum Kind { REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6 }
+enum Kind { REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6, STATE = 7 }
 
 // One frame.  A reply or error carries the id of the message that it answers.
 struct Envelope {
@@ -51,3 +51,8 @@
   11: bool cancelled, 12: list<string> reasons, 13: string team, 14: bool is_service,
 }
 struct JobsReply { 1: list<JobStanding> jobs }
+
+// Asks for what a daemon needs to serve while the platform is away.
+struct StateQuery { 1: string domain }
+// The snapshot is empty if the peer is of another domain; vms is the live list in JSON.
+struct StateReply { 1: binary snapshot, 2: double confirmed_at = 0, 3: binary vms }
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -23,6 +23,7 @@
 port = {front}
 [peer]
 port = {peer}
+seeds = {seeds}
 [platform]
 url = {platform}
 live_list_url = {live_list}
@@ -232,7 +233,8 @@
                 front, peer = free_ports(2)
                 daemon = Daemon(f"{domain}-entry-{number}", domain, front, peer)
                 self.daemons.append(daemon)
-                self.start_daemon(daemon)
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
         self.list_vms([self.daemon_vm(daemon) for daemon in self.daemons])
         for daemon in self.daemons:
             self.wait_ready(daemon)
@@ -256,6 +258,7 @@
                     domain=daemon.domain,
                     front=daemon.front,
                     peer=daemon.peer,
+                    seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
                     live_list=f"{self.platform_of(daemon)}/vms",
                     extra=self.extra,
@@ -263,6 +266,11 @@
             )
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
 
+    def seeds_of(self, daemon):
+        """Return the peer addresses of all other daemons."""
+        others = [d for d in self.daemons if d is not daemon]
+        return ", ".join(f"127.0.0.1:{other.peer}" for other in others)
+
     def platform_of(self, _daemon):
         """Return the platform's URL as a daemon sees it."""
         return self.platform_url
--- /dev/null
+++ b/tests/system/test_bootstrap.py
@@ -0,0 +1,21 @@
+"""A daemon that is replaced while the platform is away."""
+
+from bench import demo
+from standins.cluster import Cluster, wait_for
+from tests.system.test_path import post
+
+
+def test_replaced_daemon_serves_on_the_word_of_its_peers():
+    with Cluster(domains=("a",), daemons=2, endpoints=1) as cluster:
+        replaced, other = cluster.daemons
+        demo.tool(other, "service", "submit", "call-in", "--count", "1")
+        wait_for("the service", lambda: outcome(replaced) == "done")
+        cluster.platform_faults(down=True)
+        replaced.process.kill()
+        replaced.process.start()
+        cluster.wait_ready(replaced)
+        wait_for("the replaced daemon to serve", lambda: outcome(replaced) == "done")
+
+
+def outcome(daemon):
+    return post(daemon).headers["X-Outcome"]
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -64,6 +64,14 @@
     assert json.loads(capsys.readouterr().out)["name"] == "call-in"
 
 
+def test_apply_takes_the_base_from_a_shown_document(daemon, tmp_path):
+    FakeDaemon.reply = (201, {"revision": 8})
+    path = tmp_path / "shown.ini"
+    path.write_text("# revision 7\n" + DOCUMENT)
+    assert run(daemon, "config", "apply", str(path)) == 0
+    assert FakeDaemon.calls[0][2]["base"] == 7
+
+
 def test_apply_sends_canonical_sections_on_a_base(daemon, document):
     FakeDaemon.reply = (201, {"revision": 13})
     words = ["config", "apply", document, "--base", "12", "--delete", "team:old"]
