--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -161,6 +161,18 @@
     code = "log-gap"
 
 
+class LogFormatError(ShardError):
+    """A batch or snapshot is of a newer format than this daemon knows."""
+
+    code = "log-format"
+
+
+class BatchTooLargeError(ShardError):
+    """One record alone exceeds what the platform holds under one key."""
+
+    code = "batch-too-large"
+
+
 class InvariantBrokenError(ShardError):
     """An assertion inside the program found a promise broken."""
 
--- a/clementinebay/policy/membership.py
+++ b/clementinebay/policy/membership.py
@@ -1,6 +1,6 @@
 """What the live list and the configuration mean for a shard's endpoints."""
 
-from clementinebay.shard.state import HOLDING, Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 
@@ -12,29 +12,55 @@
     )
 
 
+def domain_records(state, document, domain):
+    """Return the record that takes ``domain`` out or in, if operators changed that.
+
+    The record carries the revision of the domain's own section, so a scheduler with an
+    older document cannot undo a newer change.
+    """
+    ref = document.head.sections.get(f"domain:{domain}")
+    revision = ref.revision if ref else document.revision
+    out = document.domain_out(domain)
+    if revision <= state.revision or (out == state.out and ref is None):
+        return []
+    return [wire.Record(domain_state=wire.DomainState(out, revision))]
+
+
 def endpoint_records(state, vms, now, free_at):
     """Return records for endpoints that are new, changed, leaving or gone.
 
-    ``vms`` are the domain's endpoints on the live list; ``free_at`` is when the leases
-    of an endpoint that is gone have surely run out.
+    ``vms`` are the domain's endpoints on the live list.  ``free_at`` is when the leases
+    that were granted before ``now`` have surely run out; it counts for endpoints whose
+    bar was read, because only then nobody can grant more.
     """
     records = []
     listed = {vm.id: seen(vm) for vm in vms}
     for name, record in listed.items():
         known = state.endpoints.get(name)
-        if known is None or known.lost or known.seen != record:
+        new = known is None or known.lost or known.seen != record
+        if new and not (known and _moved(known, record)):
             records.append(wire.Record(endpoint_seen=record))
     for name, endpoint in state.endpoints.items():
-        if name not in listed and not endpoint.lost:
-            records.append(wire.Record(endpoint_lost=wire.EndpointLost(name, free_at)))
+        if endpoint.lost:
+            if not endpoint.free_at:
+                lost = wire.EndpointLost(name, free_at, endpoint.barred, now)
+                records.append(wire.Record(endpoint_lost=lost))
+        elif name not in listed or _moved(endpoint, listed[name]):
+            lost = wire.EndpointLost(name, at=now)
+            records.append(wire.Record(endpoint_lost=lost))
     return records
 
 
+def _moved(endpoint, record):
+    """Return whether bindings hold the VM that had this endpoint's id before."""
+    return bool(endpoint.held) and endpoint.seen.address != record.address
+
+
 def expired_records(state, now, skew):
     """Return releases of bindings whose leases have surely run out."""
     records = []
     for endpoint in state.endpoints.values():
-        if not endpoint.lost or now <= endpoint.free_at:
+        if not endpoint.free_at or now <= endpoint.free_at:
             continue
         for name, index in sorted(endpoint.held):
             task = state.jobs[name].tasks[index]
@@ -47,15 +73,56 @@
 
 
 def release_records(state):
-    """Return releases of what must leave: all if the domain is out, or a leaver's."""
+    """Return releases of what must leave.
+
+    That is all if the domain is out, a leaver's, and the youngest of an endpoint that
+    holds more than its new capacity.
+    """
+    records = []
+    for endpoint in state.endpoints.values():
+        reason = _reason(state, endpoint)
+        if reason:
+            held = [(state.jobs[name], index) for name, index in endpoint.held]
+            records += _releases(endpoint, held, reason)
+        elif endpoint.shrunk:
+            records += _releases(endpoint, _excess(state, endpoint), "capacity")
+    return records
+
+
+def _reason(state, endpoint):
+    if state.out:
+        return "domain-out"
+    return "endpoint-leaving" if endpoint.seen.leaving else ""
+
+
+def _releases(endpoint, held, reason):
     records = []
-    for name, job in state.jobs.items():
-        for task in job.tasks.values():
-            if task.phase not in HOLDING or task.phase == Phase.STOPPING:
-                continue
-            leaving = state.endpoints[task.endpoint].seen.leaving
-            if state.out or leaving:
-                reason = "domain-out" if state.out else "endpoint-leaving"
-                release = wire.Release(name, task.index, task.attempt, reason)
-                records.append(wire.Record(release=release))
+    for job, index in sorted(held, key=lambda item: (item[0].spec.id, item[1])):
+        task = job.tasks[index]
+        if task.phase != Phase.STOPPING:
+            release = wire.Release(job.spec.id, index, task.attempt, reason)
+            records.append(wire.Record(release=release))
     return records
+
+
+def _excess(state, endpoint):
+    """Return (job, index) of what to stop: least urgent and youngest first."""
+    held = [(state.jobs[name], index) for name, index in endpoint.held]
+    held.sort(
+        key=lambda item: (
+            item[0].tasks[item[1]].phase != Phase.STOPPING,
+            item[0].spec.workload == wire.Workload.SERVICE,
+            item[0].spec.urgency,
+            -item[0].tasks[item[1]].bound_at,
+        )
+    )
+    excess = []
+    processors = memory = accelerators = 0
+    for job, index in held:
+        if not endpoint.over(-processors, -memory, -accelerators):
+            break
+        processors += job.spec.size.processors_milli
+        memory += job.spec.size.memory_mb
+        accelerators += job.spec.size.accelerators
+        excess.append((job, index))
+    return excess
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -66,7 +66,7 @@
         """Return the records that the state and the platform's word ask for."""
         state, now = self.shard.state, self.clock.now()
         settings = self.settings
-        records = self.domain_records()
+        records = membership.domain_records(state, self.config.document, self.domain)
         if self.livelist.confirmed_at:
             free_at = (
                 now
@@ -81,16 +81,6 @@
         binds = placement.plan(state, now, self.first_lease())
         return records + [wire.Record(bind=bind) for bind in binds]
 
-    def domain_records(self):
-        """Return the record that takes the domain out or in, if that changed."""
-        document = self.config.document
-        state = self.shard.state
-        out = document.domain_out(self.domain)
-        if out == state.out or document.revision <= state.revision:
-            return []
-        change = wire.DomainState(out, document.revision)
-        return [wire.Record(domain_state=change)]
-
     def first_lease(self):
         """Return the deadline of a first lease.
 
--- a/clementinebay/shard/snapshot.py
+++ b/clementinebay/shard/snapshot.py
@@ -1,17 +1,45 @@
-"""A shard's state as one thrift structure, and back."""
+"""A shard's state as one thrift structure, compressed, and back."""
 
-from clementinebay.shard.state import (
+import zlib
+
+from clementinebay import errors, thriftcodec
+from clementinebay.shard.entities import (
     HOLDING,
     EndpointState,
     Job,
     Outgoing,
     Phase,
-    State,
     Task,
 )
+from clementinebay.shard.state import FORMAT, State
 from clementinebay.shard.wire import ttypes as wire
 
 TASK_FIELDS = Task.__slots__
+#: Plain attributes that an endpoint's image has too.
+ENDPOINT_FIELDS = ("free_at", "lost", "lost_at", "barred", "shrunk")
+#: Level of compression: the fastest takes most of the redundancy out.
+ZLIB_LEVEL = 1
+
+
+def encode(image):
+    """Return the bytes of a `wire.Snapshot`."""
+    return zlib.compress(thriftcodec.encode(image), ZLIB_LEVEL)
+
+
+def decode(data):
+    """Return the `wire.Snapshot` in ``data``.
+
+    Raises `FrameMalformedError` if there is none and `LogFormatError` if it is newer
+    than this code.
+    """
+    try:
+        plain = zlib.decompress(data)
+    except zlib.error as error:
+        raise errors.FrameMalformedError(f"no snapshot: {error}") from error
+    image = thriftcodec.decode(wire.Snapshot, plain)
+    if image.format > FORMAT:
+        raise errors.LogFormatError(f"the snapshot has format {image.format}")
+    return image
 
 
 def take(state):
@@ -19,16 +47,15 @@
     return wire.Snapshot(
         index=state.index,
         jobs=[_job_image(job) for job in state.jobs.values()],
-        endpoints=[
-            wire.EndpointImage(endpoint.seen, endpoint.free_at, endpoint.lost)
-            for endpoint in state.endpoints.values()
-        ],
+        endpoints=[_endpoint_image(endpoint) for endpoint in state.endpoints.values()],
         out=state.out,
         revision=state.revision,
         outbox=[
             wire.OutboxImage(outgoing.target, outgoing.spec, outgoing.checkpoint)
             for outgoing in state.outbox.values()
         ],
+        cancelled=[wire.CancelledImage(*item) for item in state.cancelled.items()],
+        format=FORMAT,
     )
 
 
@@ -39,17 +66,35 @@
     state.out = image.out
     state.revision = image.revision
     for item in image.endpoints:
-        endpoint = state.endpoints[item.seen.id] = EndpointState(item.seen)
-        endpoint.free_at = item.free_at
-        endpoint.lost = item.lost
+        _restore_endpoint(state, item)
     for item in image.jobs:
         _restore_job(state, item)
     for item in image.outbox:
         outgoing = Outgoing(item.target, item.spec, item.checkpoint)
         state.outbox[item.spec.id] = outgoing
+    state.cancelled = {item.origin: item.at for item in image.cancelled}
     return state
 
 
+def _endpoint_image(endpoint):
+    return wire.EndpointImage(
+        seen=endpoint.seen,
+        unconfirmed=[
+            wire.AttemptImage(*key, size) for key, size in endpoint.unconfirmed.items()
+        ],
+        **{name: getattr(endpoint, name) for name in ENDPOINT_FIELDS},
+    )
+
+
+def _restore_endpoint(state, image):
+    endpoint = state.endpoints[image.seen.id] = EndpointState(image.seen)
+    for item in image.unconfirmed:
+        key = (item.job, item.index)
+        endpoint.leave_unconfirmed(key, item.attempt, item.size)
+    for name in ENDPOINT_FIELDS:
+        setattr(endpoint, name, getattr(image, name))
+
+
 def _job_image(job):
     return wire.JobImage(
         spec=job.spec,
@@ -57,6 +102,7 @@
         done=job.done,
         cancelled=job.cancelled,
         ended_at=job.ended_at,
+        source=job.source,
         tasks=[
             wire.TaskImage(**{name: getattr(task, name) for name in TASK_FIELDS})
             for task in job.tasks.values()
@@ -65,7 +111,7 @@
 
 
 def _restore_job(state, image):
-    job = state.jobs[image.spec.id] = Job(image.spec)
+    job = state.jobs[image.spec.id] = Job(image.spec, image.source)
     job.next_index = image.next_index
     job.done = image.done
     job.cancelled = image.cancelled
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -4,169 +4,65 @@
 promise is refused with a typed error and changes nothing, on every daemon alike.
 """
 
-from enum import IntEnum
-
 from clementinebay import errors
+from clementinebay.shard import checks
+from clementinebay.shard.entities import (
+    HOLDING,
+    EndpointState,
+    Job,
+    Outgoing,
+    Phase,
+    Task,
+)
 from clementinebay.shard.wire import ttypes as wire
 
+#: Highest format of batches that this code applies.
+FORMAT = 1
+#: Waits before a task that failed is bound again, in seconds.
+FIRST_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 60.0
 
-class Phase(IntEnum):
-    """Where a task stands."""
-
-    WAITING = 0
-    BOUND = 1
-    RUNNING = 2
-    STOPPING = 3
-    PARKED = 4
-
-
-#: Phases in which a task holds resources of an endpoint.
-HOLDING = frozenset((Phase.BOUND, Phase.RUNNING, Phase.STOPPING))
-
-
-class Task:
-    """One task of a job that has been bound at least once."""
 
-    __slots__ = (
-        "index",
-        "attempt",
-        "phase",
-        "endpoint",
-        "lease_deadline",
-        "checkpoint",
-        "failures",
-        "failed_on",
-        "bound_at",
-        "reason",
-    )
+class State:
+    """Jobs, endpoints and the standing of one failure domain.
 
-    def __init__(self, index):
-        self.index = index
-        self.attempt = 0
-        self.phase = Phase.WAITING
-        self.endpoint = ""
-        self.lease_deadline = 0.0
-        self.checkpoint = ""
-        self.failures = 0
-        self.failed_on = []
-        self.bound_at = 0.0
-        self.reason = ""
-
-
-class Job:
-    """A job and those of its tasks that are neither untouched nor done.
-
-    Indexes from ``next_index`` on were never bound.  A lower index without an entry in
-    ``tasks`` is done, was cancelled, or was moved to another domain.
+    ``cancelled`` maps jobs, as their clients named them, to the time of their
+    cancellation.  ``touched`` are endpoints that records changed.
     """
 
-    __slots__ = ("spec", "next_index", "done", "cancelled", "tasks", "ended_at")
-
-    def __init__(self, spec):
-        self.spec = spec
-        self.next_index = spec.first_index
-        self.done = 0
-        self.cancelled = False
-        self.tasks = {}
-        self.ended_at = 0.0
-
-    @property
-    def end_index(self):
-        """First index after the job's tasks."""
-        return self.spec.first_index + self.spec.count
-
-    @property
-    def untouched(self):
-        """Number of tasks that were never bound."""
-        return self.end_index - self.next_index
-
-    @property
-    def ended(self):
-        """Whether nothing of the job is left to do in this shard."""
-        return not self.tasks and not self.untouched
-
-
-class EndpointState:
-    """An endpoint's capacity and what bindings hold of it."""
-
     __slots__ = (
-        "seen",
-        "free_at",
-        "lost",
-        "processors",
-        "memory",
-        "accelerators",
-        "held",
+        "index",
+        "jobs",
+        "endpoints",
+        "outbox",
+        "cancelled",
+        "out",
+        "revision",
+        "touched",
     )
 
-    def __init__(self, seen):
-        self.seen = seen
-        self.free_at = 0.0
-        self.lost = False
-        self.processors = 0
-        self.memory = 0
-        self.accelerators = 0
-        self.held = set()
-
-    def fits(self, size):
-        """Return whether a task of ``size`` may be added."""
-        total = self.seen.size
-        return (
-            self.processors + size.processors_milli <= total.processors_milli
-            and self.memory + size.memory_mb <= total.memory_mb
-            and self.accelerators + size.accelerators <= total.accelerators
-        )
-
-    def reserve(self, key, size):
-        """Take ``size`` for task ``key``, a pair of job and index."""
-        self.held.add(key)
-        self.processors += size.processors_milli
-        self.memory += size.memory_mb
-        self.accelerators += size.accelerators
-
-    def free(self, key, size):
-        """Give back what task ``key`` holds."""
-        self.held.remove(key)
-        self.processors -= size.processors_milli
-        self.memory -= size.memory_mb
-        self.accelerators -= size.accelerators
-
-    @property
-    def usable(self):
-        """Whether new tasks may be bound here."""
-        return not self.lost and not self.seen.leaving
-
-
-class Outgoing:
-    """Tasks that left this shard and were not yet seen in the target's."""
-
-    __slots__ = ("target", "spec", "checkpoint")
-
-    def __init__(self, target, spec, checkpoint=""):
-        self.target = target
-        self.spec = spec
-        self.checkpoint = checkpoint
-
-
-class State:
-    """Jobs, endpoints and the standing of one failure domain."""
-
-    __slots__ = ("index", "jobs", "endpoints", "outbox", "out", "revision")
-
     def __init__(self):
         self.index = 0
         self.jobs = {}
         self.endpoints = {}
         self.outbox = {}
+        self.cancelled = {}
+        self.touched = set()
         self.out = False
         self.revision = 0
 
     # Applying records
 
     def apply_batch(self, index, batch):
-        """Apply the batch at ``index``; return one refusal or ``None`` a record."""
+        """Apply the batch at ``index``; return one refusal or ``None`` a record.
+
+        Raises `LogFormatError` if the batch may hold records of a newer kind: a reader
+        that went past it would differ from the others.
+        """
         if index != self.index + 1:
             raise errors.LogGapError(f"index {index} does not follow {self.index}")
+        if batch.format > FORMAT:
+            raise errors.LogFormatError(f"batch {index} has format {batch.format}")
         self.index = index
         return [self.attempt(record) for record in batch.records]
 
@@ -184,7 +80,7 @@
             value = getattr(record, name)
             if value is not None:
                 return getattr(self, f"apply_{name}")(value)
-        raise errors.RecordRefusedError("the record is empty or of a newer kind")
+        raise errors.RecordRefusedError("the record is empty")
 
     def apply_submit(self, record):
         """Add a job; a second submission of the same id changes nothing."""
@@ -193,15 +89,35 @@
             if self.jobs[spec.id].spec != spec:
                 raise errors.RecordRefusedError(f"job {spec.id} exists and differs")
             return
-        job = self.jobs[spec.id] = Job(spec)
+        job = self.jobs[spec.id] = Job(spec, record.source)
+        if job.origin in self.cancelled:
+            self.cancel_part(job, self.cancelled[job.origin])
+            return
         if record.checkpoint:
             task = job.tasks[spec.first_index] = Task(spec.first_index)
             task.checkpoint = record.checkpoint
             job.next_index += 1
 
     def apply_cancel(self, record):
-        """Drop waiting tasks and stop the running ones."""
-        job = self.job(record.job)
+        """Drop waiting tasks and stop the running ones; parcels in the outbox too."""
+        if record.job:
+            self.cancel_part(self.job(record.job), record.at)
+        if record.origins:
+            self.cancel_origins(set(record.origins), record.at)
+
+    def cancel_origins(self, origins, at):
+        """Cancel all parts of ``origins`` and those that are submitted later."""
+        for origin in origins:
+            self.cancelled.setdefault(origin, at)
+        for job in self.jobs.values():
+            if job.origin in origins and not job.cancelled:
+                self.cancel_part(job, at)
+        for part, outgoing in list(self.outbox.items()):
+            if outgoing.spec.origin in origins:
+                del self.outbox[part]
+
+    def cancel_part(self, job, at):
+        """Cancel one part."""
         job.cancelled = True
         job.next_index = job.end_index
         for task in list(job.tasks.values()):
@@ -210,25 +126,45 @@
                 task.reason = "cancelled"
             else:
                 del job.tasks[task.index]
-        self.settle(job, record.at)
+        self.settle(job, at)
 
     def apply_endpoint_seen(self, record):
-        """Add an endpoint, or take its new capacity."""
+        """Add an endpoint, or take its new capacity.
+
+        Another address is another VM; it is refused while bindings hold the old one.
+        """
         known = self.endpoints.get(record.id)
+        if known is not None and known.seen.address != record.address:
+            if known.held:
+                raise errors.EndpointUnavailableError(f"{record.id} is held elsewhere")
+            known = None
         if known is None:
-            self.endpoints[record.id] = EndpointState(record)
-        else:
-            known.seen = record
-            known.lost = False
-            known.free_at = 0.0
+            known = self.endpoints[record.id] = EndpointState(record)
+        known.seen = record
+        known.lost = False
+        known.lost_at = known.free_at = 0.0
+        known.barred = 0
+        known.shrunk = known.over()
+        self.touched.add(record.id)
 
     def apply_endpoint_lost(self, record):
-        """Bar an endpoint; its bindings end at ``free_at`` at the latest."""
+        """Bar an endpoint; a second record tells when its bindings have run out."""
         endpoint = self.endpoint(record.id)
         if not endpoint.lost:
             endpoint.lost = True
+            endpoint.barred = self.index
+            endpoint.lost_at = record.at
+            endpoint.free_at = 0.0
+        elif record.barred == endpoint.barred and not endpoint.free_at:
             endpoint.free_at = record.free_at
 
+    def apply_cleared(self, record):
+        """Give back what an attempt that was released as expired may have used."""
+        self.endpoint(record.endpoint).confirm(
+            (record.job, record.index, record.attempt)
+        )
+        self.touched.add(record.endpoint)
+
     def apply_bind(self, record):
         """Reserve an endpoint for the next attempt of a task."""
         if self.out:
@@ -243,6 +179,7 @@
         if not endpoint.fits(job.spec.size):
             raise errors.OverCommitError(f"{record.endpoint} is full")
         endpoint.reserve((record.job, record.index), job.spec.size)
+        self.touched.add(record.endpoint)
         job.tasks[record.index] = task
         job.next_index = max(job.next_index, record.index + 1)
         task.attempt = record.attempt
@@ -285,14 +222,18 @@
     def apply_released(self, record):
         """End a binding: its stop is confirmed or its leases have run out."""
         job, task = self.holding(record)
-        if record.evidence == wire.Evidence.EXPIRED:
-            endpoint = self.endpoint(task.endpoint)
+        endpoint = self.endpoint(task.endpoint)
+        expired = record.evidence == wire.Evidence.EXPIRED
+        if expired:
             ends = max(endpoint.free_at, task.lease_deadline)
-            if not endpoint.lost or record.at < ends:
+            if not endpoint.lost or not endpoint.free_at or record.at < ends:
                 raise errors.SecondBindingError(
                     f"{record.job}/{record.index} may still run"
                 )
         self.let_go(job, task)
+        if expired:
+            key = (record.job, record.index)
+            endpoint.leave_unconfirmed(key, record.attempt, job.spec.size)
         if record.checkpoint:
             task.checkpoint = record.checkpoint
         if job.cancelled:
@@ -310,12 +251,7 @@
         elif job.cancelled:
             del job.tasks[task.index]
         else:
-            task.failures += 1
-            task.reason = record.reason
-            if endpoint not in task.failed_on:
-                task.failed_on.append(endpoint)
-            if task.failures >= job.spec.max_attempts:
-                task.phase = Phase.PARKED
+            self.note_failure(job, task, endpoint, record)
         self.settle(job, record.at)
 
     def apply_domain_state(self, record):
@@ -342,17 +278,28 @@
         else:
             job.next_index = job.end_index
         self.outbox[record.part] = Outgoing(record.target, spec, checkpoint)
+        self.settle(job, record.at)
 
     def apply_moved(self, record):
         """Forget a part that the target's shard has taken."""
         self.outbox.pop(record.part, None)
 
     def apply_forget(self, record):
-        """Drop a job that has ended."""
-        job = self.job(record.job)
-        if not job.ended:
-            raise errors.RecordRefusedError(f"job {record.job} has not ended")
-        del self.jobs[record.job]
+        """Drop jobs that have ended, lost endpoints, and old cancellations."""
+        jobs = [*record.jobs, record.job] if record.job else record.jobs
+        for name in jobs:
+            if name in self.jobs and not self.jobs[name].ended:
+                raise errors.RecordRefusedError(f"job {name} has not ended")
+        for name in record.endpoints:
+            known = self.endpoints.get(name)
+            if known and (not known.lost or known.held):
+                raise errors.RecordRefusedError(f"endpoint {name} is in use")
+        for name in jobs:
+            self.jobs.pop(name, None)
+        for name in record.endpoints:
+            self.endpoints.pop(name, None)
+        for name in record.origins:
+            self.cancelled.pop(name, None)
 
     # Parts of the above
 
@@ -384,9 +331,25 @@
         """Free what ``task`` holds and let it wait."""
         key = (job.spec.id, task.index)
         self.endpoints[task.endpoint].free(key, job.spec.size)
+        self.touched.add(task.endpoint)
         task.phase = Phase.WAITING
         task.endpoint = ""
 
+    def note_failure(self, job, task, endpoint, record):
+        """Have a failed task wait; park it after too many failures.
+
+        A replica of a service is never parked: it is tried again ever more slowly.
+        """
+        task.failures += 1
+        task.reason = record.reason
+        wait = FIRST_RETRY_SECONDS * 2 ** min(task.failures - 1, 10)
+        task.retry_at = record.at + min(wait, LONGEST_RETRY_SECONDS)
+        if endpoint not in task.failed_on:
+            task.failed_on.append(endpoint)
+        batch = job.spec.workload == wire.Workload.BATCH
+        if batch and task.failures >= job.spec.max_attempts:
+            task.phase = Phase.PARKED
+
     def settle(self, job, at):
         """Note the time at which ``job`` ended."""
         if job.ended and not job.ended_at:
@@ -396,36 +359,7 @@
 
     def check(self):
         """Raise `InvariantBrokenError` if a promise does not hold."""
-        held = {}
-        for name, job in self.jobs.items():
-            for index, task in job.tasks.items():
-                if task.phase in HOLDING:
-                    held.setdefault(task.endpoint, set()).add((name, index))
-                elif task.endpoint:
-                    raise errors.InvariantBrokenError(f"{name}/{index} holds nothing")
-        for name, endpoint in self.endpoints.items():
-            if endpoint.held != held.pop(name, set()):
-                raise errors.InvariantBrokenError(f"{name} has other holders")
-            self.check_endpoint(name, endpoint)
-        if held:
-            raise errors.InvariantBrokenError(f"unknown endpoints {sorted(held)}")
-
-    def check_endpoint(self, name, endpoint):
-        """Raise `InvariantBrokenError` if an endpoint's sums are wrong or too high."""
-        sizes = [self.jobs[job].spec.size for job, _index in endpoint.held]
-        sums = (
-            sum(size.processors_milli for size in sizes),
-            sum(size.memory_mb for size in sizes),
-            sum(size.accelerators for size in sizes),
-        )
-        if sums != (endpoint.processors, endpoint.memory, endpoint.accelerators):
-            raise errors.InvariantBrokenError(f"{name} sums differ from its holders")
-        total = endpoint.seen.size
-        limits = (total.processors_milli, total.memory_mb, total.accelerators)
-        if any(used > limit for used, limit in zip(sums, limits, strict=True)):
-            raise errors.InvariantBrokenError(
-                f"{name} is committed beyond its capacity"
-            )
+        checks.check(self)
 
 
 def _part(spec, move):
--- a/clementinebay/shard/wire/ttypes.py
+++ b/clementinebay/shard/wire/ttypes.py
@@ -377,18 +377,21 @@
     Attributes:
      - spec
      - checkpoint
+     - source
 
     """
 
     __slots__ = (
         'spec',
         'checkpoint',
+        'source',
     )
 
 
-    def __init__(self, spec=None, checkpoint="",):
+    def __init__(self, spec=None, checkpoint="", source="",):
         self.spec = spec
         self.checkpoint = checkpoint
+        self.source = source
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -410,6 +413,11 @@
                     self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -428,6 +436,10 @@
             oprot.writeFieldBegin('checkpoint', TType.STRING, 2)
             oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
             oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 3)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -458,18 +470,25 @@
     Attributes:
      - job
      - at
+     - origins
 
     """
 
     __slots__ = (
         'job',
         'at',
+        'origins',
     )
 
 
-    def __init__(self, job=None, at=float(0),):
+    def __init__(self, job="", at=float(0), origins=[
+    ],):
         self.job = job
         self.at = at
+        if origins is self.thrift_spec[3][4]:
+            origins = [
+            ]
+        self.origins = origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -490,6 +509,16 @@
                     self.at = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.origins.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -508,6 +537,13 @@
             oprot.writeFieldBegin('at', TType.DOUBLE, 2)
             oprot.writeDouble(self.at)
             oprot.writeFieldEnd()
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.origins))
+            for iter6 in self.origins:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -679,18 +715,24 @@
     Attributes:
      - id
      - free_at
+     - barred
+     - at
 
     """
 
     __slots__ = (
         'id',
         'free_at',
+        'barred',
+        'at',
     )
 
 
-    def __init__(self, id=None, free_at=None,):
+    def __init__(self, id=None, free_at=float(0), barred=0, at=float(0),):
         self.id = id
         self.free_at = free_at
+        self.barred = barred
+        self.at = at
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -711,6 +753,16 @@
                     self.free_at = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.barred = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -729,6 +781,14 @@
             oprot.writeFieldBegin('free_at', TType.DOUBLE, 2)
             oprot.writeDouble(self.free_at)
             oprot.writeFieldEnd()
+        if self.barred is not None:
+            oprot.writeFieldBegin('barred', TType.I64, 3)
+            oprot.writeI64(self.barred)
+            oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.DOUBLE, 4)
+            oprot.writeDouble(self.at)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1434,6 +1494,7 @@
      - count
      - target
      - part
+     - at
 
     """
 
@@ -1443,15 +1504,17 @@
         'count',
         'target',
         'part',
+        'at',
     )
 
 
-    def __init__(self, job=None, first_index=None, count=None, target=None, part=None,):
+    def __init__(self, job=None, first_index=None, count=None, target=None, part=None, at=float(0),):
         self.job = job
         self.first_index = first_index
         self.count = count
         self.target = target
         self.part = part
+        self.at = at
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1487,6 +1550,11 @@
                     self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1517,6 +1585,10 @@
             oprot.writeFieldBegin('part', TType.STRING, 5)
             oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
             oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.DOUBLE, 6)
+            oprot.writeDouble(self.at)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1610,20 +1682,145 @@
         return not (self == other)
 
 
+class Cleared(object):
+    """
+    Attributes:
+     - endpoint
+     - job
+     - index
+     - attempt
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'job',
+        'index',
+        'attempt',
+    )
+
+
+    def __init__(self, endpoint=None, job=None, index=None, attempt=None,):
+        self.endpoint = endpoint
+        self.job = job
+        self.index = index
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Cleared')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 2)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 3)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 4)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Forget(object):
     """
     Attributes:
      - job
+     - jobs
+     - endpoints
+     - origins
 
     """
 
     __slots__ = (
         'job',
+        'jobs',
+        'endpoints',
+        'origins',
     )
 
 
-    def __init__(self, job=None,):
+    def __init__(self, job="", jobs=[
+    ], endpoints=[
+    ], origins=[
+    ],):
         self.job = job
+        if jobs is self.thrift_spec[2][4]:
+            jobs = [
+            ]
+        self.jobs = jobs
+        if endpoints is self.thrift_spec[3][4]:
+            endpoints = [
+            ]
+        self.endpoints = endpoints
+        if origins is self.thrift_spec[4][4]:
+            origins = [
+            ]
+        self.origins = origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1639,6 +1836,36 @@
                     self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.jobs = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.jobs.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoints.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.origins.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1653,6 +1880,27 @@
             oprot.writeFieldBegin('job', TType.STRING, 1)
             oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
             oprot.writeFieldEnd()
+        if self.jobs is not None:
+            oprot.writeFieldBegin('jobs', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.jobs))
+            for iter25 in self.jobs:
+                oprot.writeString(iter25.encode('utf-8') if sys.version_info[0] == 2 else iter25)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.endpoints))
+            for iter26 in self.endpoints:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.origins))
+            for iter27 in self.origins:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1694,6 +1942,7 @@
      - move
      - moved
      - forget
+     - cleared
 
     """
 
@@ -1711,10 +1960,11 @@
         'move',
         'moved',
         'forget',
+        'cleared',
     )
 
 
-    def __init__(self, submit=None, cancel=None, endpoint_seen=None, endpoint_lost=None, bind=None, started=None, release=None, released=None, finish=None, domain_state=None, move=None, moved=None, forget=None,):
+    def __init__(self, submit=None, cancel=None, endpoint_seen=None, endpoint_lost=None, bind=None, started=None, release=None, released=None, finish=None, domain_state=None, move=None, moved=None, forget=None, cleared=None,):
         self.submit = submit
         self.cancel = cancel
         self.endpoint_seen = endpoint_seen
@@ -1728,6 +1978,7 @@
         self.move = move
         self.moved = moved
         self.forget = forget
+        self.cleared = cleared
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1816,6 +2067,12 @@
                     self.forget.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.cleared = Cleared()
+                    self.cleared.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1878,6 +2135,10 @@
             oprot.writeFieldBegin('forget', TType.STRUCT, 13)
             self.forget.write(oprot)
             oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.STRUCT, 14)
+            self.cleared.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1910,6 +2171,7 @@
      - nonce
      - written_at
      - records
+     - format
 
     """
 
@@ -1918,14 +2180,16 @@
         'nonce',
         'written_at',
         'records',
+        'format',
     )
 
 
-    def __init__(self, writer=None, nonce=None, written_at=None, records=None,):
+    def __init__(self, writer=None, nonce=None, written_at=None, records=None, format=1,):
         self.writer = writer
         self.nonce = nonce
         self.written_at = written_at
         self.records = records
+        self.format = format
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1954,14 +2218,19 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = Record()
-                        _elem5.read(iprot)
-                        self.records.append(_elem5)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Record()
+                        _elem33.read(iprot)
+                        self.records.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.format = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1987,10 +2256,14 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter6 in self.records:
-                iter6.write(oprot)
+            for iter34 in self.records:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.format is not None:
+            oprot.writeFieldBegin('format', TType.I32, 5)
+            oprot.writeI32(self.format)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2029,6 +2302,7 @@
      - failed_on
      - bound_at
      - reason
+     - retry_at
 
     """
 
@@ -2043,10 +2317,11 @@
         'failed_on',
         'bound_at',
         'reason',
+        'retry_at',
     )
 
 
-    def __init__(self, index=None, attempt=None, phase=None, endpoint="", lease_deadline=float(0), checkpoint="", failures=0, failed_on=None, bound_at=float(0), reason="",):
+    def __init__(self, index=None, attempt=None, phase=None, endpoint="", lease_deadline=float(0), checkpoint="", failures=0, failed_on=None, bound_at=float(0), reason="", retry_at=float(0),):
         self.index = index
         self.attempt = attempt
         self.phase = phase
@@ -2057,6 +2332,7 @@
         self.failed_on = failed_on
         self.bound_at = bound_at
         self.reason = reason
+        self.retry_at = retry_at
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2105,10 +2381,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.failed_on = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.failed_on.append(_elem12)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.failed_on.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2122,6 +2398,11 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.retry_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2163,8 +2444,8 @@
         if self.failed_on is not None:
             oprot.writeFieldBegin('failed_on', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.failed_on))
-            for iter13 in self.failed_on:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter41 in self.failed_on:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bound_at is not None:
@@ -2175,6 +2456,10 @@
             oprot.writeFieldBegin('reason', TType.STRING, 10)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.retry_at is not None:
+            oprot.writeFieldBegin('retry_at', TType.DOUBLE, 11)
+            oprot.writeDouble(self.retry_at)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2209,6 +2494,7 @@
      - cancelled
      - tasks
      - ended_at
+     - source
 
     """
 
@@ -2219,16 +2505,18 @@
         'cancelled',
         'tasks',
         'ended_at',
+        'source',
     )
 
 
-    def __init__(self, spec=None, next_index=None, done=None, cancelled=None, tasks=None, ended_at=float(0),):
+    def __init__(self, spec=None, next_index=None, done=None, cancelled=None, tasks=None, ended_at=float(0), source="",):
         self.spec = spec
         self.next_index = next_index
         self.done = done
         self.cancelled = cancelled
         self.tasks = tasks
         self.ended_at = ended_at
+        self.source = source
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2263,11 +2551,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = TaskImage()
-                        _elem19.read(iprot)
-                        self.tasks.append(_elem19)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = TaskImage()
+                        _elem47.read(iprot)
+                        self.tasks.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2276,6 +2564,11 @@
                     self.ended_at = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2305,14 +2598,18 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter20 in self.tasks:
-                iter20.write(oprot)
+            for iter48 in self.tasks:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended_at is not None:
             oprot.writeFieldBegin('ended_at', TType.DOUBLE, 6)
             oprot.writeDouble(self.ended_at)
             oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 7)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2431,12 +2728,121 @@
         return not (self == other)
 
 
+class AttemptImage(object):
+    """
+    Attributes:
+     - job
+     - index
+     - attempt
+     - size
+
+    """
+
+    __slots__ = (
+        'job',
+        'index',
+        'attempt',
+        'size',
+    )
+
+
+    def __init__(self, job=None, index=None, attempt=None, size=None,):
+        self.job = job
+        self.index = index
+        self.attempt = attempt
+        self.size = size
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.size = Resources()
+                    self.size.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AttemptImage')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 2)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 3)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.STRUCT, 4)
+            self.size.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointImage(object):
     """
     Attributes:
      - seen
      - free_at
      - lost
+     - barred
+     - unconfirmed
+     - shrunk
+     - lost_at
 
     """
 
@@ -2444,13 +2850,25 @@
         'seen',
         'free_at',
         'lost',
+        'barred',
+        'unconfirmed',
+        'shrunk',
+        'lost_at',
     )
 
 
-    def __init__(self, seen=None, free_at=float(0), lost=False,):
+    def __init__(self, seen=None, free_at=float(0), lost=False, barred=0, unconfirmed=[
+    ], shrunk=False, lost_at=float(0),):
         self.seen = seen
         self.free_at = free_at
         self.lost = lost
+        self.barred = barred
+        if unconfirmed is self.thrift_spec[5][4]:
+            unconfirmed = [
+            ]
+        self.unconfirmed = unconfirmed
+        self.shrunk = shrunk
+        self.lost_at = lost_at
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2477,6 +2895,32 @@
                     self.lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.barred = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.unconfirmed = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = AttemptImage()
+                        _elem54.read(iprot)
+                        self.unconfirmed.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.shrunk = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.lost_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2499,6 +2943,105 @@
             oprot.writeFieldBegin('lost', TType.BOOL, 3)
             oprot.writeBool(self.lost)
             oprot.writeFieldEnd()
+        if self.barred is not None:
+            oprot.writeFieldBegin('barred', TType.I64, 4)
+            oprot.writeI64(self.barred)
+            oprot.writeFieldEnd()
+        if self.unconfirmed is not None:
+            oprot.writeFieldBegin('unconfirmed', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.unconfirmed))
+            for iter55 in self.unconfirmed:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.shrunk is not None:
+            oprot.writeFieldBegin('shrunk', TType.BOOL, 6)
+            oprot.writeBool(self.shrunk)
+            oprot.writeFieldEnd()
+        if self.lost_at is not None:
+            oprot.writeFieldBegin('lost_at', TType.DOUBLE, 7)
+            oprot.writeDouble(self.lost_at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CancelledImage(object):
+    """
+    Attributes:
+     - origin
+     - at
+
+    """
+
+    __slots__ = (
+        'origin',
+        'at',
+    )
+
+
+    def __init__(self, origin=None, at=None,):
+        self.origin = origin
+        self.at = at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelledImage')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.DOUBLE, 2)
+            oprot.writeDouble(self.at)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2533,6 +3076,8 @@
      - out
      - revision
      - outbox
+     - cancelled
+     - format
 
     """
 
@@ -2543,16 +3088,24 @@
         'out',
         'revision',
         'outbox',
+        'cancelled',
+        'format',
     )
 
 
-    def __init__(self, index=None, jobs=None, endpoints=None, out=False, revision=0, outbox=None,):
+    def __init__(self, index=None, jobs=None, endpoints=None, out=False, revision=0, outbox=None, cancelled=[
+    ], format=1,):
         self.index = index
         self.jobs = jobs
         self.endpoints = endpoints
         self.out = out
         self.revision = revision
         self.outbox = outbox
+        if cancelled is self.thrift_spec[7][4]:
+            cancelled = [
+            ]
+        self.cancelled = cancelled
+        self.format = format
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2571,22 +3124,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = JobImage()
-                        _elem26.read(iprot)
-                        self.jobs.append(_elem26)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = JobImage()
+                        _elem61.read(iprot)
+                        self.jobs.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = EndpointImage()
-                        _elem32.read(iprot)
-                        self.endpoints.append(_elem32)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = EndpointImage()
+                        _elem67.read(iprot)
+                        self.endpoints.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2603,14 +3156,30 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.outbox = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = OutboxImage()
-                        _elem38.read(iprot)
-                        self.outbox.append(_elem38)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = OutboxImage()
+                        _elem73.read(iprot)
+                        self.outbox.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.cancelled = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = CancelledImage()
+                        _elem79.read(iprot)
+                        self.cancelled.append(_elem79)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.format = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2628,15 +3197,15 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter39 in self.jobs:
-                iter39.write(oprot)
+            for iter80 in self.jobs:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter40 in self.endpoints:
-                iter40.write(oprot)
+            for iter81 in self.endpoints:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.out is not None:
@@ -2650,10 +3219,21 @@
         if self.outbox is not None:
             oprot.writeFieldBegin('outbox', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.outbox))
-            for iter41 in self.outbox:
-                iter41.write(oprot)
+            for iter82 in self.outbox:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cancelled is not None:
+            oprot.writeFieldBegin('cancelled', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.cancelled))
+            for iter83 in self.cancelled:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.format is not None:
+            oprot.writeFieldBegin('format', TType.I32, 8)
+            oprot.writeI32(self.format)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2705,12 +3285,15 @@
     None,  # 0
     (1, TType.STRUCT, 'spec', [JobSpec, None], None, ),  # 1
     (2, TType.STRING, 'checkpoint', 'UTF8', "", ),  # 2
+    (3, TType.STRING, 'source', 'UTF8', "", ),  # 3
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'job', 'UTF8', "", ),  # 1
     (2, TType.DOUBLE, 'at', None, float(0), ),  # 2
+    (3, TType.LIST, 'origins', (TType.STRING, 'UTF8', False), [
+    ], ),  # 3
 )
 all_structs.append(EndpointSeen)
 EndpointSeen.thrift_spec = (
@@ -2727,7 +3310,9 @@
 EndpointLost.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
-    (2, TType.DOUBLE, 'free_at', None, None, ),  # 2
+    (2, TType.DOUBLE, 'free_at', None, float(0), ),  # 2
+    (3, TType.I64, 'barred', None, 0, ),  # 3
+    (4, TType.DOUBLE, 'at', None, float(0), ),  # 4
 )
 all_structs.append(Bind)
 Bind.thrift_spec = (
@@ -2789,16 +3374,31 @@
     (3, TType.I32, 'count', None, None, ),  # 3
     (4, TType.STRING, 'target', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'part', 'UTF8', None, ),  # 5
+    (6, TType.DOUBLE, 'at', None, float(0), ),  # 6
 )
 all_structs.append(Moved)
 Moved.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
 )
+all_structs.append(Cleared)
+Cleared.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'job', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'index', None, None, ),  # 3
+    (4, TType.I32, 'attempt', None, None, ),  # 4
+)
 all_structs.append(Forget)
 Forget.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'job', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'jobs', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), [
+    ], ),  # 3
+    (4, TType.LIST, 'origins', (TType.STRING, 'UTF8', False), [
+    ], ),  # 4
 )
 all_structs.append(Record)
 Record.thrift_spec = (
@@ -2816,6 +3416,7 @@
     (11, TType.STRUCT, 'move', [Move, None], None, ),  # 11
     (12, TType.STRUCT, 'moved', [Moved, None], None, ),  # 12
     (13, TType.STRUCT, 'forget', [Forget, None], None, ),  # 13
+    (14, TType.STRUCT, 'cleared', [Cleared, None], None, ),  # 14
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
@@ -2824,6 +3425,7 @@
     (2, TType.STRING, 'nonce', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'written_at', None, None, ),  # 3
     (4, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 4
+    (5, TType.I32, 'format', None, 1, ),  # 5
 )
 all_structs.append(TaskImage)
 TaskImage.thrift_spec = (
@@ -2838,6 +3440,7 @@
     (8, TType.LIST, 'failed_on', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.DOUBLE, 'bound_at', None, float(0), ),  # 9
     (10, TType.STRING, 'reason', 'UTF8', "", ),  # 10
+    (11, TType.DOUBLE, 'retry_at', None, float(0), ),  # 11
 )
 all_structs.append(JobImage)
 JobImage.thrift_spec = (
@@ -2848,6 +3451,7 @@
     (4, TType.BOOL, 'cancelled', None, None, ),  # 4
     (5, TType.LIST, 'tasks', (TType.STRUCT, [TaskImage, None], False), None, ),  # 5
     (6, TType.DOUBLE, 'ended_at', None, float(0), ),  # 6
+    (7, TType.STRING, 'source', 'UTF8', "", ),  # 7
 )
 all_structs.append(OutboxImage)
 OutboxImage.thrift_spec = (
@@ -2856,12 +3460,31 @@
     (2, TType.STRUCT, 'spec', [JobSpec, None], None, ),  # 2
     (3, TType.STRING, 'checkpoint', 'UTF8', "", ),  # 3
 )
+all_structs.append(AttemptImage)
+AttemptImage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'index', None, None, ),  # 2
+    (3, TType.I32, 'attempt', None, None, ),  # 3
+    (4, TType.STRUCT, 'size', [Resources, None], None, ),  # 4
+)
 all_structs.append(EndpointImage)
 EndpointImage.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'seen', [EndpointSeen, None], None, ),  # 1
     (2, TType.DOUBLE, 'free_at', None, float(0), ),  # 2
     (3, TType.BOOL, 'lost', None, False, ),  # 3
+    (4, TType.I64, 'barred', None, 0, ),  # 4
+    (5, TType.LIST, 'unconfirmed', (TType.STRUCT, [AttemptImage, None], False), [
+    ], ),  # 5
+    (6, TType.BOOL, 'shrunk', None, False, ),  # 6
+    (7, TType.DOUBLE, 'lost_at', None, float(0), ),  # 7
+)
+all_structs.append(CancelledImage)
+CancelledImage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'at', None, None, ),  # 2
 )
 all_structs.append(Snapshot)
 Snapshot.thrift_spec = (
@@ -2872,6 +3495,9 @@
     (4, TType.BOOL, 'out', None, False, ),  # 4
     (5, TType.I64, 'revision', None, 0, ),  # 5
     (6, TType.LIST, 'outbox', (TType.STRUCT, [OutboxImage, None], False), None, ),  # 6
+    (7, TType.LIST, 'cancelled', (TType.STRUCT, [CancelledImage, None], False), [
+    ], ),  # 7
+    (8, TType.I32, 'format', None, 1, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/idl/shard.thrift
+++ b/idl/shard.thrift
@@ -29,8 +29,10 @@
   12: string origin = "",
 }
 
-struct Submit { 1: JobSpec spec, 2: string checkpoint = "" }
-struct Cancel { 1: string job, 2: double at = 0 }
+// `source` is the domain whose outbox holds a part that was moved.
+struct Submit { 1: JobSpec spec, 2: string checkpoint = "", 3: string source = "" }
+// Cancels one part, or every part of `origins`: those here and any that arrive later.
+struct Cancel { 1: string job = "", 2: double at = 0, 3: list<string> origins = [] }
 
 struct EndpointSeen {
   1: string id,
@@ -41,8 +43,9 @@
   6: i32 connections = 64,
   7: bool leaving = 0,
 }
-// No lease on the endpoint is renewed past free_at; bindings may be released from then on.
-struct EndpointLost { 1: string id, 2: double free_at }
+// The first record bars the endpoint.  A second one, written by who has read the first at
+// index `barred`, says when the last lease granted before the bar ends.
+struct EndpointLost { 1: string id, 2: double free_at = 0, 3: i64 barred = 0, 4: double at = 0 }
 
 struct Bind {
   1: string job, 2: i32 index, 3: i32 attempt, 4: string endpoint, 5: double lease_deadline,
@@ -63,11 +66,17 @@
 // taken them by a Submit of the job `part`, which is unique for each move.
 struct Move {
   1: string job, 2: i32 first_index, 3: i32 count, 4: string target, 5: string part,
+  6: double at = 0,
 }
 // The target's shard has taken the part; the outbox forgets it.
 struct Moved { 1: string part }
-// A job that ended long ago is dropped; its id may be used again.
-struct Forget { 1: string job }
+// The endpoint confirmed the end of an attempt that was released as expired.
+struct Cleared { 1: string endpoint, 2: string job, 3: i32 index, 4: i32 attempt }
+// What ended long ago is dropped: jobs, lost endpoints, and origins that were cancelled.
+struct Forget {
+  1: string job = "", 2: list<string> jobs = [], 3: list<string> endpoints = [],
+  4: list<string> origins = [],
+}
 
 union Record {
   1: Submit submit,
@@ -83,6 +92,7 @@
   11: Move move,
   12: Moved moved,
   13: Forget forget,
+  14: Cleared cleared,
 }
 
 struct Batch {
@@ -90,19 +100,27 @@
   2: string nonce,
   3: double written_at,
   4: list<Record> records,
+  // Readers that know only lower formats must not go past this batch.
+  5: i32 format = 1,
 }
 
 struct TaskImage {
   1: i32 index, 2: i32 attempt, 3: i32 phase, 4: string endpoint = "",
   5: double lease_deadline = 0, 6: string checkpoint = "", 7: i32 failures = 0,
   8: list<string> failed_on, 9: double bound_at = 0, 10: string reason = "",
+  11: double retry_at = 0,
 }
 struct JobImage {
   1: JobSpec spec, 2: i32 next_index, 3: i32 done, 4: bool cancelled, 5: list<TaskImage> tasks,
-  6: double ended_at = 0,
+  6: double ended_at = 0, 7: string source = "",
 }
 struct OutboxImage { 1: string target, 2: JobSpec spec, 3: string checkpoint = "" }
-struct EndpointImage { 1: EndpointSeen seen, 2: double free_at = 0, 3: bool lost = 0 }
+struct AttemptImage { 1: string job, 2: i32 index, 3: i32 attempt, 4: Resources size }
+struct EndpointImage {
+  1: EndpointSeen seen, 2: double free_at = 0, 3: bool lost = 0, 4: i64 barred = 0,
+  5: list<AttemptImage> unconfirmed = [], 6: bool shrunk = 0, 7: double lost_at = 0,
+}
+struct CancelledImage { 1: string origin, 2: double at }
 struct Snapshot {
   1: i64 index,
   2: list<JobImage> jobs,
@@ -110,4 +128,6 @@
   4: bool out = 0,
   5: i64 revision = 0,
   6: list<OutboxImage> outbox,
+  7: list<CancelledImage> cancelled = [],
+  8: i32 format = 1,
 }
--- a/tests/shard/factory.py
+++ b/tests/shard/factory.py
@@ -18,10 +18,10 @@
     return wire.Record(submit=wire.Submit(spec(*args, **fields)))
 
 
-def endpoint(name="e-0", processors=2000, leaving=False):
+def endpoint(name="e-0", processors=2000, leaving=False, address="127.0.0.1:1"):
     size = wire.Resources(processors, 1000, 0)
     return wire.Record(
-        endpoint_seen=wire.EndpointSeen(name, "127.0.0.1:1", "r", size, 8, 64, leaving)
+        endpoint_seen=wire.EndpointSeen(name, address, "r", size, 8, 64, leaving)
     )
 
 
@@ -41,3 +41,11 @@
     return wire.Record(
         released=wire.Released(job, index, attempt, evidence, at, checkpoint)
     )
+
+
+def lose(state, name="e-0", free_at=0.0):
+    """Bar an endpoint and tell when its leases end."""
+    state.apply(wire.Record(endpoint_lost=wire.EndpointLost(name)))
+    barred = state.endpoints[name].barred
+    second = wire.EndpointLost(name, free_at, barred)
+    state.apply(wire.Record(endpoint_lost=second))
--- a/tests/shard/test_state.py
+++ b/tests/shard/test_state.py
@@ -60,7 +60,7 @@
     expired = wire.Evidence.EXPIRED
     with pytest.raises(errors.SecondBindingError):
         state.apply(factory.released(evidence=expired, at=1e9))
-    state.apply(wire.Record(endpoint_lost=wire.EndpointLost("e-0", 40.0)))
+    factory.lose(state, free_at=40.0)
     with pytest.raises(errors.SecondBindingError):
         state.apply(factory.released(evidence=expired, at=39.0))
     state.apply(factory.released(evidence=expired, at=40.0))
@@ -118,3 +118,90 @@
     restored = snapshot.restore(image)
     restored.check()
     assert snapshot.take(restored) == image
+
+
+def test_expiry_is_counted_from_a_bar_that_was_read(state):
+    state.apply(factory.bind(deadline=10.0))
+    # Computed by a writer whose write took effect much later.
+    state.apply(wire.Record(endpoint_lost=wire.EndpointLost("e-0", 40.0)))
+    with pytest.raises(errors.SecondBindingError):
+        state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
+    # A time that was counted from another bar says nothing of this one.
+    other = wire.EndpointLost("e-0", 40.0, state.endpoints["e-0"].barred + 1)
+    state.apply(wire.Record(endpoint_lost=other))
+    assert not state.endpoints["e-0"].free_at
+
+
+def test_expired_attempt_counts_until_its_end_is_confirmed(state):
+    state.apply(factory.bind(index=0))
+    state.apply(factory.bind(index=1))
+    factory.lose(state, free_at=40.0)
+    state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
+    state.apply(factory.endpoint())
+    restored = snapshot.restore(snapshot.take(state))
+    for each in (state, restored):
+        with pytest.raises(errors.OverCommitError):
+            each.apply(factory.bind(attempt=2))
+        each.apply(wire.Record(cleared=wire.Cleared("e-0", "minutes", 0, 1)))
+        each.apply(factory.bind(attempt=2))
+        each.check()
+
+
+def test_endpoint_that_shrinks_takes_nothing_until_it_fits_again(state):
+    state.apply(factory.bind(index=0))
+    state.apply(factory.bind(index=1))
+    state.apply(factory.endpoint(processors=1500))
+    state = snapshot.restore(snapshot.take(state))
+    state.check()
+    state.apply(factory.finish(index=0))
+    assert not state.endpoints["e-0"].shrunk
+    with pytest.raises(errors.OverCommitError):
+        state.apply(factory.bind(index=2))
+
+
+def test_endpoint_at_another_address_waits_for_the_old_one(state):
+    state.apply(factory.bind())
+    with pytest.raises(errors.EndpointUnavailableError):
+        state.apply(factory.endpoint(address="127.0.0.1:2"))
+    state.apply(factory.finish())
+    state.apply(factory.endpoint(address="127.0.0.1:2"))
+    assert state.endpoints["e-0"].seen.address == "127.0.0.1:2"
+
+
+def test_replica_of_a_service_is_never_parked(state):
+    state.apply(factory.submit("call-in", workload=wire.Workload.SERVICE))
+    for attempt in range(1, 9):
+        state.apply(factory.bind("call-in", attempt=attempt))
+        state.apply(
+            factory.finish("call-in", attempt=attempt, outcome=wire.Outcome.FAILED)
+        )
+    task = state.jobs["call-in"].tasks[0]
+    assert task.phase == Phase.WAITING
+    assert task.retry_at > 60.0
+
+
+def test_cancelled_job_is_cancelled_wherever_its_parts_arrive(state):
+    state.apply(wire.Record(move=wire.Move("minutes", 0, 3, "b", "part")))
+    state.apply(wire.Record(cancel=wire.Cancel("", 2.0, ["minutes"])))
+    assert not state.outbox
+    state.apply(factory.submit("part", origin="minutes"))
+    assert state.jobs["part"].ended
+    state.apply(wire.Record(forget=wire.Forget(jobs=["part"], origins=["minutes"])))
+    assert not state.cancelled
+
+
+def test_batch_of_a_newer_format_is_not_passed(state):
+    with pytest.raises(errors.LogFormatError):
+        state.apply_batch(1, wire.Batch("w", "n", 0.0, [], 2))
+    assert state.index == 0
+
+
+def test_endpoint_in_use_is_not_forgotten(state):
+    state.apply(factory.bind())
+    factory.lose(state, free_at=40.0)
+    forget = wire.Record(forget=wire.Forget(endpoints=["e-0"]))
+    with pytest.raises(errors.RecordRefusedError):
+        state.apply(forget)
+    state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
+    state.apply(forget)
+    assert not state.endpoints
