Group writes of many callers, and mend the leader lease's race

Cause: each cancellation and submission loaded a whole shard and wrote a batch of its own. The list of kept batches grew without bound on daemons that never truncate.

Change: GroupWriter appends what waits in one batch, and can ask whether a record is still due between the read of the log and a write that is pinned to the index read.

--- a/clementinebay/clock.py
+++ b/clementinebay/clock.py
@@ -1,5 +1,6 @@
 """Clocks.  All times are seconds since the Unix epoch, so deadlines cross VMs."""
 
+import asyncio
 import time
 from abc import ABC, abstractmethod
 
@@ -11,6 +12,10 @@
     def now(self):
         """Return the current time in seconds."""
 
+    async def sleep(self, seconds):
+        """Wait for ``seconds``."""
+        await asyncio.sleep(seconds)
+
 
 class SystemClock(Clock):
     """The clock of the VM."""
@@ -30,6 +35,10 @@
         """Return the time that was last set."""
         return self.time
 
+    async def sleep(self, seconds):
+        """Let others run; the time does not move."""
+        await asyncio.sleep(0)
+
     def advance(self, seconds):
         """Move the clock forward by ``seconds``."""
         self.time += seconds
--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -167,10 +167,10 @@
     code = "log-format"
 
 
-class BatchTooLargeError(ShardError):
-    """One record alone exceeds what the platform holds under one key."""
+class ValueTooLargeError(ShardError):
+    """A batch or snapshot exceeds what the platform holds under one key."""
 
-    code = "batch-too-large"
+    code = "value-too-large"
 
 
 class InvariantBrokenError(ShardError):
--- a/clementinebay/shard/leader.py
+++ b/clementinebay/shard/leader.py
@@ -33,24 +33,31 @@
         if now < self.held_until - self.ttl / 2:
             return True
         try:
-            if self.lease and await self.store.keep_alive(self.lease):
-                self.held_until = now + self.ttl
-            else:
-                await self.acquire(now)
+            if not self.lease or not await self.store.keep_alive(self.lease):
+                await self.acquire()
+            self.held_until = now + self.ttl
         except errors.CompareFailedError:
             self.held_until = 0.0
         except errors.PlatformError:
             pass
         return self.held
 
-    async def acquire(self, now):
-        """Create the key under a new lease; raise `CompareFailedError` if it exists."""
+    async def acquire(self):
+        """Create the key under a new lease; raise `CompareFailedError` if it exists.
+
+        The key may be there from a try whose answer was lost; its lease then tells.
+        """
         entry = await self.store.get(self.key)
-        if entry is not None:
+        if entry is None:
+            lease = await self.store.grant(max(1, round(self.ttl)))
+            await self.store.create(self.key, self.holder.encode(), lease)
+        elif entry.value == self.holder.encode() and entry.lease:
+            lease = entry.lease
+            if not await self.store.keep_alive(lease):
+                raise errors.CompareFailedError(self.key, entry)
+        else:
             raise errors.CompareFailedError(self.key, entry)
-        self.lease = await self.store.grant(max(1, round(self.ttl)))
-        await self.store.create(self.key, self.holder.encode(), self.lease)
-        self.held_until = now + self.ttl
+        self.lease = lease
 
     async def give_up(self):
         """End the lease so that another may take it at once."""
--- a/clementinebay/shard/log.py
+++ b/clementinebay/shard/log.py
@@ -11,7 +11,7 @@
 from collections import deque
 
 from clementinebay import errors, thriftcodec
-from clementinebay.platform.base import Put, prefix_end
+from clementinebay.platform.base import MAX_VALUE_BYTES, Put, prefix_end
 from clementinebay.shard import snapshot
 from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
@@ -19,7 +19,13 @@
 #: Wait before a write whose answer was lost is written again, in seconds.
 REWRITE_SECONDS = 0.2
 #: Most batches that one read of the log fetches.
-SCAN_LIMIT = 500
+SCAN_LIMIT = 100
+#: Largest batch, in bytes; small enough that readers are not held up by one.
+MAX_BATCH_BYTES = 250_000
+#: Most records of a batch.
+MAX_BATCH_RECORDS = 2_000
+#: Batches whose time of writing is remembered for the truncation.
+KEPT_BATCHES = 20_000
 
 
 class Origin:
@@ -37,6 +43,7 @@
 
     ``confirmed_at`` is the time before which every batch of the log is applied to
     ``state``.  ``writer`` names this process in the batches that it writes.
+    ``inspect`` is called with the state after each batch.
     """
 
     def __init__(self, store, domain, writer, clock):
@@ -50,7 +57,8 @@
         self.snapshot_index = 0
         self.confirmed_at = 0.0
         self.revision = 0
-        self.kept = deque()
+        self.kept = deque(maxlen=KEPT_BATCHES)
+        self.inspect = None
         self.lock = asyncio.Lock()
 
     def key(self, index):
@@ -75,7 +83,7 @@
         entry = await self.store.get(self.snapshot_key)
         self.snapshot_version = entry.version if entry else 0
         if entry:
-            image = thriftcodec.decode(wire.Snapshot, entry.value)
+            image = snapshot.decode(entry.value)
             self.snapshot_index = image.index
             if image.index > self.state.index:
                 self.state = snapshot.restore(image)
@@ -133,23 +141,33 @@
         """Apply one batch and return its refusals."""
         refusals = self.state.apply_batch(index, batch)
         self.kept.append(Origin(index, batch.written_at))
+        if self.inspect is not None:
+            self.inspect(self.state)
         return refusals
 
     # Writing
 
-    async def append(self, records):
+    async def append(self, records, after=None):
         """Write ``records`` as one batch; return a refusal or ``None`` for each.
 
         Raises `LogConflictError` after catching up if another writer was first, or if
         it cannot be told any more who was.  A lost answer is settled by writing the
-        same bytes again: only one of the copies can take effect.
+        same bytes again: only one of the copies can take effect.  With ``after``, the
+        batch is written only right after that index; what the caller has read since
+        then is still true of this log.  Raises `ValueTooLargeError` for what `split`
+        should have split.
         """
         async with self.lock:
+            if after is not None and self.state.index != after:
+                raise errors.LogConflictError(f"the log went past index {after}")
             index = self.state.index + 1
             nonce = uuid.uuid4().hex
             asked_at = self.clock.now()
             batch = wire.Batch(self.writer, nonce, asked_at, records)
-            await self.write(index, thriftcodec.encode(batch))
+            data = thriftcodec.encode(batch)
+            if len(data) > MAX_VALUE_BYTES:
+                raise errors.ValueTooLargeError(f"batch of {len(data)} bytes")
+            await self.write(index, data)
             self.confirmed_at = max(self.confirmed_at, asked_at)
             return self.apply_batch(index, batch)
 
@@ -174,7 +192,7 @@
                 # An earlier copy of the write may still take effect.
                 if not uncertain:
                     raise
-            await asyncio.sleep(REWRITE_SECONDS)
+            await self.clock.sleep(REWRITE_SECONDS)
 
     def wrote(self, failure, index, data):
         """Return whether the entry found shows that ``data`` is at ``index``."""
@@ -184,10 +202,15 @@
     # Snapshot and truncation
 
     async def write_snapshot(self):
-        """Write the state as a snapshot; raise `LogConflictError` if another did."""
+        """Write the state as a snapshot; raise `LogConflictError` if another did.
+
+        Raises `ValueTooLargeError` if the platform cannot hold it.
+        """
         async with self.lock:
             image = snapshot.take(self.state)
-            data = thriftcodec.encode(image)
+            data = snapshot.encode(image)
+            if len(data) > MAX_VALUE_BYTES:
+                raise errors.ValueTooLargeError(f"snapshot of {len(data)} bytes")
             try:
                 version = await self.store.swap(
                     self.snapshot_key, data, self.snapshot_version
@@ -214,3 +237,17 @@
             last = self.kept.popleft().index
         if last is not None:
             await self.store.commit([], [], [(self.prefix, self.key(last + 1))])
+
+
+def split(records):
+    """Yield lists of ``records``, in order, each small enough for one batch."""
+    part, size = [], 0
+    for record in records:
+        length = len(thriftcodec.encode(record))
+        if part and (size + length > MAX_BATCH_BYTES or len(part) == MAX_BATCH_RECORDS):
+            yield part
+            part, size = [], 0
+        part.append(record)
+        size += length
+    if part:
+        yield part
--- a/clementinebay/shard/snapshot.py
+++ b/clementinebay/shard/snapshot.py
@@ -111,7 +111,7 @@
 
 
 def _restore_job(state, image):
-    job = state.jobs[image.spec.id] = Job(image.spec, image.source)
+    job = state.add_job(Job(image.spec, image.source))
     job.next_index = image.next_index
     job.done = image.done
     job.cancelled = image.cancelled
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -27,12 +27,14 @@
     """Jobs, endpoints and the standing of one failure domain.
 
     ``cancelled`` maps jobs, as their clients named them, to the time of their
-    cancellation.  ``touched`` are endpoints that records changed.
+    cancellation; ``parts`` maps them to the ids of their parts here.  ``touched`` are
+    endpoints that records changed.
     """
 
     __slots__ = (
         "index",
         "jobs",
+        "parts",
         "endpoints",
         "outbox",
         "cancelled",
@@ -44,6 +46,7 @@
     def __init__(self):
         self.index = 0
         self.jobs = {}
+        self.parts = {}
         self.endpoints = {}
         self.outbox = {}
         self.cancelled = {}
@@ -89,7 +92,7 @@
             if self.jobs[spec.id].spec != spec:
                 raise errors.RecordRefusedError(f"job {spec.id} exists and differs")
             return
-        job = self.jobs[spec.id] = Job(spec, record.source)
+        job = self.add_job(Job(spec, record.source))
         if job.origin in self.cancelled:
             self.cancel_part(job, self.cancelled[job.origin])
             return
@@ -98,6 +101,21 @@
             task.checkpoint = record.checkpoint
             job.next_index += 1
 
+    def add_job(self, job):
+        """Add a job that is not known and return it."""
+        self.jobs[job.spec.id] = job
+        self.parts.setdefault(job.origin, set()).add(job.spec.id)
+        return job
+
+    def drop_job(self, name):
+        """Drop job ``name`` if it is known."""
+        job = self.jobs.pop(name, None)
+        if job is not None:
+            parts = self.parts[job.origin]
+            parts.discard(name)
+            if not parts:
+                del self.parts[job.origin]
+
     def apply_cancel(self, record):
         """Drop waiting tasks and stop the running ones; parcels in the outbox too."""
         if record.job:
@@ -109,9 +127,9 @@
         """Cancel all parts of ``origins`` and those that are submitted later."""
         for origin in origins:
             self.cancelled.setdefault(origin, at)
-        for job in self.jobs.values():
-            if job.origin in origins and not job.cancelled:
-                self.cancel_part(job, at)
+            for part in self.parts.get(origin, ()):
+                if not self.jobs[part].cancelled:
+                    self.cancel_part(self.jobs[part], at)
         for part, outgoing in list(self.outbox.items()):
             if outgoing.spec.origin in origins:
                 del self.outbox[part]
@@ -295,7 +313,7 @@
             if known and (not known.lost or known.held):
                 raise errors.RecordRefusedError(f"endpoint {name} is in use")
         for name in jobs:
-            self.jobs.pop(name, None)
+            self.drop_job(name)
         for name in record.endpoints:
             self.endpoints.pop(name, None)
         for name in record.origins:
--- /dev/null
+++ b/tests/shard/test_groupcommit.py
@@ -0,0 +1,57 @@
+import asyncio
+
+import pytest
+
+from clementinebay import errors
+from clementinebay.shard.groupcommit import GroupWriter
+from clementinebay.shard.log import MAX_BATCH_RECORDS, ShardLog
+from clementinebay.shard.wire import ttypes as wire
+from tests.shard import factory
+
+
+@pytest.fixture
+def log(store, clock):
+    return ShardLog(store, "a", "w", clock)
+
+
+async def test_wave_of_cancellations_takes_few_batches(log):
+    names = [f"job-{number}" for number in range(5_000)]
+    async with GroupWriter(log) as writer:
+        await asyncio.gather(*(writer.write([factory.submit(n)]) for n in names))
+        submitted = log.state.index
+        cancels = [wire.Record(cancel=wire.Cancel("", 1.0, [name])) for name in names]
+        await asyncio.gather(*(writer.write([record]) for record in cancels))
+    assert log.state.index - submitted <= len(names) // MAX_BATCH_RECORDS + 2
+    assert all(job.ended for job in log.state.jobs.values())
+
+
+async def test_what_is_no_longer_due_is_not_written(log, store, clock):
+    other = ShardLog(store, "a", "other", clock)
+    answers = [True, False]
+
+    async def still_due():
+        if len(answers) == 2:
+            # The other writer comes between the question and the write.
+            await other.append([factory.submit("first")])
+        return answers.pop(0)
+
+    await log.load()
+    async with GroupWriter(log) as writer:
+        assert await writer.write([factory.submit("part")], still_due) == []
+    assert set(log.state.jobs) == {"first"}
+
+
+async def test_failure_reaches_every_caller_and_later_writes_go_on(log):
+    async def broken(*_arguments):
+        raise errors.PlatformUnavailableError("down")
+
+    async with GroupWriter(log) as writer:
+        log.store.commit = broken
+        results = await asyncio.gather(
+            writer.write([factory.submit("x")]),
+            writer.write([factory.submit("y")]),
+            return_exceptions=True,
+        )
+        assert {type(result) for result in results} == {errors.PlatformUnavailableError}
+        del log.store.commit
+        assert await writer.write([factory.submit("x")]) == [None]
--- /dev/null
+++ b/tests/shard/test_leader.py
@@ -0,0 +1,54 @@
+import pytest
+
+from clementinebay import errors
+from clementinebay.platform.keyspace import MemoryStore
+from clementinebay.shard.leader import LeaderLease
+
+
+class RacingStore(MemoryStore):
+    """Runs ``before_commit`` once before a commit, and may lose its answer."""
+
+    before_commit = None
+    lose = False
+
+    async def commit(self, compares, puts=(), deletes=()):
+        hook, self.before_commit = self.before_commit, None
+        if hook is not None:
+            await hook()
+        revision = await super().commit(compares, puts, deletes)
+        if self.lose:
+            self.lose = False
+            raise errors.PlatformOutcomeUnknownError("lost")
+        return revision
+
+
+@pytest.fixture
+def racing(space):
+    return RacingStore(space)
+
+
+async def test_one_of_two_holds_the_lease(store, clock):
+    one, two = (LeaderLease(store, "a", name, 4.0, clock) for name in ("1", "2"))
+    assert await one.hold()
+    assert not await two.hold()
+    clock.advance(5.0)
+    assert await two.hold()
+    assert not await one.hold()
+
+
+async def test_loser_of_a_race_does_not_hold_it_by_its_own_lease(racing, store, clock):
+    slow = LeaderLease(racing, "a", "slow", 4.0, clock)
+    fast = LeaderLease(store, "a", "fast", 4.0, clock)
+    racing.before_commit = fast.hold
+    assert not await slow.hold()
+    assert not await slow.hold()
+    assert fast.held
+
+
+async def test_lease_whose_answer_was_lost_is_held_at_the_next_try(racing, clock):
+    racing.lose = True
+    leader = LeaderLease(racing, "a", "1", 4.0, clock)
+    assert not await leader.hold()
+    assert await leader.hold()
+    await leader.give_up()
+    assert await LeaderLease(racing, "a", "2", 4.0, clock).hold()
--- a/tests/shard/test_log.py
+++ b/tests/shard/test_log.py
@@ -2,7 +2,7 @@
 
 from clementinebay import errors
 from clementinebay.platform.keyspace import MemoryStore
-from clementinebay.shard.log import ShardLog
+from clementinebay.shard.log import ShardLog, split
 from tests.shard import factory
 
 
@@ -71,3 +71,42 @@
     await writer.truncate(clock.now() + 1)
     await reader.catch_up()
     assert set(reader.state.jobs) == set(writer.state.jobs)
+
+
+async def test_batch_is_written_only_after_the_index_that_was_named(store, clock):
+    log = open_log(store, clock)
+    await log.append([factory.submit()])
+    with pytest.raises(errors.LogConflictError):
+        await log.append([factory.endpoint()], after=0)
+    await log.append([factory.endpoint()], after=1)
+
+
+async def test_batch_beyond_a_value_of_the_platform_is_refused(store, clock):
+    log = open_log(store, clock)
+    records = [factory.submit(f"job-{number:0999}") for number in range(1_000)]
+    with pytest.raises(errors.ValueTooLargeError):
+        await log.append(records)
+    for part in split(records):
+        await log.append(part)
+    assert len(log.state.jobs) == 1_000
+
+
+async def test_snapshot_that_moves_between_the_two_reads_of_a_load(space, store, clock):
+    writer = open_log(store, clock)
+    await writer.append([factory.submit("job-0")])
+    await writer.write_snapshot()
+
+    class MovingStore(MemoryStore):
+        async def get(self, key):
+            entry = await super().get(key)
+            if writer.state.index < 4:
+                for number in range(1, 4):
+                    await writer.append([factory.submit(f"job-{number}")])
+                await writer.write_snapshot()
+                await writer.truncate(clock.now() + 1)
+            return entry
+
+    reader = open_log(MovingStore(space), clock, "r")
+    await reader.load()
+    assert set(reader.state.jobs) == set(writer.state.jobs)
+    await reader.append([factory.submit("last")])
