--- a/clementinebay/cmdline.py
+++ b/clementinebay/cmdline.py
@@ -61,10 +61,18 @@
         "  2  wrong usage or settings",
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument("--settings", required=True, metavar="FILE", help="INI file")
+    parser.add_argument("--settings", metavar="FILE", help="INI file")
     parser.add_argument("--check", action="store_true", help="check the file and exit")
+    parser.add_argument(
+        "--describe", action="store_true", help="print every setting and exit"
+    )
     parser.add_argument("--version", action="version", version=__version__)
     arguments = parser.parse_args(argv)
+    if arguments.describe:
+        print("\n".join(settings.describe()))
+        return EXIT_OK
+    if arguments.settings is None:
+        parser.error("--settings FILE is required")
     try:
         values = settings.read(arguments.settings)
     except errors.SettingsError as error:
@@ -192,6 +200,9 @@
     """Add the commands for the configuration document."""
     group = groups.add_parser("config", help="the configuration document")
     group = group.add_subparsers(required=True, metavar="COMMAND")
+    add_command(
+        group, "describe", "Print every kind of section and key.", config_describe
+    )
     command = add_command(group, "check", "Check a document.", config_check)
     command.add_argument("file")
     command = add_command(
@@ -261,6 +272,12 @@
     command.add_argument("id")
 
 
+def config_describe(arguments, _client):
+    """Describe the document's sections."""
+    lines = list(config.describe())
+    return lines if arguments.json else "\n".join(lines)
+
+
 def config_check(arguments, _client):
     """Check a document without a daemon."""
     sections = read_document(arguments.file)
--- a/clementinebay/config.py
+++ b/clementinebay/config.py
@@ -227,3 +227,13 @@
             for section in self.texts
             if section.partition(":")[0] == kind
         ]
+
+
+def describe():
+    """Yield the lines of a document with every kind of section and key."""
+    for kind, keys in KINDS.items():
+        yield f"[{kind}:NAME]"
+        for key in keys:
+            yield f"# {key.help}  Allowed is {key.allowed}."
+            yield f"# {key.name} = {key.default}"
+        yield ""
--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -60,6 +60,12 @@
         )
 
 
+class UnknownDomainError(ConfigError):
+    """No such failure domain on the live list or in the document."""
+
+    code = "unknown-domain"
+
+
 # Platform
 
 
--- a/clementinebay/operatorapi.py
+++ b/clementinebay/operatorapi.py
@@ -10,6 +10,7 @@
 #: Status of an answer that carries an error, by error class, most special first.
 STATUSES = (
     (errors.UnknownJobError, 404),
+    (errors.UnknownDomainError, 404),
     (errors.ConfigConflictError, 409),
     (errors.ConfigInvalidError, 422),
     (errors.RecordRefusedError, 409),
@@ -151,7 +152,14 @@
     return [submit, standings, standing, cancel]
 
 
-def config_routes(watcher):
+def domain_text(text, state):
+    """Return a domain section's ``text`` with its state changed."""
+    keys = dict(config.parse(f"[domain]\n{text}").items("domain"))
+    keys["state"] = state
+    return "".join(f"{key} = {keys[key]}\n" for key in sorted(keys))
+
+
+def config_routes(watcher, livelist):
     """Return the routes for the configuration document."""
 
     @get("/v1/config")
@@ -172,10 +180,9 @@
     async def change_domain(name: str, data: DomainChange) -> dict[str, int]:
         document = await watcher.store.document(watcher.document)
         section = f"domain:{name}"
-        text = document.texts.get(section, "")
-        keys = dict(config.parse(f"[{section}]\n{text}").items(section))
-        keys["state"] = data.state
-        text = "".join(f"{key} = {keys[key]}\n" for key in sorted(keys))
+        if name not in livelist.domains() and section not in document.texts:
+            raise errors.UnknownDomainError(f"no failure domain {name}")
+        text = domain_text(document.texts.get(section, ""), data.state)
         revision = await watcher.store.apply(
             {section: text}, document.revision, data.author
         )
@@ -254,7 +261,7 @@
         route_handlers=[
             *health_routes(front),
             *job_routes(kernel.find("jobs")),
-            *config_routes(kernel.find("config")),
+            *config_routes(kernel.find("config"), kernel.find("livelist")),
             *status_routes(kernel),
         ],
         exception_handlers={errors.ClementineError: on_error},
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -207,3 +207,19 @@
             return parse(file.read(), path)
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError([f"{path}: {error}"]) from error
+
+
+def describe():
+    """Yield the lines of a settings file with every option, its default and help."""
+    section = None
+    for option in OPTIONS:
+        if option.section != section:
+            if section is not None:
+                yield ""
+            section = option.section
+            yield f"[{section}]"
+        yield f"# {option.help}  Allowed is {option.allowed}."
+        if option.default is REQUIRED:
+            yield f"{option.key} ="
+        else:
+            yield f"# {option.key} = {option.default or ''}"
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -54,3 +54,8 @@
 def done(daemon):
     rows = demo.tool(daemon, "job", "list")
     return sum(row["done"] for row in rows)
+
+
+def test_unknown_domain_is_refused(cluster):
+    with pytest.raises(demo.DemoFailedError, match="unknown-domain"):
+        demo.tool(cluster.daemons[0], "domain", "out", "nowhere")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,3 +54,18 @@
 def test_not_a_number_is_refused():
     with pytest.raises(errors.SettingsError):
         settings.parse(GOOD + "[router]\ndefault_deadline_seconds = nan\n")
+
+
+def test_description_is_a_settings_file():
+    text = "\n".join(settings.describe())
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse(text)
+    required = [o for o in settings.OPTIONS if o.default is settings.REQUIRED]
+    assert len(caught.value.problems) == len(required)
+    assert all(f"{o.key} =" in text for o in settings.OPTIONS)
+
+
+def test_seeds_are_addresses():
+    assert settings.parse(GOOD.replace("[platform]", "seeds = a:1, b:2\n[platform]"))
+    with pytest.raises(errors.SettingsError):
+        settings.parse(GOOD.replace("[platform]", "seeds = here\n[platform]"))
