--- /dev/null
+++ b/tests/test_embedding.py
@@ -0,0 +1,91 @@
+"""The parts work without a daemon, each on a store and a clock alone."""
+
+import pytest
+
+from clementinebay import errors
+from clementinebay.claims import DAY_SECONDS, Claims
+from clementinebay.configstore import ConfigStore
+from clementinebay.policy.retry import RetryBudget
+from clementinebay.registry import JobRegistry, Plan, split
+from clementinebay.shard.leader import LeaderLease
+from tests.shard.test_log import LosingStore
+
+
+async def test_key_is_claimed_once(store, clock):
+    claims = Claims(store, clock)
+    await claims.claim("crew", "first", clock.now() + 5)
+    with pytest.raises(errors.DuplicateKeyError):
+        await claims.claim("crew", "second", clock.now() + 5)
+
+
+async def test_key_is_claimed_once_around_midnight(store, clock):
+    claims = Claims(store, clock)
+    clock.time = 100 * DAY_SECONDS + 0.1
+    await claims.claim("crew", "ahead", clock.now() + 5)
+    clock.advance(-0.5)
+    with pytest.raises(errors.DuplicateKeyError):
+        await claims.claim("crew", "behind", clock.now() + 5)
+
+
+async def test_claim_whose_answer_was_lost_is_still_held(space, clock):
+    store = LosingStore(space)
+    store.lost = 1
+    await Claims(store, clock).claim("crew", "first", clock.now() + 5)
+
+
+async def test_one_leader_at_a_time(store, clock):
+    one = LeaderLease(store, "a", "one", 4, clock)
+    two = LeaderLease(store, "a", "two", 4, clock)
+    assert await one.hold()
+    assert not await two.hold()
+    clock.advance(5)
+    assert not one.held
+    assert await two.hold()
+    assert not await one.hold()
+
+
+async def test_leader_gives_up_at_once(store, clock):
+    one = LeaderLease(store, "a", "one", 4, clock)
+    two = LeaderLease(store, "a", "two", 4, clock)
+    await one.hold()
+    await one.give_up()
+    assert await two.hold()
+
+
+async def test_first_plan_wins(store):
+    registry = JobRegistry(store)
+    plan = Plan("minutes", "d", split("minutes", 10, ["a", "b", "c"]))
+    await registry.claim(plan)
+    later = Plan("minutes", "d", split("minutes", 10, ["a", "b"]))
+    assert await registry.claim(later) == plan
+    with pytest.raises(errors.RecordRefusedError):
+        await registry.claim(Plan("minutes", "other", []))
+
+
+def test_split_covers_every_task_once():
+    parts = split("minutes", 10, ["c", "a", "b"])
+    indexes = [i for p in parts for i in range(p.first_index, p.first_index + p.count)]
+    assert sorted(indexes) == list(range(10))
+    assert {part.domain for part in parts} == {"a", "b", "c"}
+
+
+async def test_document_is_merged_by_section(store, clock):
+    documents = ConfigStore(store, clock)
+    base = await documents.apply({"team:x": "processors = 1\n"}, 0, "ann")
+    await documents.apply({"team:y": "processors = 2\n"}, base, "ben")
+    await documents.apply({"team:z": "processors = 3\n"}, base, "eva")
+    with pytest.raises(errors.ConfigConflictError) as caught:
+        await documents.apply({"team:y": "processors = 9\n"}, base, "eva")
+    assert (caught.value.expected, caught.value.found) == (1, 2)
+    document = await documents.document()
+    assert document.revision == 3
+    assert document.get("team:y", "processors") == 2.0
+
+
+def test_retries_are_a_share_of_requests():
+    budget = RetryBudget(10, burst=5)
+    retries = 0
+    for _request in range(1000):
+        budget.earn()
+        retries += budget.spend()
+    assert retries <= 5 + 100
