Make orders carry their own attempt's lease, and acknowledge what is recorded

Cause: a start that had waited for a free slot took the lease deadline from the task's state when it was sent, so the start of an old attempt could go out with the deadline of the next one: two runs of one task. Renewals acknowledged a report before its records were in the log; a worker that may forget what is acknowledged would lose a finished task. A renewal could be granted on a read that was newer than the bar of its endpoint, because the list of endpoints and the deadline were taken at different times. A worker that was restarted left its tasks running in the state for ever. An attempt that ran unasked was never stopped.

Change: policy/attempts.py decides orders and records from state, clock and report alone; the dispatcher carries them out. Reports are acknowledged when the log has them; a full one is asked for now and then; what it lacks, or what runs unasked after a newer read of the log, is stopped.

services/renewals.py is changed for this (acknowledgement, lookup of the endpoint by name at the time of the call).

--- a/clementinebay/services/dispatcher.py
+++ b/clementinebay/services/dispatcher.py
@@ -9,89 +9,95 @@
 from clementinebay import errors
 from clementinebay.endpoint.base import TaskStart, TaskStop
 from clementinebay.log import Log
+from clementinebay.policy import attempts
+from clementinebay.policy.attempts import Action
 from clementinebay.service import Service
-from clementinebay.shard.state import HOLDING, Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Orders to endpoints in progress at once.
 ORDERS = 64
+#: Records kept for a log that cannot be written; endpoints repeat what is dropped.
+RECORDS_LIMIT = 10_000
 
 log = Log("dispatcher")
 
 
-class Dispatcher(Service):
-    """Drives the endpoints of one domain; ``records`` are for the log."""
+class EndpointOrders:
+    """Drives the endpoints of one shard; a context manager that ends its orders.
 
-    name = "dispatcher"
-    requires = ("shard", "driver")
+    ``follower`` has the attribute ``log``, a `ShardLog`.  ``again`` is the wait before
+    an order that failed is repeated, in seconds.
+    """
 
-    async def start(self):
-        """Begin to take orders."""
-        self.shard = self.kernel.find("shard")
-        self.driver = self.kernel.find("driver").driver
-        self.records = []
+    def __init__(self, follower, driver, clock, again):
+        self.follower = follower
+        self.driver = driver
+        self.clock = clock
+        self.again = again
+        self.records = {}
         self.orders = {}
+        self.strays = {}
         self.slots = asyncio.Semaphore(ORDERS)
 
-    async def stop(self):
-        """Abandon orders in progress; they are idempotent."""
-        for task in list(self.orders.values()):
-            task.cancel()
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc):
+        orders = list(self.orders.values())
+        for order in orders:
+            order.cancel()
+        await asyncio.gather(*orders, return_exceptions=True)
+
+    @property
+    def state(self):
+        """The shard's state as far as it is known here."""
+        return self.follower.log.state
 
     def take_records(self):
         """Return and forget the records for the log."""
-        records, self.records = self.records, []
+        records, self.records = list(self.records.values()), {}
         return records
 
-    # Starting and stopping
+    # Orders
 
     def reconcile(self):
         """Order what the state asks for and no order in progress covers."""
-        state = self.shard.state
-        now = self.clock.now()
-        for endpoint in state.endpoints.values():
-            if endpoint.lost:
-                continue
-            for name, index in endpoint.held:
-                job = state.jobs[name]
-                task = job.tasks[index]
-                if task.phase == Phase.STOPPING or (
-                    task.phase == Phase.BOUND and task.lease_deadline <= now
-                ):
-                    self.order(self.stop_task, job, task)
-                elif task.phase == Phase.BOUND:
-                    self.order(self.start_task, job, task)
-
-    def order(self, action, job, task):
-        """Run ``action`` for an attempt unless it is in progress."""
-        key = (action.__name__, job.spec.id, task.index, task.attempt)
-        if key in self.orders:
+        for order in attempts.orders(self.state, self.clock.now()):
+            self.order(order)
+        self.stop_strays()
+
+    def order(self, order):
+        """Carry out an `Order` unless that is in progress."""
+        if order.key in self.orders:
             return
-        address = self.shard.state.endpoints[task.endpoint].seen.address
-        running = asyncio.create_task(
-            self.carry_out(action, address, job.spec, task.index, task.attempt)
-        )
-        self.orders[key] = running
-        running.add_done_callback(lambda _task: self.orders.pop(key, None))
+        running = asyncio.create_task(self.carry_out(order))
+        self.orders[order.key] = running
+        running.add_done_callback(lambda _task: self.orders.pop(order.key, None))
 
-    async def carry_out(self, action, address, spec, index, attempt):
-        """Run one action and log its failure; the next reconcile repeats it."""
+    async def carry_out(self, order):
+        """Carry out one order; the next reconcile repeats one that failed."""
         async with self.slots:
             try:
-                await action(address, spec, index, attempt)
+                if order.action == Action.START:
+                    report = await self.start(order)
+                else:
+                    stop = TaskStop(order.job, order.index, order.attempt)
+                    report = await self.driver.stop(order.address, stop)
+                self.take_report(order.endpoint, report)
+                return
             except errors.EndpointError as error:
-                log.debug("%s/%d: %s.", spec.id, index, error)
-                await asyncio.sleep(self.settings.scheduler_tick_seconds)
-
-    async def start_task(self, address, spec, index, attempt):
-        """Start an attempt at its endpoint."""
-        task = self.shard.state.jobs[spec.id].tasks[index]
-        report = await self.driver.start(
-            address,
+                log.debug("%s/%d: %s.", order.job, order.index, error)
+        await asyncio.sleep(self.again)
+
+    async def start(self, order):
+        """Start an attempt and return the `TaskReport`."""
+        spec = order.spec
+        return await self.driver.start(
+            order.address,
             TaskStart(
                 job=spec.id,
-                index=index,
-                attempt=attempt,
+                index=order.index,
+                attempt=order.attempt,
                 origin=spec.origin or spec.id,
                 kind=spec.kind,
                 service=spec.workload == wire.Workload.SERVICE,
@@ -100,41 +106,78 @@
                 memory_mb=spec.size.memory_mb,
                 accelerators=spec.size.accelerators,
                 run_seconds=spec.run_seconds,
-                lease_deadline=task.lease_deadline,
-                checkpoint=task.checkpoint,
+                lease_deadline=order.lease_deadline,
+                checkpoint=order.checkpoint,
             ),
         )
-        started = wire.Started(spec.id, index, attempt)
-        self.add(wire.Record(started=started))
-        self.take_report(report)
 
-    async def stop_task(self, address, spec, index, attempt):
-        """Stop an attempt at its endpoint."""
-        report = await self.driver.stop(address, TaskStop(spec.id, index, attempt))
-        self.take_report(report)
-
-    def add(self, record):
-        """Keep ``record`` for the log."""
-        self.records.append(record)
+    def stop_strays(self):
+        """Stop attempts that a read of the log since their report does not know."""
+        confirmed_at = self.follower.log.confirmed_at
+        for (endpoint, *key), reported_at in list(self.strays.items()):
+            known = self.state.endpoints.get(endpoint)
+            held = attempts.held_task(self.state, endpoint, key)
+            if known is None or known.lost or held is not None:
+                del self.strays[(endpoint, *key)]
+            elif confirmed_at > reported_at:
+                log.warning("%s runs %s/%d unasked.", endpoint, key[0], key[1])
+                self.order(attempts.Order(Action.STOP, known, *key))
+                del self.strays[(endpoint, *key)]
 
     # Reports
 
-    def take_report(self, report):
+    def take_report(self, endpoint, report):
         """Turn a report of an attempt into a record, if it says something new."""
-        job = self.shard.state.jobs.get(report.job)
-        task = job.tasks.get(report.index) if job else None
-        if task is None or task.attempt != report.attempt or task.phase not in HOLDING:
-            return
-        identity = (report.job, report.index, report.attempt)
+        record = attempts.record(self.state, endpoint, report, self.clock.now())
+        if record is not None and len(self.records) < RECORDS_LIMIT:
+            key = (endpoint, report.job, report.index, report.attempt, report.state)
+            self.records[key] = record
+
+    def take_reports(self, endpoint, reports, expected=()):
+        """Take what ``endpoint`` reports; return whether to acknowledge it.
+
+        ``expected`` are attempts that a full report has to mention.
+        """
         now = self.clock.now()
-        if report.state == "done":
-            finish = wire.Finish(*identity, wire.Outcome.DONE, "", now)
-            self.add(wire.Record(finish=finish))
-        elif report.state == "failed":
-            finish = wire.Finish(*identity, wire.Outcome.FAILED, report.reason, now)
-            self.add(wire.Record(finish=finish))
-        elif report.state == "stopped":
-            released = wire.Released(
-                *identity, wire.Evidence.STOPPED, now, report.checkpoint
-            )
-            self.add(wire.Record(released=released))
+        for report in reports:
+            self.take_report(endpoint, report)
+        for key in attempts.strays(self.state, endpoint, reports):
+            self.strays.setdefault((endpoint, *key), now)
+        known = self.state.endpoints.get(endpoint)
+        if known is not None and not known.lost:
+            for key in attempts.missing(set(expected), reports):
+                if attempts.held_task(self.state, endpoint, key) is not None:
+                    self.order(attempts.Order(Action.STOP, known, *key))
+        return not attempts.unrecorded(self.state, endpoint, reports)
+
+
+class Dispatcher(Service):
+    """Drives the endpoints of this daemon's domain by ``orders``."""
+
+    name = "dispatcher"
+    requires = ("shard", "driver")
+
+    async def start(self):
+        """Begin to take orders."""
+        self.orders = EndpointOrders(
+            self.kernel.find("shard"),
+            self.kernel.find("driver").driver,
+            self.clock,
+            self.settings.scheduler_tick_seconds,
+        )
+
+    async def stop(self):
+        """Abandon orders in progress; they are idempotent."""
+        await self.orders.__aexit__()
+
+    def take_records(self):
+        """Return and forget the records for the log."""
+        return self.orders.take_records()
+
+    def reconcile(self):
+        """Order what the state asks for and no order in progress covers."""
+        self.orders.reconcile()
+
+    def take_reports(self, endpoint, reports, expected=()):
+        """See `EndpointOrders.take_reports`."""
+        return self.orders.take_reports(endpoint, reports, expected)
--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -9,10 +9,13 @@
 from clementinebay import errors
 from clementinebay.endpoint.base import Renewal
 from clementinebay.log import Log
+from clementinebay.policy import attempts
 from clementinebay.service import Service
 
 #: Renewals in progress at once.
 RENEWALS = 64
+#: Reports of an endpoint after which a full one is asked for.
+REPORTS_BETWEEN_FULL = 60
 
 log = Log("renewals")
 
@@ -29,6 +32,7 @@
         self.driver = self.kernel.find("driver").driver
         self.dispatcher = self.kernel.find("dispatcher")
         self.versions = {}
+        self.reports = {}
         self.slots = asyncio.Semaphore(RENEWALS)
         self.active = False
         self.background.spawn(self.poll)
@@ -41,8 +45,8 @@
         """Renew leases and take reports at every interval."""
         while True:
             if self.active or not self.platform_answers():
-                endpoints = list(self.shard.state.endpoints.values())
-                await asyncio.gather(*(self.renew(e) for e in endpoints if not e.lost))
+                names = list(self.shard.state.endpoints)
+                await asyncio.gather(*(self.renew(name) for name in names))
             await asyncio.sleep(self.settings.scheduler_poll_seconds)
 
     def platform_answers(self):
@@ -51,28 +55,39 @@
         return age < self.settings.scheduler_leader_seconds
 
     def lease_deadline(self):
-        """Return the deadline of renewals.
-
-        It never passes the last confirmed read of the shard by more than
-        ``reclaim_after``, which is what a reader of the log waits for.
-        """
+        """Return the deadline of renewals."""
         settings = self.settings
-        confirmed = self.shard.log.confirmed_at
-        return min(
-            self.clock.now() + settings.scheduler_lease_seconds,
-            confirmed + settings.scheduler_reclaim_after_seconds,
+        return attempts.renewal_deadline(
+            self.clock.now(),
+            self.shard.log.confirmed_at,
+            settings.scheduler_lease_seconds,
+            settings.scheduler_reclaim_after_seconds,
         )
 
-    async def renew(self, endpoint):
+    async def renew(self, name):
         """Renew the leases at one endpoint and take its report."""
-        name = endpoint.seen.id
-        renewal = Renewal(self.lease_deadline(), self.versions.get(name, 0))
         async with self.slots:
+            # The deadline and the standing of the endpoint are of the same read.
+            endpoint = self.shard.state.endpoints.get(name)
+            if endpoint is None or endpoint.lost:
+                return
+            since = self.since(name)
+            expected = () if since else attempts.running(self.shard.state, name)
+            renewal = Renewal(self.lease_deadline(), since)
             try:
                 report = await self.driver.renew(endpoint.seen.address, renewal)
             except errors.EndpointError as error:
                 log.debug("%s: %s.", name, error)
                 return
-        self.versions[name] = report.version
-        for task in report.tasks:
-            self.dispatcher.take_report(task)
+        if report.version < since:
+            # The worker was restarted and has forgotten what it ran.
+            self.versions[name] = 0
+        elif self.dispatcher.take_reports(name, report.tasks, expected):
+            self.versions[name] = report.version
+
+    def since(self, name):
+        """Return the version of the last report that is in the log, 0 for all."""
+        count = self.reports[name] = self.reports.get(name, 0) + 1
+        if count % REPORTS_BETWEEN_FULL == 0:
+            self.versions[name] = 0
+        return self.versions.get(name, 0)
--- a/clementinebay/shard/entities.py
+++ b/clementinebay/shard/entities.py
@@ -31,7 +31,6 @@
         "failed_on",
         "bound_at",
         "reason",
-        "retry_at",
     )
 
     def __init__(self, index):
@@ -45,7 +44,6 @@
         self.failed_on = []
         self.bound_at = 0.0
         self.reason = ""
-        self.retry_at = 0.0
 
 
 class Job:
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -18,9 +18,6 @@
 
 #: Highest format of batches that this code applies.
 FORMAT = 1
-#: Waits before a task that failed is bound again, in seconds.
-FIRST_RETRY_SECONDS = 1.0
-LONGEST_RETRY_SECONDS = 60.0
 
 
 class State:
@@ -356,12 +353,10 @@
     def note_failure(self, job, task, endpoint, record):
         """Have a failed task wait; park it after too many failures.
 
-        A replica of a service is never parked: it is tried again ever more slowly.
+        A replica of a service is never parked: its service must come back by itself.
         """
         task.failures += 1
         task.reason = record.reason
-        wait = FIRST_RETRY_SECONDS * 2 ** min(task.failures - 1, 10)
-        task.retry_at = record.at + min(wait, LONGEST_RETRY_SECONDS)
         if endpoint not in task.failed_on:
             task.failed_on.append(endpoint)
         batch = job.spec.workload == wire.Workload.BATCH
--- a/clementinebay/shard/wire/ttypes.py
+++ b/clementinebay/shard/wire/ttypes.py
@@ -2302,7 +2302,6 @@
      - failed_on
      - bound_at
      - reason
-     - retry_at
 
     """
 
@@ -2317,11 +2316,10 @@
         'failed_on',
         'bound_at',
         'reason',
-        'retry_at',
     )
 
 
-    def __init__(self, index=None, attempt=None, phase=None, endpoint="", lease_deadline=float(0), checkpoint="", failures=0, failed_on=None, bound_at=float(0), reason="", retry_at=float(0),):
+    def __init__(self, index=None, attempt=None, phase=None, endpoint="", lease_deadline=float(0), checkpoint="", failures=0, failed_on=None, bound_at=float(0), reason="",):
         self.index = index
         self.attempt = attempt
         self.phase = phase
@@ -2332,7 +2330,6 @@
         self.failed_on = failed_on
         self.bound_at = bound_at
         self.reason = reason
-        self.retry_at = retry_at
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2398,11 +2395,6 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.DOUBLE:
-                    self.retry_at = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2456,10 +2448,6 @@
             oprot.writeFieldBegin('reason', TType.STRING, 10)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
-        if self.retry_at is not None:
-            oprot.writeFieldBegin('retry_at', TType.DOUBLE, 11)
-            oprot.writeDouble(self.retry_at)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3440,7 +3428,6 @@
     (8, TType.LIST, 'failed_on', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.DOUBLE, 'bound_at', None, float(0), ),  # 9
     (10, TType.STRING, 'reason', 'UTF8', "", ),  # 10
-    (11, TType.DOUBLE, 'retry_at', None, float(0), ),  # 11
 )
 all_structs.append(JobImage)
 JobImage.thrift_spec = (
--- a/idl/shard.thrift
+++ b/idl/shard.thrift
@@ -108,7 +108,6 @@
   1: i32 index, 2: i32 attempt, 3: i32 phase, 4: string endpoint = "",
   5: double lease_deadline = 0, 6: string checkpoint = "", 7: i32 failures = 0,
   8: list<string> failed_on, 9: double bound_at = 0, 10: string reason = "",
-  11: double retry_at = 0,
 }
 struct JobImage {
   1: JobSpec spec, 2: i32 next_index, 3: i32 done, 4: bool cancelled, 5: list<TaskImage> tasks,
--- a/tests/shard/factory.py
+++ b/tests/shard/factory.py
@@ -33,6 +33,10 @@
     return wire.Record(finish=wire.Finish(job, index, attempt, outcome, "", 1.0))
 
 
+def started(job="minutes", index=0, attempt=1):
+    return wire.Record(started=wire.Started(job, index, attempt))
+
+
 def release(job="minutes", index=0, attempt=1):
     return wire.Record(release=wire.Release(job, index, attempt, "test"))
 
