--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,120 @@
+"""Slopes of what a daemon's roles cost, for docs/CAPACITY.md.
+
+Each part runs alone in a fresh process, against stand-ins of growing size.  Processor
+time is the process's own (getrusage), bytes are counted at its sockets.  A line is
+fitted to all runs of all sizes; every run goes to out/slopes-PART.csv.
+"""
+
+import argparse
+import csv
+import json
+import os
+import platform
+import subprocess
+import sys
+import time
+
+import numpy
+
+from bench.slopes_parts import PARTS
+from standins.cluster import ROOT
+
+#: What is fitted: column, unit.
+MEASURES = (
+    ("cpu_ms", "ms of processor a second"),
+    ("sent", "bytes sent a second"),
+    ("received", "bytes received a second"),
+    ("rss_mb", "MB resident"),
+)
+#: Longest run of one point, in seconds.
+POINT_SECONDS = 60.0
+
+
+def run_point(part, size, options):
+    """Return the row that one fresh process measures, while this one drives it."""
+    with part.stand_ins(size) as arguments:
+        child = subprocess.Popen(
+            [sys.executable, "-m", "bench.slopes", "--child", part.name]
+            + ["--size", str(size), "--seconds", str(options.seconds)]
+            + ["--arguments", json.dumps(arguments)],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            limit = time.monotonic() + POINT_SECONDS
+            while child.poll() is None and time.monotonic() < limit:
+                part.drive(size, arguments)
+                time.sleep(part.drive_seconds)
+            output, _errors = child.communicate(timeout=POINT_SECONDS)
+        finally:
+            if child.poll() is None:
+                child.kill()
+            child.wait()
+    return json.loads(output.splitlines()[-1])
+
+
+def fit(rows, column):
+    """Return slope, intercept, residual and spread of ``column`` over the sizes.
+
+    The residual is the root mean square distance from the line; the spread is the
+    largest difference between two runs of one size.
+    """
+    sizes = numpy.array([row["size"] for row in rows], dtype=float)
+    values = numpy.array([row[column] for row in rows], dtype=float)
+    slope, intercept = numpy.polyfit(sizes, values, 1)
+    residual = numpy.sqrt(numpy.mean((values - slope * sizes - intercept) ** 2))
+    spread = max(numpy.ptp(values[sizes == size]) for size in set(sizes))
+    return slope, intercept, residual, spread
+
+
+def measure(part, options):
+    """Run all points of ``part``, write them and print the fits."""
+    rows = []
+    for run in range(options.runs):
+        for size in part.sizes:
+            rows.append({"run": run, **run_point(part, size, options)})
+    os.makedirs(options.out, exist_ok=True)
+    with open(os.path.join(options.out, f"slopes-{part.name}.csv"), "w") as file:
+        writer = csv.DictWriter(file, list(rows[0]))
+        writer.writeheader()
+        writer.writerows(rows)
+    print(f"{part.name}: {part.what}; sizes {part.sizes}, {options.runs} runs")
+    for column, unit in MEASURES:
+        slope, intercept, residual, spread = fit(rows, column)
+        print(
+            f"  {unit:28} {slope:10.4f} each + {intercept:9.3f}"
+            f"  residual {residual:.3f}  spread {spread:.3f}"
+        )
+    for column in rows[0]:
+        if column not in ("run", "size", *(name for name, _unit in MEASURES)):
+            slope, intercept, residual, spread = fit(rows, column)
+            print(
+                f"  {column:28} {slope:10.4f} each + {intercept:9.3f}"
+                f"  residual {residual:.3f}  spread {spread:.3f}"
+            )
+
+
+def main():
+    """Measure the parts that are named, or all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", help=f"of {', '.join(PARTS)}")
+    parser.add_argument("--runs", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--out", default="out")
+    parser.add_argument("--child", help=argparse.SUPPRESS)
+    parser.add_argument("--size", type=int, help=argparse.SUPPRESS)
+    parser.add_argument("--arguments", type=json.loads, help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if options.child:
+        part = PARTS[options.child]
+        part.run_child(options.size, options.seconds, options.arguments)
+        return
+    print(f"{platform.machine()}, {os.cpu_count()} processors, ", end="")
+    print(f"Python {platform.python_version()}, no random input")
+    for name in options.parts or PARTS:
+        measure(PARTS[name], options)
+
+
+if __name__ == "__main__":
+    main()
