--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -27,7 +27,7 @@
 url = {platform}
 live_list_url = {live_list}
 [trace]
-sample_percent = 100
+sample_percent = {sample}
 {extra}
 """
 
@@ -140,9 +140,16 @@
     """
 
     def __init__(
-        self, domains=("a", "b", "c"), daemons=2, endpoints=2, extra="", **size
+        self,
+        domains=("a", "b", "c"),
+        daemons=2,
+        endpoints=2,
+        extra="",
+        sample=100.0,
+        **size,
     ):
         self.domains = domains
+        self.sample = sample
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -259,6 +266,7 @@
                     platform=self.platform_of(daemon),
                     live_list=f"{self.platform_of(daemon)}/vms",
                     extra=self.extra,
+                    sample=self.sample,
                 )
             )
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
