Give the stand-in endpoint a model of service times

Cause: policies for colocation had nothing to act on: requests took no time, tasks ran as declared and no usage was reported. Change: weights of pairs of kinds slow requests down by the cores that neighbours really use; sizes and run times are wrong by a bounded factor drawn from seed and name; usage is reported after a lag; checkpoints can be made at intervals only.

--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -5,65 +5,26 @@
 look for runs of one task that overlap.  Faults are set by ``POST /control/faults``:
 ``service_seconds`` (mean time of a request), ``fail_tasks`` (kinds whose tasks fail, or
 ``["*"]``), ``fail_requests`` (refuse every request at once), ``cross_answers`` (give
-each answer to another request), ``run_factor`` (real over declared run time).
+each answer to another request), ``run_factor`` (real over declared run time),
+``wrong_factor`` (bound of the factor by which real sizes and run times are wrong),
+``lag_seconds`` (age of measured usage), ``checkpoint_seconds`` (time between two
+checkpoints; 0 makes one at any time), ``interference`` (weights of pairs of kinds).
 """
 
 import argparse
 import asyncio
 import hashlib
 import random
+from collections import Counter
 
 from clementinebay.clock import SystemClock
 from standins import web
+from standins.workload import Interference, Run, UsageMeter, service_time
 
 #: Time between two steps of running tasks, in seconds.
 STEP_SECONDS = 0.05
 
 
-class Run:
-    """One attempt of a task."""
-
-    def __init__(self, order, now):
-        self.order = order
-        self.key = (order["job"], order["index"], order["attempt"])
-        self.started = now
-        self.ended = None
-        self.state = "running"
-        self.reason = ""
-        self.deadline = order["lease_deadline"]
-        self.progress = float(order.get("checkpoint") or 0.0)
-        self.share = 1.0
-        self.version = 0
-
-    def report(self):
-        """Return the attempt's report."""
-        job, index, attempt = self.key
-        return {
-            "job": job,
-            "index": index,
-            "attempt": attempt,
-            "state": self.state,
-            "kind": self.order["kind"],
-            "reason": self.reason,
-            "checkpoint": f"{self.progress:.4f}" if self.progress else "",
-            "throttled": self.share < 1.0,
-        }
-
-    def record(self):
-        """Return the run for the checkers."""
-        job, index, attempt = self.key
-        return {
-            "job": job,
-            "origin": self.order["origin"],
-            "index": index,
-            "attempt": attempt,
-            "service": self.order["service"],
-            "started": self.started,
-            "ended": self.ended,
-            "state": self.state,
-        }
-
-
 class Endpoint:
     """One worker with its tasks, slots and faults."""
 
@@ -72,7 +33,10 @@
         self.limits = (processors_milli, memory_mb, accelerators)
         self.slots = asyncio.Semaphore(slots)
         self.clock = SystemClock()
-        self.rng = random.Random(seed)
+        self.rng = random.Random(f"{name}/{seed}")
+        self.seed = seed
+        self.interference = Interference(seed)
+        self.meter = UsageMeter()
         self.runs = {}
         self.refused = set()
         self.version = 0
@@ -85,6 +49,10 @@
             "fail_requests": False,
             "cross_answers": False,
             "run_factor": 1.0,
+            "wrong_factor": 1.0,
+            "lag_seconds": 2.0,
+            "checkpoint_seconds": 0.0,
+            "interference": {},
         }
 
     def app(self):
@@ -124,9 +92,7 @@
         request_id = call.headers.get("x-request-id", "")
         async with self.slots:
             self.requests.append(request_id)
-            mean = self.faults["service_seconds"]
-            if mean:
-                await asyncio.sleep(self.rng.expovariate(1.0 / mean))
+            await self.spend_service_time(service)
         answer = (request_id, call.body)
         if self.faults["cross_answers"]:
             answer, self.crossed = self.crossed or answer, answer
@@ -136,6 +102,33 @@
             body, headers=[("X-Request-Id", request_id), ("X-Digest", digest)]
         )
 
+    async def spend_service_time(self, service):
+        """Take as long as the service's kind and what runs beside it ask for."""
+        mean = self.faults["service_seconds"]
+        if not mean:
+            return
+        kinds = (
+            run.order["kind"]
+            for run in self.running()
+            if run.order["service"] and run.order["origin"] == service
+        )
+        kind = next(kinds, service)
+        seconds = service_time(self.rng, mean) * self.slowdown(kind)
+        await asyncio.sleep(seconds)
+        self.meter.note(self.clock.now(), service, seconds)
+
+    def running(self):
+        """Return the attempts that run."""
+        return [run for run in self.runs.values() if run.state == "running"]
+
+    def slowdown(self, kind):
+        """Return by what factor ``kind`` is slowed here now."""
+        cores = Counter()
+        for run in self.running():
+            if not run.order["service"]:
+                cores[run.order["kind"]] += run.cores
+        return self.interference.slowdown(kind, cores)
+
     # Tasks
 
     async def start(self, call):
@@ -149,7 +142,8 @@
             return web.Reply({"code": "stopped-before"}, 409)
         if now > order["lease_deadline"]:
             return web.Reply({"code": "lease-passed"}, 409)
-        run = self.runs[key] = Run(order, now)
+        run = Run(order, now, self.seed, self.faults["wrong_factor"])
+        self.runs[key] = run
         self.touch(run)
         self.check_commitment()
         return web.Reply(run.report())
@@ -157,8 +151,7 @@
     def check_commitment(self):
         """Record a violation if what runs exceeds the capacity."""
         names = ("processors_milli", "memory_mb", "accelerators")
-        running = [run for run in self.runs.values() if run.state == "running"]
-        used = [sum(run.order[name] for run in running) for name in names]
+        used = [sum(run.order[name] for run in self.running()) for name in names]
         if any(u > limit for u, limit in zip(used, self.limits, strict=True)):
             self.violations.append(
                 {"kind": "over-commit", "at": self.clock.now(), "used": used}
@@ -197,11 +190,12 @@
     async def renew(self, call):
         """Extend leases and report what changed."""
         body = call.json()
-        for run in self.runs.values():
-            if run.state == "running":
-                run.deadline = max(run.deadline, body["lease_deadline"])
+        for run in self.running():
+            run.deadline = max(run.deadline, body["lease_deadline"])
         tasks = [r.report() for r in self.runs.values() if r.version > body["since"]]
-        return web.Reply({"version": self.version, "tasks": tasks, "services": []})
+        services = self.meter.take(self.clock.now() - self.faults["lag_seconds"])
+        report = {"version": self.version, "tasks": tasks, "services": services}
+        return web.Reply(report)
 
     def touch(self, run):
         """Note that an attempt changed."""
@@ -221,11 +215,27 @@
         while True:
             await asyncio.sleep(STEP_SECONDS)
             now = self.clock.now()
-            for run in list(self.runs.values()):
-                if run.state == "running" and not run.order["service"]:
+            for run in self.running():
+                self.measure(run, now)
+                if not run.order["service"]:
                     self.advance(run, now, now - before)
             before = now
 
+    def measure(self, run, now):
+        """Have the usage of an attempt reported once it was measured."""
+        if not run.measured and now > run.started + self.faults["lag_seconds"]:
+            run.measured = True
+            self.touch(run)
+
+    def save(self, run, now):
+        """Make a checkpoint of an attempt if it is time."""
+        every = self.faults["checkpoint_seconds"]
+        if every and now < run.saved_at + every:
+            return
+        run.saved, run.saved_at = run.progress, now
+        if every:
+            self.touch(run)
+
     def advance(self, run, now, seconds):
         """Advance one task."""
         if now > run.deadline:
@@ -233,8 +243,10 @@
         elif {"*", run.order["kind"]} & set(self.faults["fail_tasks"]):
             self.end(run, "failed", "fault")
         else:
-            needed = run.order["run_seconds"] * self.faults["run_factor"]
+            declared = run.order["run_seconds"] * self.faults["run_factor"]
+            needed = declared * run.time_factor
             run.progress += seconds * run.share / max(needed, STEP_SECONDS)
+            self.save(run, now)
             if run.progress >= 1.0:
                 self.end(run, "done")
 
@@ -243,6 +255,7 @@
     async def control_faults(self, call):
         """Set faults."""
         self.faults.update(call.json())
+        self.interference = Interference(self.seed, self.faults["interference"])
         return web.Reply(self.faults)
 
     async def control_runs(self, _call):
@@ -264,7 +277,7 @@
             arguments.memory_mb,
             arguments.accelerators,
             arguments.slots,
-            arguments.seed + number,
+            arguments.seed,
         )
         for number in range(arguments.count)
     }
