Let services hear the endpoints' reports

A small change in the renewals service: it calls listeners with each report, for which usage and latencies were dropped so far.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -33,4 +33,10 @@
 REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
+PARKED = Counter("clementine_parked", "Tasks parked.", ["reason"])
+THROTTLED = Gauge("clementine_throttled", "Tasks that are throttled.")
+BARRED = Gauge("clementine_barred", "Endpoints that take no tasks for failures.")
+DECISION_SECONDS = Histogram(
+    "clementine_decision_seconds", "Time to decide.", buckets=LATENCY_BUCKETS
+)
 CONFIG_REVISION = Gauge("clementine_config_revision", "Configuration in force.")
--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -18,7 +18,10 @@
 
 
 class Renewals(Service):
-    """Calls every endpoint at every interval while ``active`` or cut off."""
+    """Calls every endpoint at every interval while ``active`` or cut off.
+
+    Each of ``listeners`` is called with an endpoint's name and its `Report`.
+    """
 
     name = "renewals"
     requires = ("shard", "driver", "config", "dispatcher")
@@ -29,6 +32,7 @@
         self.driver = self.kernel.find("driver").driver
         self.dispatcher = self.kernel.find("dispatcher")
         self.versions = {}
+        self.listeners = []
         self.slots = asyncio.Semaphore(RENEWALS)
         self.active = False
         self.background.spawn(self.poll)
@@ -76,3 +80,5 @@
         self.versions[name] = report.version
         for task in report.tasks:
             self.dispatcher.take_report(task)
+        for listener in self.listeners:
+            listener(name, report)
