Decide on placement, failures, interference, quotas and eviction

Cause: placement knew free processors only; an endpoint that failed everything drew the most starts for being empty; urgent work waited for batch work to end; latency of services played no part. Change: pure policies behind the scheduler, decided in a fixed order and only when something changed. An endpoint is suspected, judged once the others had time to report, and barred for growing times; a job that fails everywhere is parked with a typed reason. Interference is learned for each pair of kinds from lagged latency; throttles come first, then moves, then evictions. Quotas are split over the domains that are in.

--- /dev/null
+++ b/clementinebay/policy/planner.py
@@ -0,0 +1,202 @@
+"""Which waiting task is bound to which endpoint.
+
+`plan` walks the jobs in order and binds each task to the room that the placement policy
+scores highest.  A job or size that found no room is not tried again in the same
+decision, so a decision costs little however much work waits.
+"""
+
+import heapq
+from collections import defaultdict
+
+from clementinebay.policy.placement import FORBIDDEN, Balanced, Neighbours, Room
+from clementinebay.policy.quota import Ledger
+from clementinebay.policy.taskhealth import TaskHealth
+from clementinebay.shard.state import Phase
+from clementinebay.shard.wire import ttypes as wire
+
+#: Most bindings that one decision makes.
+BINDS_PER_DECISION = 100
+
+
+class Candidate:
+    """A task that may be bound."""
+
+    __slots__ = ("job", "index", "attempt", "failed_on")
+
+    def __init__(self, job, index, attempt, failed_on=()):
+        self.job = job
+        self.index = index
+        self.attempt = attempt
+        self.failed_on = failed_on
+
+
+class Plan:
+    """Bindings, and one `Candidate` of each job for which there was no room."""
+
+    __slots__ = ("binds", "unplaced")
+
+    def __init__(self):
+        self.binds = []
+        self.unplaced = []
+
+
+def candidates(job):
+    """Yield the `Candidate`s of ``job`` in order of their index."""
+    for task in job.tasks.values():
+        if task.phase == Phase.WAITING:
+            yield Candidate(job, task.index, task.attempt + 1, task.failed_on)
+    for index in range(job.next_index, job.end_index):
+        yield Candidate(job, index, 1)
+
+
+def queue(state):
+    """Return the jobs with tasks that wait: urgent ones first, then older ones."""
+    jobs = [job for job in state.jobs.values() if not job.cancelled and waits(job)]
+    jobs.sort(key=lambda job: (-job.spec.urgency, job.spec.submitted_at, job.spec.id))
+    return jobs
+
+
+def waits(job):
+    """Return whether a task of ``job`` waits."""
+    if job.untouched:
+        return True
+    return any(task.phase == Phase.WAITING for task in job.tasks.values())
+
+
+class Planner:
+    """Makes one decision; ``health`` and ``ledger`` say what is held back."""
+
+    def __init__(self, state, policy, now, health=None, ledger=None):
+        self.state = state
+        self.policy = policy
+        self.now = now
+        self.health = health or TaskHealth()
+        self.ledger = ledger or Ledger()
+        self.rooms = [
+            Room(endpoint)
+            for endpoint in state.endpoints.values()
+            if endpoint.usable and not self.health.barred(endpoint.seen.id, now)
+        ]
+        self.probes = {
+            room.id for room in self.rooms if self.health.on_probation(room.id)
+        }
+        self.unfit = []
+        self.taken = defaultdict(int)
+
+    def plan(self, lease_deadline, limit):
+        """Return the `Plan` of at most ``limit`` bindings."""
+        plan = Plan()
+        for job in queue(self.state):
+            if len(plan.binds) >= limit:
+                break
+            if self.known_unfit(job.spec.size):
+                plan.unplaced.append(next(candidates(job)))
+                continue
+            self.plan_job(job, plan, lease_deadline, limit)
+        return plan
+
+    def plan_job(self, job, plan, lease_deadline, limit):
+        """Bind tasks of ``job`` until none is left or nothing fits."""
+        spec = job.spec
+        neighbours = Neighbours(self.state, job)
+        heap = self.heap(job, neighbours)
+        allowance = self.health.allowance(job)
+        for candidate in candidates(job):
+            if len(plan.binds) >= limit or allowance <= 0:
+                return
+            if self.health.held_back(spec.id, candidate.index, self.now):
+                continue
+            if not self.ledger.allows(spec.team, spec.size):
+                return
+            room = self.pick(job, heap, neighbours, candidate.failed_on)
+            if room is None:
+                if not any(room.fits(spec.size) for room in self.rooms):
+                    self.unfit.append(spec.size)
+                plan.unplaced.append(candidate)
+                return
+            allowance -= 1
+            self.take(job, room, neighbours)
+            plan.binds.append(self.bind(candidate, room, lease_deadline))
+
+    def heap(self, job, neighbours):
+        """Return the rooms that fit ``job``, best first, as a heap."""
+        heap = [
+            (-score, room.id, room)
+            for room in self.rooms
+            if room.fits(job.spec.size)
+            and (score := self.policy.score(job, room, neighbours)) > FORBIDDEN
+        ]
+        heapq.heapify(heap)
+        return heap
+
+    def pick(self, job, heap, neighbours, failed_on):
+        """Return the best room, one without a failure of the task if there is any.
+
+        Scores only sink while a job is planned, so an entry whose score is still right
+        is the best.
+        """
+        passed = []
+        found = None
+        while heap and found is None:
+            score, _id, room = heapq.heappop(heap)
+            if not self.open(room, job):
+                continue
+            current = -self.policy.score(job, room, neighbours)
+            if current == -FORBIDDEN:
+                continue
+            if current > score:
+                heapq.heappush(heap, (current, room.id, room))
+            elif room.id in failed_on:
+                passed.append((score, room.id, room))
+            else:
+                found = room
+        if found is None and passed:
+            found = passed.pop(0)[2]
+        for entry in passed:
+            heapq.heappush(heap, entry)
+        if found is not None:
+            # Its score is made anew when it is looked at next.
+            heapq.heappush(heap, (FORBIDDEN, found.id, found))
+        return found
+
+    def open(self, room, job):
+        """Return whether ``room`` still takes a task of ``job``."""
+        if room.id in self.probes and (self.taken[room.id] or self.holds(room)):
+            return False
+        return room.fits(job.spec.size)
+
+    def holds(self, room):
+        """Return whether anything runs in ``room``."""
+        return bool(self.state.endpoints[room.id].held)
+
+    def take(self, job, room, neighbours):
+        """Count a binding in all sums of this decision."""
+        room.take(job.spec.size)
+        neighbours.add(room.id, room.rack)
+        self.policy.took(job, room)
+        self.taken[room.id] += 1
+        self.ledger.take(job.spec.team, job.spec.size)
+
+    def bind(self, candidate, room, lease_deadline):
+        """Return the `wire.Bind` of ``candidate``."""
+        job = candidate.job.spec.id
+        return wire.Bind(
+            job, candidate.index, candidate.attempt, room.id, lease_deadline, self.now
+        )
+
+    def known_unfit(self, size):
+        """Return whether a task no larger than ``size`` found no room before."""
+        return any(
+            size.processors_milli >= unfit.processors_milli
+            and size.memory_mb >= unfit.memory_mb
+            and size.accelerators >= unfit.accelerators
+            for unfit in self.unfit
+        )
+
+
+def plan(state, now, lease_deadline, policy=None, health=None, ledger=None):
+    """Return the `Plan` of bindings: urgent jobs first, then older ones."""
+    if state.out or lease_deadline <= now:
+        return Plan()
+    planner = Planner(state, policy or Balanced(), now, health, ledger)
+    return planner.plan(lease_deadline, BINDS_PER_DECISION)
--- /dev/null
+++ b/clementinebay/policy/quota.py
@@ -0,0 +1,78 @@
+"""Quotas of teams: how much of what a team holds may be bound in one domain."""
+
+from clementinebay.shard.state import HOLDING
+
+#: Keys of a team's section, in the order of `amounts`.
+KEYS = ("processors", "memory_mb", "accelerators")
+
+
+def amounts(size):
+    """Return a `wire.Resources` as (milli-processors, MB, accelerators)."""
+    return size.processors_milli, size.memory_mb, size.accelerators
+
+
+def share(quota, domain, domains):
+    """Return the part of the whole number ``quota`` that ``domain`` may use.
+
+    The parts of all ``domains`` add up to the quota.
+    """
+    order = sorted(domains)
+    rank = order.index(domain)
+    return quota * (rank + 1) // len(order) - quota * rank // len(order)
+
+
+def limits(document, domain, domains):
+    """Return {team: amounts} of the teams with a quota; ``None`` is no limit.
+
+    ``domains`` are those that are in; the quota is split equally over them.
+    """
+    found = {}
+    for team in document.named("team"):
+        quota = [document.get(f"team:{team}", key) for key in KEYS]
+        quota[0] = round(quota[0] * 1000)
+        found[team] = tuple(
+            share(amount, domain, domains) if amount else None for amount in quota
+        )
+    return found
+
+
+class Ledger:
+    """What each team holds while one decision is made, against its limits."""
+
+    __slots__ = ("limits", "held")
+
+    def __init__(self, limits=None, held=None):
+        self.limits = limits or {}
+        self.held = held or {}
+
+    def allows(self, team, size):
+        """Return whether ``team`` may hold ``size`` more."""
+        limit = self.limits.get(team)
+        if limit is None:
+            return True
+        held = self.held.get(team, (0, 0, 0))
+        return all(
+            most is None or used + more <= most
+            for most, used, more in zip(limit, held, amounts(size), strict=True)
+        )
+
+    def take(self, team, size):
+        """Count ``size`` as held by ``team``."""
+        held = self.held.get(team, (0, 0, 0))
+        self.held[team] = tuple(
+            used + more for used, more in zip(held, amounts(size), strict=True)
+        )
+
+
+def ledger(state, limits):
+    """Return the `Ledger` of a shard's state; only limited teams are counted."""
+    book = Ledger(limits)
+    if not limits:
+        return book
+    for job in state.jobs.values():
+        if job.spec.team not in limits:
+            continue
+        for task in job.tasks.values():
+            if task.phase in HOLDING:
+                book.take(job.spec.team, job.spec.size)
+    return book
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -6,6 +6,7 @@
 
 #: Service name -> (module, class).
 SERVICES = {
+    "colocation": ("clementinebay.services.colocation", "Colocation"),
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -4,11 +4,16 @@
 
 from clementinebay import errors, metrics
 from clementinebay.log import Log
-from clementinebay.policy import membership, placement
+from clementinebay.policy import eviction, membership, placement, planner, quota
+from clementinebay.policy.taskhealth import ParkReason, TaskHealth
 from clementinebay.service import Service
 from clementinebay.shard.leader import LeaderLease
+from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
 
+#: Longest time between two decisions about a state that did not change, in seconds.
+LOOK_AGAIN_SECONDS = 1.0
+
 log = Log("scheduler")
 
 
@@ -16,7 +21,15 @@
     """Appends decisions to the shard's log and has the dispatcher act on them."""
 
     name = "scheduler"
-    requires = ("shard", "dispatcher", "renewals", "config", "livelist", "platform")
+    requires = (
+        "shard",
+        "dispatcher",
+        "renewals",
+        "colocation",
+        "config",
+        "livelist",
+        "platform",
+    )
 
     async def start(self):
         """Begin to decide."""
@@ -24,6 +37,7 @@
         self.shard = self.kernel.find("shard")
         self.dispatcher = self.kernel.find("dispatcher")
         self.renewals = self.kernel.find("renewals")
+        self.colocation = self.kernel.find("colocation")
         self.config = self.kernel.find("config")
         self.livelist = self.kernel.find("livelist")
         self.domain = settings.daemon_failure_domain
@@ -34,6 +48,9 @@
             settings.scheduler_leader_seconds,
             self.clock,
         )
+        self.health = TaskHealth()
+        self.decided = None
+        self.look_again_at = 0.0
         self.background.spawn(self.run)
 
     async def stop(self):
@@ -44,14 +61,23 @@
     async def run(self):
         """Decide at every tick while the lease is held."""
         while True:
-            self.renewals.active = await self.leader.hold()
-            if self.renewals.active and self.shard.log.confirmed_at:
+            active = await self.leader.hold()
+            if active and not self.renewals.active:
+                self.take_over()
+            self.renewals.active = active
+            if active and self.shard.log.confirmed_at:
                 await self.tick()
             await asyncio.sleep(self.settings.scheduler_tick_seconds)
 
+    def take_over(self):
+        """Begin with what the state remembers of failures."""
+        self.health = TaskHealth()
+        self.health.learn_state(self.shard.state)
+        self.decided = None
+
     async def tick(self):
         """Make one round of decisions, write them, and act on the state."""
-        records = self.dispatcher.take_records() + self.decide()
+        records = self.outcomes() + self.decide_if_changed()
         if records:
             try:
                 await self.write(records)
@@ -59,27 +85,93 @@
                 # Whatever is still true is reported and decided again.
                 log.debug("Nothing was written: %s.", error)
                 self.renewals.ask_again()
+                self.decided = None
         await self.keep_log_short()
         self.dispatcher.reconcile()
 
-    def decide(self):
-        """Return the records that the state and the platform's word ask for."""
+    def outcomes(self):
+        """Return the records that endpoints' reports ask for."""
+        records = self.dispatcher.take_records()
+        if self.settings.scheduler_task_health == "off":
+            return records
         state, now = self.shard.state, self.clock.now()
-        settings = self.settings
+        return [self.health.judge(state, record, now) for record in records]
+
+    def decide_if_changed(self):
+        """Decide, unless nothing changed since the last decision."""
+        now = self.clock.now()
+        self.health.review(now)
+        records = []
+        if self.settings.scheduler_colocation == "on":
+            records = self.colocation.records()
+        key = (
+            self.shard.state.index,
+            self.config.document.revision,
+            self.health.version,
+            self.first_lease() > now,
+        )
+        if key == self.decided and now < self.look_again_at:
+            return records
+        self.decided = key
+        self.look_again_at = now + LOOK_AGAIN_SECONDS
+        with metrics.DECISION_SECONDS.time():
+            return records + self.decide(now)
+
+    def decide(self, now):
+        """Return the records that the state and the platform's word ask for."""
+        state, settings = self.shard.state, self.settings
+        self.health.forget(state, now)
         records = self.domain_records()
-        if self.livelist.confirmed_at:
-            free_at = (
-                now
-                + settings.scheduler_reclaim_after_seconds
-                + 2 * settings.scheduler_clock_skew_seconds
-            )
-            vms = self.livelist.endpoints(self.domain)
-            records += membership.endpoint_records(state, vms, now, free_at)
+        records += self.endpoint_records(now)
         skew = settings.scheduler_clock_skew_seconds
         records += membership.expired_records(state, now, skew)
         records += membership.release_records(state)
-        binds = placement.plan(state, now, self.first_lease())
-        return records + [wire.Record(bind=bind) for bind in binds]
+        ledger = quota.ledger(state, self.quotas())
+        plan = planner.plan(
+            state, now, self.first_lease(), self.policy(), self.health, ledger
+        )
+        records += [wire.Record(bind=bind) for bind in plan.binds]
+        if settings.scheduler_eviction == "on":
+            records += eviction.release_records(
+                state,
+                plan.unplaced,
+                now,
+                self.colocation.usage.saved_at,
+                lambda name: self.health.barred(name, now),
+                ledger,
+            )
+        metrics.BARRED.set(sum(self.health.barred(n, now) for n in state.endpoints))
+        return records
+
+    def endpoint_records(self, now):
+        """Return records of what changed on the live list."""
+        if not self.livelist.confirmed_at:
+            return []
+        settings = self.settings
+        free_at = (
+            now
+            + settings.scheduler_reclaim_after_seconds
+            + 2 * settings.scheduler_clock_skew_seconds
+        )
+        vms = self.livelist.endpoints(self.domain)
+        return membership.endpoint_records(self.shard.state, vms, now, free_at)
+
+    def policy(self):
+        """Return the placement policy that the settings name."""
+        name = self.settings.scheduler_placement
+        if name == "balanced" and self.settings.scheduler_colocation == "on":
+            return placement.Balanced(self.colocation.pressure())
+        return placement.POLICIES[name]()
+
+    def quotas(self):
+        """Return the limits of teams in this domain."""
+        document = self.config.document
+        domains = [
+            name
+            for name in {*self.livelist.domains(), self.domain}
+            if name == self.domain or not document.domain_out(name)
+        ]
+        return quota.limits(document, self.domain, domains)
 
     def domain_records(self):
         """Return the record that takes the domain out or in, if that changed."""
@@ -113,6 +205,17 @@
             metrics.RECORDS.labels(kind).inc()
             if kind == "release":
                 metrics.EVICTIONS.labels(record.release.reason).inc()
+            elif kind == "finish":
+                self.count_parked(record.finish)
+
+    def count_parked(self, finish):
+        """Count a task that its last failure parked."""
+        job = self.shard.state.jobs.get(finish.job)
+        task = job.tasks.get(finish.index) if job else None
+        if task is not None and task.phase == Phase.PARKED:
+            reason = finish.reason.partition(":")[0]
+            known = reason in list(ParkReason)
+            metrics.PARKED.labels(reason if known else "other").inc()
 
     async def keep_log_short(self):
         """Write a snapshot now and then, and delete old batches."""
