--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -21,7 +21,10 @@
 
 
 class Renewals(Service):
-    """Calls every endpoint at every interval while ``active`` or cut off."""
+    """Calls every endpoint at every interval while ``active`` or cut off.
+
+    Each of ``listeners`` is called with an endpoint's name and its `Report`.
+    """
 
     name = "renewals"
     requires = ("shard", "driver", "config", "dispatcher")
@@ -33,6 +36,7 @@
         self.dispatcher = self.kernel.find("dispatcher")
         self.versions = {}
         self.reports = {}
+        self.listeners = []
         self.slots = asyncio.Semaphore(RENEWALS)
         self.active = False
         self.background.spawn(self.poll)
@@ -84,6 +88,8 @@
             self.versions[name] = 0
         elif self.dispatcher.take_reports(name, report.tasks, expected):
             self.versions[name] = report.version
+        for listener in self.listeners:
+            listener(name, report)
 
     def since(self, name):
         """Return the version of the last report that is in the log, 0 for all."""
--- a/clementinebay/services/shard.py
+++ b/clementinebay/services/shard.py
@@ -5,8 +5,8 @@
 from clementinebay import errors, model
 from clementinebay.log import Log
 from clementinebay.service import Service
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.log import ShardLog
-from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Time between two reads that confirm the end of the log, in seconds.
