Add a fault-injecting proxy and put it into the test cluster

Cause: the promises must be shown under partitions, resets, late and crossed answers, which the stand-ins alone cannot bring about. Ruled out: one proxy a route (too many processes); cutting by source address (all is on loopback), so the list of VMs can show an address for each domain. Change: standins/proxy.py, Cluster(proxied=True), views in the list of VMs.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -11,6 +11,8 @@
 
 import httpx
 
+from standins import platform, proxy
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 #: Longest wait for a process to answer or to end, in seconds.
 WAIT_SECONDS = 20.0
@@ -135,12 +137,19 @@
 class Cluster:
     """Platform, endpoints and daemons; a context manager that ends them all.
 
-    ``daemon_platform`` and ``endpoint_ports`` may be replaced by addresses of a proxy
-    before the daemons start.
+    With ``proxied``, a fault-injecting proxy stands on every way, under the route names
+    ``platform:DAEMON``, ``endpoint:ENDPOINT``, and ``peer:DOMAIN>DAEMON`` from the
+    daemons of DOMAIN to DAEMON.
     """
 
     def __init__(
-        self, domains=("a", "b", "c"), daemons=2, endpoints=2, extra="", **size
+        self,
+        domains=("a", "b", "c"),
+        daemons=2,
+        endpoints=2,
+        extra="",
+        proxied=False,
+        **size,
     ):
         self.domains = domains
         self.extra = extra
@@ -154,11 +163,18 @@
         self.http = httpx.Client(timeout=10.0)
         self.platform_url = ""
         self.platform = None
+        self.proxied = proxied
+        self.routes = {}
+        self.proxy_url = ""
 
     def __enter__(self):
         try:
             self.start_platform()
             self.start_endpoints()
+            self.plan_daemons()
+            if self.proxied:
+                self.start_proxy()
+            self.list_vms([self.endpoint_vm(name) for name in self.endpoints])
             self.start_daemons()
         except BaseException:
             self.__exit__(None, None, None)
@@ -204,7 +220,34 @@
         for address in self.endpoints.values():
             url = f"http://{address}/control/runs"
             wait_for(f"endpoint {address}", lambda url=url: self.http.get(url))
-        self.list_vms([self.endpoint_vm(name) for name in self.endpoints])
+
+    def plan_daemons(self):
+        """Give every daemon its ports."""
+        for domain in self.domains:
+            for number in range(self.daemons_per_domain):
+                front, peer = free_ports(2)
+                name = f"{domain}-entry-{number}"
+                self.daemons.append(Daemon(name, domain, front, peer))
+
+    def start_proxy(self):
+        """Start the proxy with a route for every way."""
+        targets = {
+            f"endpoint:{name}": address.rpartition(":")[2]
+            for name, address in self.endpoints.items()
+        }
+        platform = self.platform_url.rpartition(":")[2]
+        for daemon in self.daemons:
+            targets[f"platform:{daemon.name}"] = platform
+            for domain in self.domains:
+                targets[f"peer:{domain}>{daemon.name}"] = daemon.peer
+        control, *listens = free_ports(1 + len(targets))
+        self.routes = dict(zip(targets, listens, strict=True))
+        options = ["--control", str(control)]
+        for name, listen in self.routes.items():
+            options += ["--route", f"{name}={listen}:{targets[name]}"]
+        self.spawn("proxy", "standins.proxy", *options)
+        self.proxy_url = f"http://127.0.0.1:{control}"
+        wait_for("the proxy", lambda: self.proxy("nothing") is not None)
 
     def endpoint_vm(self, name):
         """Return an endpoint's entry of the live list."""
@@ -212,7 +255,7 @@
         return {
             "id": name,
             "role": "endpoint",
-            "address": self.endpoints[name],
+            "address": self.route_to(f"endpoint:{name}", self.endpoints[name]),
             "failure_domain": domain,
             "rack": f"{domain}-rack-{int(number) % 3}",
             "processors_milli": self.size["processors"] * 1000,
@@ -227,25 +270,30 @@
 
     def start_daemons(self):
         """Start the daemons and wait until they are ready."""
-        for domain in self.domains:
-            for number in range(self.daemons_per_domain):
-                front, peer = free_ports(2)
-                daemon = Daemon(f"{domain}-entry-{number}", domain, front, peer)
-                self.daemons.append(daemon)
-                self.start_daemon(daemon)
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
         self.list_vms([self.daemon_vm(daemon) for daemon in self.daemons])
         for daemon in self.daemons:
             self.wait_ready(daemon)
 
     def daemon_vm(self, daemon):
         """Return a daemon's entry of the live list."""
+        address = f"127.0.0.1:{daemon.peer}"
         return {
             "id": daemon.name,
             "role": "entry",
-            "address": f"127.0.0.1:{daemon.peer}",
+            "address": address,
             "failure_domain": daemon.domain,
+            "views": {
+                domain: self.route_to(f"peer:{domain}>{daemon.name}", address)
+                for domain in self.domains
+            },
         }
 
+    def route_to(self, route, address):
+        """Return the address of a route, or ``address`` without a proxy."""
+        return f"127.0.0.1:{self.routes[route]}" if self.proxied else address
+
     def start_daemon(self, daemon):
         """Start one daemon process."""
         path = os.path.join(self.folder, f"{daemon.name}.ini")
@@ -257,15 +305,16 @@
                     front=daemon.front,
                     peer=daemon.peer,
                     platform=self.platform_of(daemon),
-                    live_list=f"{self.platform_of(daemon)}/vms",
+                    live_list=f"{self.platform_of(daemon)}/vms/{daemon.domain}",
                     extra=self.extra,
                 )
             )
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
 
-    def platform_of(self, _daemon):
+    def platform_of(self, daemon):
         """Return the platform's URL as a daemon sees it."""
-        return self.platform_url
+        address = self.platform_url.removeprefix("http://")
+        return "http://" + self.route_to(f"platform:{daemon.name}", address)
 
     def wait_ready(self, daemon):
         """Wait until a daemon says that it is ready."""
@@ -283,6 +332,51 @@
         address = self.endpoints[name]
         self.http.post(f"http://{address}/control/faults", json=faults)
 
+    def proxy(self, routes, **faults):
+        """Set faults of the proxy's routes that fit a pattern; return their names."""
+        body = {"routes": routes, **faults}
+        return self.http.post(f"{self.proxy_url}/control/faults", json=body).json()
+
+    def heal(self):
+        """End all faults of the proxy and the platform."""
+        self.proxy("*", **proxy.NO_FAULTS)
+        self.platform_faults(**platform.NO_FAULTS)
+
+    def cut_from_platform(self, name, cut="both"):
+        """Cut a daemon, or all daemons whose name fits, from the platform."""
+        self.proxy(f"platform:{name}", cut=cut)
+
+    def cut_from_domains(self, domain, cut="both"):
+        """Cut a domain from all other domains."""
+        for other in self.domains:
+            if other != domain:
+                self.proxy(f"peer:{other}>{domain}-*", cut=cut)
+                self.proxy(f"peer:{domain}>{other}-*", cut=cut)
+
+    def restart(self, daemon):
+        """Start a daemon again that has ended, and wait until it is ready."""
+        daemon.process.start()
+        self.wait_ready(daemon)
+
+    def status(self, daemon):
+        """Return the standing that a daemon tells."""
+        return self.http.get(f"{daemon.url}/v1/status").json()
+
+    def leader(self, domain):
+        """Return the daemon that says it is the scheduler of ``domain``."""
+        for daemon in self.daemons:
+            running = daemon.process.child.poll() is None
+            if daemon.domain == domain and running and self.status(daemon)["scheduler"]:
+                return daemon
+        return None
+
+    def requests_run(self):
+        """Return the ids of all requests that ran at any endpoint."""
+        found = []
+        for address in self.endpoints.values():
+            found += self.http.get(f"http://{address}/control/requests").json()
+        return found
+
     def runs(self):
         """Return every run at any endpoint, with the endpoint's name."""
         found = []
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,6 +22,14 @@
 #: A watch line without events is sent after so long, in seconds.
 PROGRESS_SECONDS = 10.0
 
+NO_FAULTS = {
+    "down": False,
+    "delay": 0.0,
+    "lose": 0.0,
+    "watch_lag": 0.0,
+    "list_lag": 0.0,
+}
+
 
 def decode(text):
     """Return the bytes that base64 ``text`` stands for."""
@@ -42,13 +50,7 @@
         self.lists = deque([(0.0, [])])
         self.rng = random.Random(seed)
         self.counts = {"read": 0, "write": 0, "watch": 0}
-        self.faults = {
-            "down": False,
-            "delay": 0.0,
-            "lose": 0.0,
-            "watch_lag": 0.0,
-            "list_lag": 0.0,
-        }
+        self.faults = dict(NO_FAULTS)
 
     def header(self):
         """Return the header of every answer."""
@@ -144,7 +146,9 @@
         tag = f'"{self.lists[0][0]}"'
         if call.headers.get("if-none-match") == tag:
             return web.Reply(status=304)
-        return web.Reply(self.lists[0][1], headers=[("ETag", tag)])
+        viewer = call.path.removeprefix("/vms").strip("/")
+        vms = [seen_from(viewer, vm) for vm in self.lists[0][1]]
+        return web.Reply(vms, headers=[("ETag", tag)])
 
     async def control_vms(self, call):
         """Add, change or remove VMs: a list of objects, or of ids to remove."""
@@ -166,6 +170,12 @@
         return web.Reply(self.counts)
 
 
+def seen_from(viewer, vm):
+    """Return a VM's entry with its address in ``views`` for ``viewer``, if any."""
+    address = vm.get("views", {}).get(viewer, vm["address"])
+    return {**vm, "address": address}
+
+
 class Watch:
     """The answer to a watch: one line of JSON a change."""
 
