--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -5,7 +5,8 @@
 look for runs of one task that overlap.  Faults are set by ``POST /control/faults``:
 ``service_seconds`` (mean time of a request), ``fail_tasks`` (kinds whose tasks fail, or
 ``["*"]``), ``fail_requests`` (refuse every request at once), ``cross_answers`` (give
-each answer to another request), ``run_factor`` (real over declared run time).
+each answer to another request), ``answer_factor`` (the answer repeats the body so many
+times), ``run_factor`` (real over declared run time).
 """
 
 import argparse
@@ -84,6 +85,7 @@
             "fail_tasks": [],
             "fail_requests": False,
             "cross_answers": False,
+            "answer_factor": 1,
             "run_factor": 1.0,
         }
 
@@ -127,7 +129,7 @@
             mean = self.faults["service_seconds"]
             if mean:
                 await asyncio.sleep(self.rng.expovariate(1.0 / mean))
-        answer = (request_id, call.body)
+        answer = (request_id, call.body * self.faults["answer_factor"])
         if self.faults["cross_answers"]:
             answer, self.crossed = self.crossed or answer, answer
         request_id, body = answer
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,9 @@
 
 Faults are set by ``POST /control/faults`` with any of: ``down`` (refuse all calls),
 ``delay`` (seconds before each call), ``lose`` (share of writes that take effect and are
-not answered), ``watch_lag`` (seconds), ``list_lag`` (seconds).
+not answered), ``watch_lag`` (seconds), ``list_lag`` (seconds), ``store_down`` (refuse
+all calls but reads of the list), ``old`` (answer reads with the values that were there
+at the last ``POST /control/mark``).
 """
 
 import argparse
@@ -28,6 +30,8 @@
     "lose": 0.0,
     "watch_lag": 0.0,
     "list_lag": 0.0,
+    "store_down": False,
+    "old": False,
 }
 
 
@@ -51,6 +55,7 @@
         self.rng = random.Random(seed)
         self.counts = {"read": 0, "write": 0, "watch": 0}
         self.faults = dict(NO_FAULTS)
+        self.marked = {}
 
     def header(self):
         """Return the header of every answer."""
@@ -58,7 +63,7 @@
 
     async def kv(self, call):
         """Answer a call of the key-value service."""
-        if self.faults["down"]:
+        if self.faults["down"] or self.faults["store_down"]:
             return web.Reply({"error": "down"}, 503)
         if self.faults["delay"]:
             await asyncio.sleep(self.faults["delay"])
@@ -94,7 +99,12 @@
         end = (
             decode(body["range_end"]).decode() if "range_end" in body else start + "\0"
         )
-        entries = self.space.range(start, end, int(body.get("limit", 0)))
+        limit = int(body.get("limit", 0))
+        if self.faults["old"]:
+            keys = sorted(key for key in self.marked if start <= key < end)
+            entries = [self.marked[key] for key in keys][: limit or None]
+        else:
+            entries = self.space.range(start, end, limit)
         return {"kvs": [self.item(entry) for entry in entries]}
 
     def transact(self, body):
@@ -165,6 +175,11 @@
         self.faults.update(call.json())
         return web.Reply(self.faults)
 
+    async def control_mark(self, _call):
+        """Keep the present values, for the fault ``old``."""
+        self.marked = dict(self.space.entries)
+        return web.Reply({})
+
     async def control_counts(self, _call):
         """Return how many calls there were."""
         return web.Reply(self.counts)
@@ -244,6 +259,7 @@
             "/vms": platform.vm_list,
             "/control/vms": platform.control_vms,
             "/control/faults": platform.control_faults,
+            "/control/mark": platform.control_mark,
             "/control/counts": platform.control_counts,
         }
     )
--- /dev/null
+++ b/tests/system/helpers.py
@@ -0,0 +1,104 @@
+"""Calls of clients and operators, and what the stand-ins saw."""
+
+import concurrent.futures
+import time
+
+import httpx
+
+from standins.cluster import wait_for
+from standins.proxy import NO_FAULTS as NO_FAULTS
+
+#: Short times, so that leases run out within a test.
+SHORT = """\
+[scheduler]
+poll_seconds = 0.2
+start_grace_seconds = 2
+lease_seconds = 2
+reclaim_after_seconds = 3
+clock_skew_seconds = 0.2
+leader_seconds = 2
+"""
+
+
+def submit(daemon, name, count=1, **fields):
+    body = {"name": name, "count": count, "run_seconds": 1.0, **fields}
+    answer = httpx.post(f"{daemon.url}/v1/jobs", json=body, timeout=20)
+    assert answer.status_code < 300, answer.text
+
+
+def standing(daemon, name):
+    rows = httpx.get(f"{daemon.url}/v1/jobs/{name}", timeout=20).json()
+    keys = ("waiting", "bound", "running", "stopping", "parked", "done")
+    return {key: sum(row[key] for row in rows) for key in keys}
+
+
+def wait_done(daemon, name, count, seconds=20):
+    wait_for(
+        f"{count} of {name}", lambda: standing(daemon, name)["done"] == count, seconds
+    )
+
+
+def request(daemon, service="call-in", body=b"tank 7", client=httpx, **headers):
+    names = {key.replace("_", "-"): value for key, value in headers.items()}
+    url = f"{daemon.url}/v1/services/{service}/requests"
+    return client.post(url, content=body, headers=names, timeout=20)
+
+
+def outcome(answer):
+    return answer.headers["X-Outcome"]
+
+
+def start_service(cluster, daemon, count=1):
+    submit(daemon, "call-in", count, service=True, urgency="high")
+    for each in cluster.daemons:
+        wait_for(
+            f"{each.name} to know it", lambda d=each: outcome(request(d)) == "done"
+        )
+
+
+def set_domain(daemon, domain, state):
+    url = f"{daemon.url}/v1/domains/{domain}"
+    answer = httpx.put(url, json={"state": state}, timeout=20)
+    assert answer.status_code == 200, answer.text
+    return answer.json()["revision"]
+
+
+def apply(daemon, sections, base, author="operator"):
+    body = {"sections": sections, "base": base, "author": author}
+    return httpx.post(f"{daemon.url}/v1/config", json=body, timeout=30)
+
+
+def in_parallel(calls):
+    """Return the results of callables run at the same time, errors included."""
+
+    def call(function):
+        try:
+            return function()
+        except httpx.HTTPError as error:
+            return error
+
+    with concurrent.futures.ThreadPoolExecutor(len(calls)) as pool:
+        return list(pool.map(call, calls))
+
+
+def by_task(runs):
+    """Return {(job, index): its runs in order of their starts}."""
+    found = {}
+    for run in sorted(runs, key=lambda run: run["started"]):
+        found.setdefault((run["origin"], run["index"]), []).append(run)
+    return found
+
+
+def assert_each_done_once(cluster, name, count):
+    tasks = {
+        key: runs for key, runs in by_task(cluster.runs()).items() if key[0] == name
+    }
+    assert len(tasks) == count
+    for key, runs in tasks.items():
+        assert [run["state"] for run in runs].count("done") == 1, (key, runs)
+    assert not cluster.violations()
+
+
+def pause(seconds):
+    """Let ``seconds`` pass, for what must not happen meanwhile."""
+    time.sleep(seconds)
--- /dev/null
+++ b/tests/system/test_at_most_once.py
@@ -0,0 +1,109 @@
+import uuid
+
+import pytest
+
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+
+@pytest.fixture(scope="module")
+def system():
+    with Cluster(
+        ("a", "b"), daemons=1, endpoints=1, extra=helpers.SHORT, proxied=True
+    ) as cluster:
+        helpers.start_service(cluster, cluster.daemons[0], 2)
+        yield cluster
+
+
+@pytest.fixture
+def cluster(system):
+    yield system
+    system.heal()
+    for name in system.endpoints:
+        system.endpoint_faults(name, service_seconds=0.0)
+    for daemon in system.daemons:
+        if daemon.process.child.poll() is not None:
+            system.restart(daemon)
+
+
+def send(cluster, keys):
+    """Send each key to every daemon at the same time; return (answers, runs)."""
+    before = len(cluster.requests_run())
+    answers = helpers.in_parallel(
+        [
+            lambda d=daemon, k=key: helpers.request(d, Idempotency_Key=k)
+            for key in keys
+            for daemon in cluster.daemons
+        ]
+    )
+    return answers, len(cluster.requests_run()) - before
+
+
+def new_keys(count):
+    return [f"crew-{uuid.uuid4().hex}" for _number in range(count)]
+
+
+def test_same_key_at_two_domains_at_once(cluster):
+    answers, runs = send(cluster, new_keys(10))
+    outcomes = [helpers.outcome(answer) for answer in answers]
+    assert (outcomes.count("done"), outcomes.count("not-run"), runs) == (10, 10, 10)
+
+
+def test_same_key_after_a_lost_answer_of_the_platform(cluster):
+    cluster.platform_faults(lose=0.5)
+    keys = new_keys(10)
+    answers, runs = send(cluster, keys)
+    done = [helpers.outcome(answer) for answer in answers].count("done")
+    assert done == runs <= 10
+    cluster.platform_faults(lose=0.0)
+    again, runs_again = send(cluster, keys)
+    assert runs + runs_again <= 10
+    assert {helpers.outcome(answer) for answer in again} <= {"not-run", "done"}
+
+
+def test_same_key_after_a_kill(cluster):
+    killed, other = cluster.daemons
+    for name in cluster.endpoints:
+        cluster.endpoint_faults(name, service_seconds=1.0)
+    key = new_keys(1)[0]
+    before = len(cluster.requests_run())
+
+    def kill():
+        wait_for("the run", lambda: len(cluster.requests_run()) > before)
+        killed.process.kill()
+
+    helpers.in_parallel([lambda: helpers.request(killed, Idempotency_Key=key), kill])
+    again = helpers.request(other, Idempotency_Key=key)
+    assert again.json()["code"] == "duplicate-key"
+    assert len(cluster.requests_run()) - before == 1
+
+
+def test_key_during_an_outage(cluster):
+    cluster.platform_faults(down=True)
+    keys = new_keys(4)
+    answers, runs = send(cluster, keys)
+    codes = {answer.json()["code"] for answer in answers}
+    assert (codes, runs) == ({"key-not-claimed"}, 0)
+    unkeyed = helpers.request(cluster.daemons[0])
+    assert helpers.outcome(unkeyed) == "done"
+    cluster.platform_faults(down=False)
+    _answers, runs = send(cluster, keys)
+    assert runs == 4
+
+
+def test_key_when_the_platform_stops_answering_midway(cluster):
+    """The claim's bytes wait on the way and take effect after the refusal."""
+    daemon, other = cluster.daemons
+    key = new_keys(1)[0]
+    before = len(cluster.requests_run())
+    cluster.cut_from_platform(daemon.name, "up")
+    refused = helpers.request(daemon, Idempotency_Key=key)
+    assert helpers.outcome(refused) == "not-run"
+    answers = helpers.in_parallel(
+        [
+            lambda: cluster.cut_from_platform(daemon.name, ""),
+            lambda: helpers.request(other, Idempotency_Key=key),
+        ]
+    )
+    done = helpers.outcome(answers[1]) == "done"
+    assert len(cluster.requests_run()) - before == done
--- /dev/null
+++ b/tests/system/test_domain_out.py
@@ -0,0 +1,74 @@
+import signal
+import time
+
+import pytest
+
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+#: scheduler_start_grace_seconds and scheduler_clock_skew_seconds of the short settings.
+BOUND_SECONDS = 2.0 + 0.2
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(
+        ("a", "b"), daemons=2, endpoints=1, extra=helpers.SHORT, proxied=True
+    ) as cluster:
+        yield cluster
+
+
+def starts(cluster, domain):
+    return [r["started"] for r in cluster.runs() if r["endpoint"].startswith(domain)]
+
+
+def keep_starting(cluster, operator, name):
+    """Submit more tasks than fit at once, so that starts go on for seconds."""
+    helpers.submit(operator, name, 600, run_seconds=0.5)
+    wait_for("starts", lambda: len(starts(cluster, "a")) > 20)
+
+
+def assert_no_late_start(cluster, out_at):
+    late = [s - out_at for s in starts(cluster, "a") if s > out_at + BOUND_SECONDS]
+    assert not late
+    assert not cluster.violations()
+
+
+def test_domain_cut_off_from_the_platform_at_the_take_out(cluster):
+    operator = next(d for d in cluster.daemons if d.domain == "b")
+    keep_starting(cluster, operator, "cut")
+    cluster.cut_from_platform("a-*")
+    cluster.cut_from_domains("a")
+    helpers.set_domain(operator, "a", "out")
+    out_at = time.time()
+    helpers.pause(BOUND_SECONDS + 1.5)
+    assert_no_late_start(cluster, out_at)
+    cluster.heal()
+    wait_for(
+        "the domain to know", lambda: cluster.status(cluster.daemons[0])["domain_out"]
+    )
+    assert_no_late_start(cluster, out_at)
+    helpers.set_domain(operator, "a", "in")
+    wait_for(
+        "the domain in", lambda: not cluster.status(cluster.daemons[0])["domain_out"]
+    )
+
+
+def test_daemon_paused_across_the_take_out(cluster):
+    operator = next(d for d in cluster.daemons if d.domain == "b")
+    before = len(starts(cluster, "a"))
+    helpers.submit(operator, "paused", 600, run_seconds=0.5)
+    wait_for("starts", lambda: len(starts(cluster, "a")) > before + 20)
+    paused = wait_for("the scheduler", lambda: cluster.leader("a"))
+    # Its start orders are on their way while it is paused, and are delivered late.
+    cluster.proxy("endpoint:a-*", cut="up")
+    helpers.pause(0.5)
+    paused.process.signal(signal.SIGSTOP)
+    helpers.set_domain(operator, "a", "out")
+    out_at = time.time()
+    helpers.pause(BOUND_SECONDS + 0.3)
+    paused.process.signal(signal.SIGCONT)
+    cluster.heal()
+    helpers.pause(1.0)
+    assert_no_late_start(cluster, out_at)
+    helpers.set_domain(operator, "a", "in")
--- /dev/null
+++ b/tests/system/test_no_double_run.py
@@ -0,0 +1,148 @@
+import pytest
+
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+
+@pytest.fixture(scope="module")
+def system():
+    with Cluster(
+        ("a", "b"), daemons=2, endpoints=2, extra=helpers.SHORT, proxied=True
+    ) as cluster:
+        yield cluster
+
+
+@pytest.fixture
+def cluster(system):
+    yield system
+    system.heal()
+    for daemon in system.daemons:
+        if daemon.process.child.poll() is not None:
+            system.restart(daemon)
+    helpers.set_domain(system.daemons[0], "a", "in")
+    wait_for("the domain in", lambda: not is_out(system))
+    system.list_vms([system.endpoint_vm(name) for name in system.endpoints])
+
+
+def is_out(cluster):
+    return any(cluster.status(d)["domain_out"] for d in cluster.daemons)
+
+
+def leader(cluster, domain):
+    return wait_for(f"the scheduler of {domain}", lambda: cluster.leader(domain))
+
+
+def other_daemon(cluster, daemon):
+    return next(d for d in cluster.daemons if d is not daemon)
+
+
+def count(cluster, name, daemon, phase):
+    return helpers.standing(daemon, name)[phase]
+
+
+def test_scheduler_killed_between_commit_and_start(cluster):
+    killed = leader(cluster, "a")
+    operator = other_daemon(cluster, killed)
+    cluster.proxy("endpoint:a-*", cut="up")
+    helpers.submit(operator, "before-start", 8)
+    wait_for("bindings", lambda: count(cluster, "before-start", operator, "bound"))
+    killed.process.kill()
+    cluster.proxy("endpoint:a-*", cut="")
+    helpers.wait_done(operator, "before-start", 8)
+    helpers.assert_each_done_once(cluster, "before-start", 8)
+
+
+def test_start_delivered_after_its_release(cluster):
+    operator = cluster.daemons[0]
+    cluster.proxy("endpoint:a-0", cut="up")
+    helpers.submit(operator, "late-start", 8)
+    # Starts and stops of the first attempts wait in the proxy, past their leases.
+    helpers.pause(3.0)
+    cluster.proxy("endpoint:a-0", cut="")
+    helpers.wait_done(operator, "late-start", 8)
+    helpers.assert_each_done_once(cluster, "late-start", 8)
+
+
+def test_scheduler_killed_between_stop_and_release(cluster):
+    killed = leader(cluster, "a")
+    operator = next(d for d in cluster.daemons if d.domain == "b")
+    helpers.submit(operator, "before-release", 8, run_seconds=3)
+    wait_for("runs", lambda: count(cluster, "before-release", operator, "running") == 8)
+    helpers.pause(1.0)
+    cluster.proxy("endpoint:a-*", cut="down")
+    helpers.set_domain(operator, "a", "out")
+    wait_for("stops", lambda: stopped(cluster, "before-release"))
+    killed.process.kill()
+    cluster.proxy("endpoint:a-*", cut="")
+    helpers.wait_done(operator, "before-release", 8)
+    helpers.assert_each_done_once(cluster, "before-release", 8)
+    for runs in helpers.by_task(cluster.runs()).values():
+        if runs[0]["origin"] == "before-release" and len(runs) > 1:
+            last = runs[-1]
+            assert last["ended"] - last["started"] < 2.6, "it began anew"
+
+
+def stopped(cluster, name):
+    return any(
+        run["state"] == "stopped" and run["origin"] == name for run in cluster.runs()
+    )
+
+
+def test_answers_lost_after_appends_took_effect(cluster):
+    operator = cluster.daemons[0]
+    cluster.platform_faults(lose=0.3)
+    wait_for("an accepted job", lambda: submitted(operator, "lost-answers", 16))
+    helpers.wait_done(operator, "lost-answers", 16)
+    helpers.assert_each_done_once(cluster, "lost-answers", 16)
+
+
+def submitted(operator, name, tasks):
+    """A submission is idempotent: repeat it until its own answer is not lost."""
+    try:
+        helpers.submit(operator, name, tasks)
+    except AssertionError:
+        return False
+    return True
+
+
+def test_endpoint_cut_off_and_back_while_running(cluster):
+    operator = cluster.daemons[0]
+    helpers.submit(operator, "cut-endpoint", 8, run_seconds=6)
+    wait_for("runs", lambda: count(cluster, "cut-endpoint", operator, "running") == 8)
+    cluster.proxy("endpoint:a-0", cut="both")
+    cluster.list_vms(remove=["a-0"])
+    helpers.pause(2.0)
+    cluster.proxy("endpoint:a-0", cut="")
+    cluster.list_vms([cluster.endpoint_vm("a-0")])
+    helpers.wait_done(operator, "cut-endpoint", 8)
+    helpers.assert_each_done_once(cluster, "cut-endpoint", 8)
+
+
+def test_domain_cut_from_the_platform_beyond_reclaim_after(cluster):
+    operator = next(d for d in cluster.daemons if d.domain == "b")
+    helpers.submit(operator, "cut-domain", 8, run_seconds=6)
+    wait_for("runs", lambda: count(cluster, "cut-domain", operator, "running") == 8)
+    cluster.cut_from_platform("a-*")
+    wait_for("tasks to end with their leases", lambda: stopped(cluster, "cut-domain"))
+    cluster.cut_from_platform("a-*", "")
+    helpers.wait_done(operator, "cut-domain", 8)
+    helpers.assert_each_done_once(cluster, "cut-domain", 8)
+
+
+@pytest.mark.parametrize("victim", ["a", "b"])
+def test_scheduler_killed_during_a_move(cluster, victim):
+    name = f"move-{victim}"
+    source = leader(cluster, "a")
+    killed = leader(cluster, victim)
+    operator = next(d for d in cluster.daemons if d not in (source, killed))
+    helpers.submit(operator, name, 8, run_seconds=2)
+    wait_for("runs", lambda: count(cluster, name, operator, "running") == 8)
+    # Answers of the source's writes are late: it is killed with writes in flight.
+    cluster.proxy(f"platform:{source.name}", delay=[0.0, 0.3])
+    helpers.set_domain(operator, "a", "out")
+    wait_for("stops", lambda: stopped(cluster, name))
+    helpers.pause(0.3)
+    killed.process.kill()
+    cluster.heal()
+    helpers.wait_done(operator, name, 8)
+    helpers.assert_each_done_once(cluster, name, 8)
