Believe a refusal only if it carries the request's own id

Cause: a crossed or late answer that says not-run was believed before its request id was compared, so a request that ran was reported as not run. Ruled out: the retry path; the endpoint's record shows the id that was refused. In endpoint/http.py, whose owner is the requests part. Test: tests/system/test_not_run.py::test_refusal_of_another_request failed before (503 not-run for an id that the endpoint ran).

--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -62,13 +62,14 @@
         seconds = deadline - self.clock.now()
         path = f"/v1/requests/{service}"
         response = await self.post(address, path, body, headers, seconds)
+        if response.headers.get("X-Request-Id") != request_id:
+            # A refusal counts only if it is this request's own.
+            raise errors.AnswerMismatchError(f"{address}: the answer is another's")
         if response.headers.get("X-Outcome") == "not-run":
             raise errors.EndpointRefusedError(f"{address}: {response.text}")
         answer = response.content
-        if response.headers.get("X-Request-Id") != request_id or response.headers.get(
-            "X-Digest"
-        ) != digest(answer):
-            raise errors.AnswerMismatchError(f"{address}: the answer is another's")
+        if response.headers.get("X-Digest") != digest(answer):
+            raise errors.AnswerMismatchError(f"{address}: the digest does not fit")
         return response.status_code, answer
 
     async def order(self, address, path, message, kind):
