Send no requests to endpoints that the list calls leaving

Cause: the router followed the shard's log alone, so while the store was down a leaving endpoint went on to get requests. Ruled out: the list's own lag; it was read every second and showed the VM. Change: the list keeps the ids that are leaving and the router passes them over (services/router.py and services/livelist.py, owned by other parts).

--- a/clementinebay/services/livelist.py
+++ b/clementinebay/services/livelist.py
@@ -11,7 +11,10 @@
 
 
 class LiveListWatcher(Service):
-    """Holds ``vms`` by id; ``confirmed_at`` is when the last read was asked."""
+    """Holds ``vms`` by id and the ids of ``leaving`` ones.
+
+    ``confirmed_at`` is when the last read was asked.
+    """
 
     name = "livelist"
 
@@ -22,6 +25,7 @@
             self.settings.platform_timeout_seconds,
         )
         self.vms = {}
+        self.leaving = frozenset()
         self.confirmed_at = 0.0
         self.background.spawn(self.watch)
 
@@ -42,6 +46,7 @@
         self.confirmed_at = asked_at
         if vms is not None:
             self.vms = {vm.id: vm for vm in vms}
+            self.leaving = {vm.id for vm in vms if vm.leaving}
 
     def endpoints(self, domain):
         """Return the endpoints of ``domain``."""
--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -96,7 +96,8 @@
         """Return a replica with a free share, or ``None`` if a peer should serve."""
         while True:
             replicas = self.shard.replicas(request.service)
-            usable = [r for r in replicas if r.endpoint not in excluded]
+            barred = excluded | self.kernel.find("livelist").leaving
+            usable = [r for r in replicas if r.endpoint not in barred]
             if not usable:
                 return None
             choice = routing.choose(usable, self.loads, self.share, excluded, self.rng)
