Close each connection with its last answer when a daemon is stopping

Cause: a client with a kept connection sent its next request while the server closed it, and saw the connection end without an answer. Ruled out: the drain; every request that had been read was answered. Change: once /ready says no, answers carry Connection: close (services/front.py).

--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -35,16 +35,17 @@
         settings = self.settings
         self.ready = True
         self.requests = requestapi.RequestApi(self.kernel)
-        app = operatorapi.build(self.kernel, self, self.requests)
+        self.app = operatorapi.build(self.kernel, self, self.requests)
         self.server = QuietServer(
             uvicorn.Config(
-                app,
+                self.answer,
                 host=settings.front_address,
                 port=settings.front_port,
                 loop="asyncio",
                 http="httptools",
                 ws="none",
                 lifespan="off",
+                interface="asgi3",
                 access_log=False,
                 log_config=None,
                 timeout_graceful_shutdown=int(settings.daemon_drain_seconds) + 1,
@@ -57,6 +58,16 @@
             await self.serving
         log.info("Listening on %s:%d.", settings.front_address, settings.front_port)
 
+    async def answer(self, scope, receive, send):
+        """Answer one call; once not ready, as the last one of its connection."""
+
+        async def send_last(message):
+            if message["type"] == "http.response.start" and not self.ready:
+                message["headers"] = [*message["headers"], (b"connection", b"close")]
+            await send(message)
+
+        await self.app(scope, receive, send_last)
+
     async def stop(self):
         """Say not ready, finish what is in progress, close."""
         self.ready = False
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,7 +1,7 @@
 """A small system of real processes on loopback, for the demo, tests and the bench."""
 
-import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +16,10 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 #: Longest wait for a process to answer or to end, in seconds.
 WAIT_SECONDS = 20.0
+#: Ports to choose from: from, and before.
+PORTS = (10_000, 32_000)
+#: Ports that were given out.
+GIVEN = set()
 
 SETTINGS = """\
 [daemon]
@@ -36,29 +40,31 @@
 
 def free_ports(count):
     """Return ports of loopback that are free now."""
-    sockets = []
-    for _number in range(count):
-        opened = socket.socket()
-        opened.bind(("127.0.0.1", 0))
-        sockets.append(opened)
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+    return [free_range(1) for _number in range(count)]
 
 
 def free_range(count):
-    """Return the first of ``count`` consecutive free ports."""
+    """Return the first of ``count`` consecutive free ports.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections, and none is given out twice.
+    """
     while True:
-        first = free_ports(1)[0]
-        with contextlib.ExitStack() as stack:
-            try:
-                for port in range(first, first + count):
-                    opened = stack.enter_context(socket.socket())
-                    opened.bind(("127.0.0.1", port))
-                return first
-            except (OSError, OverflowError):
-                continue
+        first = random.randrange(*PORTS)
+        ports = range(first, first + count)
+        if not GIVEN.intersection(ports) and all(map(is_free, ports)):
+            GIVEN.update(ports)
+            return first
+
+
+def is_free(port):
+    """Return whether nothing listens at ``port``."""
+    with socket.socket() as opened:
+        try:
+            opened.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 def wait_for(what, condition, seconds=WAIT_SECONDS):
