--- a/clementinebay/operatorapi.py
+++ b/clementinebay/operatorapi.py
@@ -108,6 +108,12 @@
     return {name: getattr(struct, name) for name in struct.__slots__}
 
 
+def standings_response(standings, unanswered):
+    """Return the response of a query for jobs; a header names silent domains."""
+    headers = {"X-Unanswered-Domains": ",".join(unanswered)} if unanswered else {}
+    return Response([plain(standing) for standing in standings], headers=headers)
+
+
 def health_routes(front):
     """Return the routes for the balancer and for metrics."""
 
@@ -136,13 +142,13 @@
         return {"name": plan.name, "parts": msgspec.to_builtins(plan.parts)}
 
     @get("/v1/jobs")
-    async def standings() -> list[dict]:
-        return [plain(standing) for standing in await jobs.standings([])]
+    async def standings() -> Response[list[dict]]:
+        return standings_response(*await jobs.standings([]))
 
     @get("/v1/jobs/{name:str}")
-    async def standing(name: str) -> list[dict]:
+    async def standing(name: str) -> Response[list[dict]]:
         await jobs.registry.find(name)
-        return [plain(standing) for standing in await jobs.standings([name])]
+        return standings_response(*await jobs.standings([name]))
 
     @delete("/v1/jobs/{name:str}", status_code=200)
     async def cancel(name: str) -> dict[str, str]:
