Draw random runs of shards, moves, leases and claims

Cause: the promises were tested one failure at a time. The machine steps the real state, log, leader lease, claims, moves and policies call by call, with lost, late and refused calls, crashes, skewed clocks, messages that are lost, late or repeated, restarts, take-outs and truncation.

--- a/clementinebay/claims.py
+++ b/clementinebay/claims.py
@@ -5,7 +5,6 @@
 one day at least.
 """
 
-import asyncio
 import hashlib
 
 from clementinebay import errors
@@ -55,7 +54,7 @@
                 raise errors.KeyNotClaimedError(str(error)) from error
             if self.clock.now() + RETRY_SECONDS > deadline:
                 raise errors.KeyNotClaimedError(str(lost)) from lost
-            await asyncio.sleep(RETRY_SECONDS)
+            await self.clock.sleep(RETRY_SECONDS)
 
     async def forget_old(self):
         """Delete the claims of days that are no longer compared."""
--- a/clementinebay/policy/moving.py
+++ b/clementinebay/policy/moving.py
@@ -1,13 +1,13 @@
 """Which waiting tasks leave a domain, and where they go."""
 
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Most moves that one decision makes.
 MOVES_PER_DECISION = 100
 
 
-def move_records(state, domain, targets, nonce):
+def move_records(state, domain, targets, nonce, now):
     """Return moves of all waiting tasks of a domain that is out.
 
     ``targets`` are the domains that are in; parts go to them in turn.  ``nonce`` makes
@@ -22,7 +22,7 @@
                 return records
             target = targets[len(records) % len(targets)]
             part = f"{job.spec.origin or name}~{first}~{nonce}"
-            move = wire.Move(name, first, count, target, part)
+            move = wire.Move(name, first, count, target, part, now)
             records.append(wire.Record(move=move))
     return records
 
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -51,7 +51,9 @@
             if name != domain and not document.domain_out(name)
         ]
         nonce = uuid.uuid4().hex[:8]
-        records = moving.move_records(self.shard.state, domain, targets, nonce)
+        records = moving.move_records(
+            self.shard.state, domain, targets, nonce, self.clock.now()
+        )
         if records:
             await self.shard.append(records)
 
--- a/clementinebay/shard/log.py
+++ b/clementinebay/shard/log.py
@@ -50,6 +50,7 @@
         self.store = store
         self.clock = clock
         self.writer = writer
+        self.domain = domain
         self.prefix = f"shard/{domain}/log/"
         self.snapshot_key = f"shard/{domain}/snapshot"
         self.state = State()
--- /dev/null
+++ b/tests/shard/machine.py
@@ -0,0 +1,227 @@
+"""Random runs of the model: every call, message and clock may fail or be late."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from clementinebay.shard.state import Phase
+from clementinebay.shard.wire import ttypes as wire
+from tests.shard import factory, world
+
+DAEMONS = st.integers(0, 3)
+ENDPOINTS = st.sampled_from(["a0", "a1", "b0", "b1"])
+#: How calls end; most succeed.
+WORDS = st.sampled_from(["do"] * 6 + ["refuse", "lose", "late"])
+OPERATIONS = ("read", "tick", "tick", "tick", "shorten", "deliver", "forget")
+#: Steps of a fault-free end in which everything must come to rest.
+CALM_ROUNDS = 150
+
+
+class ShardMachine(RuleBasedStateMachine):
+    """Two domains of two daemons and two endpoints each, and an operator."""
+
+    @initialize()
+    def begin(self):
+        self.world = world.World()
+        for daemon in self.world.daemons:
+            daemon.look()
+            daemon.begin(daemon.read())
+            daemon.finish()
+
+    def daemon(self, number):
+        return self.world.daemons[number]
+
+    # The operator and clients
+
+    @precondition(lambda self: len(self.world.totals) < 4)
+    @rule(daemon=DAEMONS, count=st.integers(1, 3), service=st.booleans())
+    def submit(self, daemon, count, service):
+        daemon = self.daemon(daemon)
+        name = f"job-{len(self.world.totals)}"
+        workload = wire.Workload.SERVICE if service else wire.Workload.BATCH
+        spec = factory.spec(name, count, workload=workload, max_attempts=1000)
+        daemon.finish()
+        daemon.begin(daemon.submit(spec))
+        daemon.finish()
+        if name in self.world.observers[daemon.domain].state.jobs:
+            self.world.totals[name] = count
+
+    @rule(daemon=DAEMONS, number=st.integers(0, 3))
+    def cancel(self, daemon, number):
+        name = f"job-{number}"
+        if number % 2 and name in self.world.totals:
+            self.world.cancelled.add(name)
+            self.daemon(daemon).begin(self.daemon(daemon).cancel(name))
+
+    @rule(daemon=DAEMONS, key=st.integers(0, 3))
+    def claim(self, daemon, key):
+        self.daemon(daemon).begin(self.daemon(daemon).claim(f"key-{key}"))
+
+    @rule(domain=st.sampled_from(world.DOMAINS), out=st.booleans())
+    def change_domain(self, domain, out):
+        self.world.change_domain(domain, out)
+
+    # Daemons
+
+    @rule(daemon=DAEMONS, name=st.sampled_from(OPERATIONS))
+    def start_operation(self, daemon, name):
+        daemon = self.daemon(daemon)
+        daemon.begin(getattr(daemon, name)())
+
+    @rule(daemon=DAEMONS, words=st.lists(WORDS, min_size=1, max_size=6))
+    def step(self, daemon, words):
+        for word in words:
+            self.daemon(daemon).step(word)
+
+    @rule(daemon=DAEMONS, shift=st.integers(0, 3))
+    def whole_tick(self, daemon, shift):
+        daemon = self.daemon(daemon)
+        daemon.finish()
+        daemon.begin(daemon.tick(shift))
+        daemon.finish()
+        daemon.orders.reconcile()
+
+    @rule(daemon=DAEMONS)
+    def look(self, daemon):
+        self.daemon(daemon).look()
+
+    @rule(daemon=DAEMONS)
+    def reconcile(self, daemon):
+        self.daemon(daemon).orders.reconcile()
+
+    @rule(daemon=DAEMONS, endpoint=ENDPOINTS)
+    def renew(self, daemon, endpoint):
+        self.daemon(daemon).renew(endpoint)
+
+    @rule(daemon=DAEMONS)
+    def crash(self, daemon):
+        daemon = self.daemon(daemon)
+        if daemon.operation is not None:
+            daemon.operation.close()
+        daemon.crash()
+
+    # Time, platform and network
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 3.0, 8.0, 31.5, 32.5]))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @precondition(lambda self: self.world.late)
+    @rule(number=st.integers(0, 99))
+    def take_late_write(self, number):
+        late = self.world.late
+        try:
+            late.pop(number % len(late))()
+        except world.errors.PlatformError:
+            pass
+        self.world.check()
+
+    @precondition(lambda self: self.world.network)
+    @rule(
+        number=st.integers(0, 99),
+        kept=st.sampled_from([False, False, True]),
+        answered=st.sampled_from([True, True, False]),
+    )
+    def deliver_message(self, number, kept, answered):
+        network = self.world.network
+        message = network[number % len(network)]
+        if not kept:
+            network.remove(message)
+        self.world.deliver(message, answered)
+
+    @precondition(lambda self: self.world.network)
+    @rule()
+    def deliver_all(self):
+        messages, self.world.network = self.world.network, []
+        for message in messages:
+            self.world.deliver(message)
+
+    # Endpoints
+
+    @rule(endpoint=ENDPOINTS)
+    def hide_or_list(self, endpoint):
+        self.world.hidden ^= {endpoint}
+
+    @rule(endpoint=ENDPOINTS)
+    def leave_or_stay(self, endpoint):
+        self.world.leaving ^= {endpoint}
+
+    @rule(endpoint=ENDPOINTS)
+    def restart(self, endpoint):
+        self.world.endpoints[endpoint].restart()
+
+    @rule(endpoint=ENDPOINTS, processors=st.sampled_from([1000, 2000, 2000]))
+    def resize(self, endpoint, processors):
+        endpoint = self.world.endpoints[endpoint]
+        endpoint.shrunk = endpoint.shrunk or processors < endpoint.processors
+        endpoint.processors = processors
+
+    @rule(endpoint=ENDPOINTS, word=st.sampled_from(["done", "failed", "progress"]))
+    def work(self, endpoint, word):
+        endpoint = self.world.endpoints[endpoint]
+        for run in endpoint.running():
+            run.progress += 1
+            service = run.order.spec.workload == wire.Workload.SERVICE
+            if word != "progress" and not (service and word == "done"):
+                endpoint.end(run, word)
+
+    # The end: without faults everything comes to rest and nothing was lost
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        self.calm()
+        for _round in range(CALM_ROUNDS):
+            self.round()
+            if self.at_rest():
+                return
+        raise AssertionError(f"not at rest: {list(self.unfinished())}")
+
+    def calm(self):
+        self.world.hidden.clear()
+        self.world.leaving.clear()
+        for domain in world.DOMAINS:
+            self.world.change_domain(domain, False)
+        for endpoint in self.world.endpoints.values():
+            endpoint.shrunk = endpoint.shrunk and endpoint.processors < 2000
+            endpoint.processors = 2000
+        for daemon in self.world.daemons:
+            daemon.finish()
+        self.world.late.clear()
+
+    def round(self):
+        for number, daemon in enumerate(self.world.daemons):
+            daemon.look()
+            for name in ("read", "tick", "deliver"):
+                daemon.begin(getattr(daemon, name)())
+                daemon.finish()
+            for endpoint in self.world.endpoints:
+                daemon.renew(endpoint)
+            daemon.orders.reconcile()
+            self.deliver_all_messages()
+            if number % 2:
+                self.finish_runs()
+        self.world.advance(0.5)
+
+    def deliver_all_messages(self):
+        messages, self.world.network = self.world.network, []
+        for message in messages:
+            self.world.deliver(message)
+
+    def finish_runs(self):
+        for endpoint in self.world.endpoints.values():
+            for run in endpoint.running():
+                if run.order.spec.workload == wire.Workload.BATCH:
+                    endpoint.end(run, "done")
+
+    def unfinished(self):
+        for observer in self.world.observers.values():
+            yield from observer.state.outbox
+            for name, job in observer.state.jobs.items():
+                if job.spec.workload == wire.Workload.BATCH and not job.ended:
+                    yield name, job.untouched, list(job.tasks.values())
+                for task in job.tasks.values():
+                    if task.phase not in (Phase.RUNNING, Phase.WAITING):
+                        yield name, task.index, task.phase
+
+    def at_rest(self):
+        return not any(True for _item in self.unfinished())
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,61 @@
+"""Runs the state machines with new seeds until the time is up.
+
+Exit code 0 means that no invariant broke, 1 that one did; the steps that broke it are
+printed, and ``--seed`` of the line before repeats them.
+"""
+
+import argparse
+import sys
+import time
+import traceback
+
+import hypothesis
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.shard.machine import ShardMachine
+
+#: Name -> state machine.
+MACHINES = {"shard": ShardMachine}
+
+
+def run(machine, seed, examples, steps):
+    """Run ``examples`` of ``machine``, made from ``seed``."""
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    seeded = hypothesis.seed(seed)(type(machine.__name__, (machine,), {}))
+    run_state_machine_as_test(seeded, settings=settings)
+
+
+def main():
+    """Run until the time is up or an invariant breaks; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--machine", choices=sorted(MACHINES), default="shard")
+    parser.add_argument("--examples", type=int, default=100, help="runs of one seed")
+    parser.add_argument("--steps", type=int, default=100, help="steps of one run")
+    arguments = parser.parse_args()
+    limit = time.monotonic() + arguments.minutes * 60
+    seed = arguments.seed
+    while time.monotonic() < limit:
+        try:
+            machine = MACHINES[arguments.machine]
+            run(machine, seed, arguments.examples, arguments.steps)
+        except Exception:
+            traceback.print_exc()
+            print(f"seed {seed}: an invariant broke")
+            return 1
+        print(f"seed {seed}: {arguments.examples} runs of {arguments.steps} steps held")
+        sys.stdout.flush()
+        seed += 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
