Keep an endpoint that is back from being barred by an old second record

Ruled out: the policy alone. A record delayed in the platform could do the same, so the state machine takes a record that names a bar as one that never bars. The policy no longer writes it either.

--- a/clementinebay/policy/membership.py
+++ b/clementinebay/policy/membership.py
@@ -34,15 +34,17 @@
     bar was read, because only then nobody can grant more.
     """
     records = []
+    back = set()
     listed = {vm.id: seen(vm) for vm in vms}
     for name, record in listed.items():
         known = state.endpoints.get(name)
         new = known is None or known.lost or known.seen != record
         if new and not (known and _moved(known, record)):
             records.append(wire.Record(endpoint_seen=record))
+            back.add(name)
     for name, endpoint in state.endpoints.items():
         if endpoint.lost:
-            if not endpoint.free_at:
+            if not endpoint.free_at and name not in back:
                 lost = wire.EndpointLost(name, free_at, endpoint.barred, now)
                 records.append(wire.Record(endpoint_lost=lost))
         elif name not in listed or _moved(endpoint, listed[name]):
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -165,13 +165,14 @@
     def apply_endpoint_lost(self, record):
         """Bar an endpoint; a second record tells when its bindings have run out."""
         endpoint = self.endpoint(record.id)
-        if not endpoint.lost:
+        if record.barred:
+            if endpoint.lost and record.barred == endpoint.barred:
+                endpoint.free_at = endpoint.free_at or record.free_at
+        elif not endpoint.lost:
             endpoint.lost = True
             endpoint.barred = self.index
             endpoint.lost_at = record.at
             endpoint.free_at = 0.0
-        elif record.barred == endpoint.barred and not endpoint.free_at:
-            endpoint.free_at = record.free_at
 
     def apply_cleared(self, record):
         """Give back what an attempt that was released as expired may have used."""
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -11,6 +11,7 @@
 @pytest.fixture
 def state():
     state = State()
+    state.index = 1
     for record in (factory.endpoint(), factory.submit(), factory.bind()):
         state.apply(record)
     return state
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -20,6 +20,7 @@
 
 def state_with(*records):
     state = State()
+    state.index = 1
     for record in records:
         state.apply(record)
     return state
@@ -48,6 +49,13 @@
     assert membership.expired_records(state, 190.1, 0.5)
 
 
+def test_endpoint_that_is_back_is_not_barred_by_the_second_record():
+    state = state_with(factory.endpoint())
+    step(state, [], 100.0)
+    assert step(state, [vm()], 101.0) == 1
+    assert state.endpoints["e-0"].usable
+
+
 def test_same_id_at_another_address_takes_nothing_while_the_old_one_is_held():
     state = state_with(factory.endpoint(), factory.submit(), factory.bind())
     other = vm("127.0.0.1:2")
