Tell peers what changed, and rarely when nothing did

Cause: every daemon told every peer its whole table of services each second, and got the peer's whole table back; both sides did so. One peer that hung held up the gossip to all others, and clients of peers that were gone were kept for ever. Ruled out: gossip through a few peers only (a tree or random choice), as 39 peers with small messages stay within the budget and every hop would add a delay to the word that a peer leaves. Change: tables have versions and only changes are told; a message that a peer sent counts as the exchange of both; a peer without news is told every heartbeat_seconds (3 s); leaving, the scheduling role and changed replicas are told at the next look (1 s). A peer that does not answer is taken for silent at once. Peers that left the live list are forgotten. The messages say who schedules a domain, which renewals need.

--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -12,8 +12,6 @@
 from clementinebay.endpoint.http import HttpDriver
 from standins.cluster import Process, free_ports, free_range, wait_for
 
-#: Time for connections and first messages before a window, in seconds.
-WARM_UP_SECONDS = 3.0
 #: Services of a domain at the target size.
 SERVICES = 60
 
@@ -26,6 +24,8 @@
     sizes = (1, 2, 4, 8)
     #: Time between two calls of `drive`, in seconds.
     drive_seconds = 0.2
+    #: Time for connections and first messages before a window, in seconds.
+    warm_up_seconds = 2.0
 
     @contextlib.contextmanager
     def stand_ins(self, size):
@@ -44,7 +44,7 @@
         """Run the part and print what one second of it costs."""
         async with contextlib.AsyncExitStack() as stack:
             await self.open(stack, size, arguments)
-            await asyncio.sleep(WARM_UP_SECONDS)
+            await asyncio.sleep(self.warm_up_seconds)
             before = self.reading()
             await asyncio.sleep(seconds)
             after = self.reading()
@@ -100,6 +100,7 @@
     name = "renewals"
     what = "one daemon renews alone; size is endpoints"
     sizes = (16, 32, 64, 146)
+    warm_up_seconds = 8.0
 
     @contextlib.contextmanager
     def stand_ins(self, size):
@@ -123,8 +124,10 @@
             shard=shard,
             config=fakes.fake_config(kernel.clock),
             driver=fakes.Fake(driver=HttpDriver(kernel.clock)),
-            dispatcher=fakes.Fake(take_report=lambda report: None),
-            peers=fakes.Fake(handle=lambda *_a: None, companions=lambda: [], lead=None),
+            dispatcher=fakes.Fake(take_reports=lambda *_a: True),
+            peers=fakes.Fake(
+                handle=lambda *_a: None, companions=lambda: (), leading=True
+            ),
         )
         service = await stack.enter_async_context(Service(kernel))
         service.active = True
@@ -136,6 +139,7 @@
     name = "gossip"
     what = "one daemon's peer link; size is peers"
     sizes = (4, 8, 16, 39)
+    warm_up_seconds = 7.0
 
     @contextlib.contextmanager
     def stand_ins(self, size):
--- a/clementinebay/peer/wire/ttypes.py
+++ b/clementinebay/peer/wire/ttypes.py
@@ -25,6 +25,7 @@
     CONFIG = 5
     JOBS = 6
     STATE = 7
+    REPORTS = 8
 
     _VALUES_TO_NAMES = {
         0: "REPLY",
@@ -35,6 +36,7 @@
         5: "CONFIG",
         6: "JOBS",
         7: "STATE",
+        8: "REPORTS",
     }
 
     _NAMES_TO_VALUES = {
@@ -46,6 +48,7 @@
         "CONFIG": 5,
         "JOBS": 6,
         "STATE": 7,
+        "REPORTS": 8,
     }
 
 
@@ -565,6 +568,10 @@
      - config_revision
      - services
      - leaving
+     - leading
+     - version
+     - base
+     - known
 
     """
 
@@ -574,15 +581,23 @@
         'config_revision',
         'services',
         'leaving',
+        'leading',
+        'version',
+        'base',
+        'known',
     )
 
 
-    def __init__(self, daemon=None, domain=None, config_revision=None, services=None, leaving=False,):
+    def __init__(self, daemon=None, domain=None, config_revision=None, services=None, leaving=False, leading=False, version=0, base=0, known=0,):
         self.daemon = daemon
         self.domain = domain
         self.config_revision = config_revision
         self.services = services
         self.leaving = leaving
+        self.leading = leading
+        self.version = version
+        self.base = base
+        self.known = known
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -624,6 +639,26 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leading = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -657,6 +692,283 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 5)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.leading is not None:
+            oprot.writeFieldBegin('leading', TType.BOOL, 6)
+            oprot.writeBool(self.leading)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 7)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 8)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.I64, 9)
+            oprot.writeI64(self.known)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Attempt(object):
+    """
+    Attributes:
+     - job
+     - index
+     - attempt
+
+    """
+
+    __slots__ = (
+        'job',
+        'index',
+        'attempt',
+    )
+
+
+    def __init__(self, job=None, index=None, attempt=None,):
+        self.job = job
+        self.index = index
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Attempt')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 2)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 3)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointReport(object):
+    """
+    Attributes:
+     - endpoint
+     - report
+     - expected
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'report',
+        'expected',
+    )
+
+
+    def __init__(self, endpoint=None, report=None, expected=None,):
+        self.endpoint = endpoint
+        self.report = report
+        self.expected = expected
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.report = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.expected = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Attempt()
+                        _elem12.read(iprot)
+                        self.expected.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointReport')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRING, 2)
+            oprot.writeBinary(self.report)
+            oprot.writeFieldEnd()
+        if self.expected is not None:
+            oprot.writeFieldBegin('expected', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.expected))
+            for iter13 in self.expected:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReportTaken(object):
+    """
+    Attributes:
+     - taken
+
+    """
+
+    __slots__ = (
+        'taken',
+    )
+
+
+    def __init__(self, taken=None,):
+        self.taken = taken
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.taken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportTaken')
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.BOOL, 1)
+            oprot.writeBool(self.taken)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -717,10 +1029,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digests.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -741,8 +1053,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter13 in self.digests:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter20 in self.digests:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -813,11 +1125,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.texts = {}
-                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
-                    for _i18 in range(_size14):
-                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val20 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.texts[_key19] = _val20
+                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                    for _i25 in range(_size21):
+                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.texts[_key26] = _val27
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -842,9 +1154,9 @@
         if self.texts is not None:
             oprot.writeFieldBegin('texts', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.texts))
-            for kiter21, viter22 in self.texts.items():
-                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
-                oprot.writeString(viter22.encode('utf-8') if sys.version_info[0] == 2 else viter22)
+            for kiter28, viter29 in self.texts.items():
+                oprot.writeString(kiter28.encode('utf-8') if sys.version_info[0] == 2 else kiter28)
+                oprot.writeString(viter29.encode('utf-8') if sys.version_info[0] == 2 else viter29)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -967,10 +1279,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spans = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.spans.append(_elem28)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.spans.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -987,8 +1299,8 @@
         if self.spans is not None:
             oprot.writeFieldBegin('spans', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.spans))
-            for iter29 in self.spans:
-                oprot.writeString(iter29.encode('utf-8') if sys.version_info[0] == 2 else iter29)
+            for iter36 in self.spans:
+                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1043,10 +1355,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem35)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1063,8 +1375,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter36 in self.names:
-                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
+            for iter43 in self.names:
+                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1213,10 +1525,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.reasons = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.reasons.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reasons.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1287,8 +1599,8 @@
         if self.reasons is not None:
             oprot.writeFieldBegin('reasons', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.reasons))
-            for iter43 in self.reasons:
-                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
+            for iter50 in self.reasons:
+                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.team is not None:
@@ -1351,11 +1663,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = JobStanding()
-                        _elem49.read(iprot)
-                        self.jobs.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = JobStanding()
+                        _elem56.read(iprot)
+                        self.jobs.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1372,8 +1684,8 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter50 in self.jobs:
-                iter50.write(oprot)
+            for iter57 in self.jobs:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1606,6 +1918,29 @@
     (3, TType.I64, 'config_revision', None, None, ),  # 3
     (4, TType.LIST, 'services', (TType.STRUCT, [ServiceCapacity, None], False), None, ),  # 4
     (5, TType.BOOL, 'leaving', None, False, ),  # 5
+    (6, TType.BOOL, 'leading', None, False, ),  # 6
+    (7, TType.I64, 'version', None, 0, ),  # 7
+    (8, TType.I64, 'base', None, 0, ),  # 8
+    (9, TType.I64, 'known', None, 0, ),  # 9
+)
+all_structs.append(Attempt)
+Attempt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'index', None, None, ),  # 2
+    (3, TType.I32, 'attempt', None, None, ),  # 3
+)
+all_structs.append(EndpointReport)
+EndpointReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'report', 'BINARY', None, ),  # 2
+    (3, TType.LIST, 'expected', (TType.STRUCT, [Attempt, None], False), None, ),  # 3
+)
+all_structs.append(ReportTaken)
+ReportTaken.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'taken', None, None, ),  # 1
 )
 all_structs.append(ConfigQuery)
 ConfigQuery.thrift_spec = (
--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -6,35 +6,19 @@
 
 from clementinebay import config, errors, tracing
 from clementinebay.log import Log
+from clementinebay.peer.gossip import Neighbour, ServiceTable
 from clementinebay.peer.link import PeerClient, PeerServer
 from clementinebay.peer.wire import ttypes as wire
 from clementinebay.service import Service
 
 #: Longest wait for an answer to gossip or a query, in seconds.
 QUERY_SECONDS = 2.0
-#: A peer that has not gossiped for so long takes no requests, in seconds.
-SILENCE_SECONDS = 5.0
+#: A peer that missed so many heartbeats takes no requests and renews no leases.
+SILENT_HEARTBEATS = 3
 
 log = Log("peers")
 
 
-class Neighbour:
-    """What a peer last told of itself; ``fresh_until`` is a deadline."""
-
-    __slots__ = ("gossip", "fresh_until")
-
-    def __init__(self, gossip, fresh_until):
-        self.gossip = gossip
-        self.fresh_until = fresh_until
-
-    def replicas(self, service):
-        """Return how many replicas of ``service`` the peer's domain runs."""
-        for capacity in self.gossip.services or ():
-            if capacity.service_name == service:
-                return capacity.replicas
-        return 0
-
-
 class Peers(Service):
     """Owns the links to all peers on the live list."""
 
@@ -46,6 +30,10 @@
         self.clients = {}
         self.neighbours = {}
         self.leaving = False
+        self.leading = False
+        self.table = ServiceTable(self.clock.now())
+        self.told = {}
+        self.telling = {}
         self.handlers = {
             wire.Kind.GOSSIP: (wire.Gossip, self.on_gossip),
             wire.Kind.CONFIG: (wire.ConfigQuery, self.on_config),
@@ -62,6 +50,8 @@
 
     async def stop(self):
         """Close the server and the clients."""
+        for task in list(self.telling.values()):
+            task.cancel()
         await self.server.__aexit__()
         for client in self.clients.values():
             await client.close()
@@ -87,57 +77,144 @@
     # Gossip
 
     async def gossip(self):
-        """Tell every peer of this daemon at every interval."""
+        """Tell peers of this daemon when there is news, and now and then without."""
         while True:
             vms = self.kernel.find("livelist").daemons()
-            await asyncio.gather(*(self.tell(vm) for vm in vms))
+            self.refresh()
+            await self.forget(vms)
+            for vm in vms:
+                if vm.id not in self.telling and self.is_due(vm):
+                    self.begin_to_tell(vm)
             await asyncio.sleep(self.settings.peer_gossip_seconds)
 
+    def begin_to_tell(self, vm):
+        """Exchange gossip with one peer, while others are told too."""
+        task = self.telling[vm.id] = asyncio.create_task(self.tell(vm))
+        task.add_done_callback(lambda _task: self.telling.pop(vm.id, None))
+
+    def refresh(self):
+        """Bring the table of services up to date."""
+        shard = self.kernel.find("shard")
+        self.table.update(
+            {name: len(shard.replicas(name)) for name in shard.service_names()}
+        )
+
+    def standing(self):
+        """Return what peers are told at once when it changes."""
+        return self.leaving, self.leading, self.table.version
+
+    def is_due(self, vm):
+        """Return whether the peer on ``vm`` lacks news or was silent for long.
+
+        A message that the peer sent counts as well, for both sides learn from it.
+        """
+        neighbour = self.neighbours.get(vm.id)
+        if neighbour is None or self.told.get(vm.id) != self.standing():
+            return True
+        silence = self.clock.now() - neighbour.heard_at
+        return silence >= self.settings.peer_heartbeat_seconds
+
     async def tell(self, vm):
         """Exchange gossip with one peer."""
+        standing = self.standing()
         try:
-            reply = await self.query(vm, wire.Kind.GOSSIP, self.news(), wire.Gossip)
+            news = self.news(vm.id)
+            reply = await self.query(vm, wire.Kind.GOSSIP, news, wire.Gossip)
             self.learn(reply)
+            self.told[vm.id] = standing
             if reply.config_revision > self.kernel.find("config").document.revision:
                 await self.fetch_config(vm)
         except errors.PeerError as error:
             log.debug("%s: %s.", vm.id, error)
+            if neighbour := self.neighbours.get(vm.id):
+                neighbour.fresh_until = 0.0
 
-    def news(self):
-        """Return this daemon's gossip."""
-        shard = self.kernel.find("shard")
+    def news(self, name):
+        """Return this daemon's gossip for peer ``name``, without what that knows."""
+        neighbour = self.neighbours.get(name)
+        base = self.table.base(neighbour.knows if neighbour else 0)
         return wire.Gossip(
-            self.settings.daemon_name,
-            self.settings.daemon_failure_domain,
-            self.kernel.find("config").document.revision,
-            [
-                wire.ServiceCapacity(name, len(shard.replicas(name)), 0)
-                for name in shard.service_names()
+            daemon=self.settings.daemon_name,
+            domain=self.settings.daemon_failure_domain,
+            config_revision=self.kernel.find("config").document.revision,
+            services=[
+                wire.ServiceCapacity(service, replicas, 0)
+                for service, replicas in self.table.changes(base)
             ],
-            self.leaving,
+            leaving=self.leaving,
+            leading=self.leading,
+            version=self.table.version,
+            base=base,
+            known=neighbour.version if neighbour else 0,
         )
 
     def learn(self, gossip):
         """Keep what a peer told."""
-        fresh_until = self.clock.now() + SILENCE_SECONDS
-        self.neighbours[gossip.daemon] = Neighbour(gossip, fresh_until)
+        neighbour = self.neighbours.setdefault(gossip.daemon, Neighbour())
+        neighbour.learn(gossip)
+        neighbour.heard_at = self.clock.now()
+        silence = SILENT_HEARTBEATS * self.settings.peer_heartbeat_seconds
+        neighbour.fresh_until = neighbour.heard_at + silence
 
     async def on_gossip(self, message, _envelope):
         """Answer gossip with this daemon's own."""
         self.learn(message)
-        return self.news()
+        self.refresh()
+        self.told[message.daemon] = self.standing()
+        return self.news(message.daemon)
+
+    async def forget(self, vms):
+        """Forget peers that are no longer on the live list and have gone silent."""
+        listed = {vm.id for vm in vms}
+        now = self.clock.now()
+        for name, neighbour in list(self.neighbours.items()):
+            if name not in listed and neighbour.fresh_until < now:
+                del self.neighbours[name]
+                self.told.pop(name, None)
+        addresses = {vm.address for vm in vms}
+        for address, client in list(self.clients.items()):
+            if address not in addresses and not client.waiting:
+                del self.clients[address]
+                await client.close()
+
+    def fresh(self, vm):
+        """Return the `Neighbour` on ``vm``, ``None`` if it is silent or leaving."""
+        neighbour = self.neighbours.get(vm.id)
+        if neighbour is None or neighbour.fresh_until < self.clock.now():
+            return None
+        return None if neighbour.gossip.leaving else neighbour
+
+    def companions(self):
+        """Return the names of the other daemons of this domain that can be relied on.
+
+        They need not be on the live list, which lags and may be out of reach.
+        """
+        now = self.clock.now()
+        domain = self.settings.daemon_failure_domain
+        return {
+            name
+            for name, neighbour in self.neighbours.items()
+            if neighbour.gossip.domain == domain
+            and not neighbour.gossip.leaving
+            and neighbour.fresh_until >= now
+        }
+
+    def scheduler(self):
+        """Return the peer that schedules this domain, ``None`` if none says so."""
+        domain = self.settings.daemon_failure_domain
+        for vm in self.kernel.find("livelist").daemons():
+            neighbour = self.fresh(vm)
+            if neighbour and neighbour.gossip.leading and vm.failure_domain == domain:
+                return vm
+        return None
 
     def serving(self, service):
         """Return (vm, replicas) of peers in other domains that run ``service``."""
-        now = self.clock.now()
         found = []
         for vm in self.kernel.find("livelist").daemons():
-            neighbour = self.neighbours.get(vm.id)
-            if (
-                neighbour is None
-                or neighbour.fresh_until < now
-                or neighbour.gossip.leaving
-                or vm.failure_domain == self.settings.daemon_failure_domain
+            neighbour = self.fresh(vm)
+            if neighbour is None or vm.failure_domain == (
+                self.settings.daemon_failure_domain
             ):
                 continue
             replicas = neighbour.replicas(service)
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -94,7 +94,8 @@
         "Peers to ask for state while the platform is away.",
         kind=addresses,
     ),
-    _seconds("peer", "gossip_seconds", 1.0, "Time between two gossip messages."),
+    _seconds("peer", "gossip_seconds", 1.0, "Time between two looks for news."),
+    _seconds("peer", "heartbeat_seconds", 3.0, "Longest silence towards a peer."),
     Option("platform", "store", "etcd-json", "Protocol of the key-value service."),
     Option("platform", "url", REQUIRED, "URL of the key-value service."),
     Option("platform", "live_list_url", REQUIRED, "URL of the list of VMs."),
@@ -111,7 +112,8 @@
     _seconds("scheduler", "tick_seconds", 0.1, "Time between two decisions."),
     _seconds("scheduler", "poll_seconds", 1.0, "Time between two endpoint reports."),
     _seconds("scheduler", "start_grace_seconds", 3.0, "First lease after a read."),
-    _seconds("scheduler", "lease_seconds", 10.0, "Length of a renewed lease."),
+    _seconds("scheduler", "lease_seconds", 30.0, "Length of a renewed lease."),
+    _count("scheduler", "renewals_per_second", 8, "Renewals by one daemon."),
     _seconds("scheduler", "reclaim_after_seconds", 30.0, "Renewals while cut off."),
     _seconds(
         "scheduler", "clock_skew_seconds", 0.5, "Bound on clock differences.", 0.0
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,7 +1,10 @@
 // Messages between daemons.  Times are seconds since the Unix epoch.
 namespace py clementinebay.peer.wire
 
-enum Kind { REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6, STATE = 7 }
+enum Kind {
+  REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6,
+  STATE = 7, REPORTS = 8,
+}
 
 // One frame.  A reply or error carries the id of the message that it answers.
 struct Envelope {
@@ -26,14 +29,29 @@
 
 struct ServiceCapacity { 1: string service_name, 2: i32 replicas, 3: i32 in_flight }
 
-// What a daemon tells its peers; the answer is the peer's own.
+// What a daemon tells its peers; the answer is the peer's own.  A peer's table of
+// services has versions: `services` are the entries that changed after version `base`,
+// with no replicas for one that is gone; base 0 is the whole table.  `known` is the
+// version of the receiver's table that the sender holds.
 struct Gossip {
   1: string daemon,
   2: string domain,
   3: i64 config_revision,
   4: list<ServiceCapacity> services,
   5: bool leaving = 0,
+  6: bool leading = 0,
+  7: i64 version = 0,
+  8: i64 base = 0,
+  9: i64 known = 0,
+}
+
+struct Attempt { 1: string job, 2: i32 index, 3: i32 attempt }
+// An endpoint's report, as it came, for the scheduler of the shard.  `expected` are
+// attempts that a full report has to mention.
+struct EndpointReport {
+  1: string endpoint, 2: binary report, 3: list<Attempt> expected,
 }
+struct ReportTaken { 1: bool taken }
 
 // Asks for the configuration if the peer holds a newer one than revision.
 struct ConfigQuery { 1: i64 revision, 2: list<string> digests }
