--- a/clementinebay/endpoint/base.py
+++ b/clementinebay/endpoint/base.py
@@ -65,12 +65,16 @@
 class Renewal(msgspec.Struct):
     """Extends the leases of a worker's tasks and asks for what changed.
 
+    The leases are extended at once.  If no attempt has ended since, the worker may keep
+    the answer until one does, for ``wait_seconds`` at most.
+
     ``since`` is the version of the last report that was taken in; ended attempts up to
     it may be forgotten.
     """
 
     lease_deadline: float
     since: int = 0
+    wait_seconds: float = 0.0
 
 
 class Report(msgspec.Struct):
--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -71,10 +71,12 @@
             raise errors.AnswerMismatchError(f"{address}: the answer is another's")
         return response.status_code, answer
 
-    async def order(self, address, path, message, kind):
-        """POST an order and return the decoded answer."""
+    async def order(self, address, path, message, kind, wait_seconds=0.0):
+        """POST an order and return the decoded answer, kept for ``wait_seconds``."""
         content = msgspec.json.encode(message)
-        response = await self.post(address, path, content, {}, ORDER_SECONDS)
+        response = await self.post(
+            address, path, content, {}, ORDER_SECONDS + wait_seconds
+        )
         if response.status_code == 409:
             raise errors.EndpointRefusedError(f"{address}: {response.text}")
         if response.status_code != 200:
@@ -99,7 +101,9 @@
 
     async def renew(self, address, renewal):
         """See `EndpointDriver`."""
-        return await self.order(address, "/v1/renew", renewal, Report)
+        return await self.order(
+            address, "/v1/renew", renewal, Report, renewal.wait_seconds
+        )
 
     async def close(self):
         """See `EndpointDriver`."""
--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -1,58 +1,128 @@
 """Service "renewals": renews the leases of tasks and takes the endpoints' reports.
 
-While the platform answers, the holder of the leader lease does this for its domain.
-While it does not, every daemon of the domain does, so that running tasks live on.
+The daemons of a domain that gossiped lately share its endpoints, whether the platform
+answers or not.  A daemon whose peers are silent renews at all of them, so running tasks
+live on; a second renewal does no harm.  Reports go to the daemon that schedules.
 """
 
 import asyncio
+import random
+
+import msgspec
 
 from clementinebay import errors
-from clementinebay.endpoint.base import Renewal
+from clementinebay.endpoint.base import Renewal, Report
 from clementinebay.log import Log
-from clementinebay.policy import attempts
+from clementinebay.peer.wire import ttypes as peer_wire
+from clementinebay.policy import attempts, sharing
 from clementinebay.service import Service
 
-#: Renewals in progress at once.
-RENEWALS = 64
 #: Reports of an endpoint after which a full one is asked for.
 REPORTS_BETWEEN_FULL = 60
 
 log = Log("renewals")
 
 
+class Standing:
+    """What is known of one endpoint's reports.
+
+    ``since`` is the version of the last report that is in the log, ``None`` if a full
+    one is to be asked for; ``waits`` counts reports in a row that are not in the log.
+    """
+
+    __slots__ = ("since", "reports", "waits")
+
+    def __init__(self):
+        self.since = None
+        self.reports = 0
+        self.waits = 0
+
+
 class Renewals(Service):
-    """Calls every endpoint at every interval while ``active`` or cut off."""
+    """Calls this daemon's share of the endpoints; ``active`` while it schedules.
+
+    Each of ``listeners`` is called with an endpoint's name and its `Report`.
+    """
 
     name = "renewals"
-    requires = ("shard", "driver", "config", "dispatcher")
+    requires = ("shard", "driver", "dispatcher", "peers")
 
     async def start(self):
         """Begin to renew."""
         self.shard = self.kernel.find("shard")
         self.driver = self.kernel.find("driver").driver
         self.dispatcher = self.kernel.find("dispatcher")
-        self.versions = {}
-        self.reports = {}
-        self.slots = asyncio.Semaphore(RENEWALS)
-        self.active = False
-        self.background.spawn(self.poll)
+        self.peers = self.kernel.find("peers")
+        self.listeners = []
+        self.standings = {}
+        self.loops = {}
+        self.shared = None
+        self.rng = random.Random(self.settings.daemon_name)
+        self.peers.handle(
+            peer_wire.Kind.REPORTS, peer_wire.EndpointReport, self.on_report
+        )
+        self.background.spawn(self.share_out)
+
+    @property
+    def active(self):
+        """Whether this daemon schedules its domain."""
+        return self.peers.leading
+
+    @active.setter
+    def active(self, active):
+        self.peers.leading = active
 
     def ask_again(self):
         """Have every endpoint report all that it knows."""
-        self.versions.clear()
+        for standing in self.standings.values():
+            standing.since = None
+
+    # Sharing
 
-    async def poll(self):
-        """Renew leases and take reports at every interval."""
+    async def share_out(self):
+        """Begin and end loops as endpoints and daemons come and go."""
         while True:
-            if self.active or not self.platform_answers():
-                names = list(self.shard.state.endpoints)
-                await asyncio.gather(*(self.renew(name) for name in names))
+            endpoints = self.shard.state.endpoints
+            names = frozenset(n for n, known in endpoints.items() if not known.lost)
+            shared = (frozenset(self.peers.companions()), names)
+            if shared != self.shared:
+                self.shared = shared
+                self.attend_to(
+                    sharing.share(self.settings.daemon_name, shared[0], names)
+                )
             await asyncio.sleep(self.settings.scheduler_poll_seconds)
 
-    def platform_answers(self):
-        """Return whether the platform was read lately."""
-        age = self.clock.now() - self.kernel.find("config").confirmed_at
-        return age < self.settings.scheduler_leader_seconds
+    def attend_to(self, names):
+        """Have a loop for each endpoint of ``names`` and no other."""
+        for name in [name for name in self.loops if name not in names]:
+            self.loops.pop(name).cancel()
+            del self.standings[name]
+        for name in names:
+            if name not in self.loops:
+                self.standings[name] = Standing()
+                self.loops[name] = self.background.spawn(self.attend, name)
+
+    async def attend(self, name):
+        """Renew at one endpoint again and again."""
+        poll = self.settings.scheduler_poll_seconds
+        while True:
+            interval = self.interval()
+            waits = await self.renew(name, interval - poll)
+            # What is not in the log yet is asked for again, ever more rarely.
+            pause = min(interval, poll * 2**waits) if waits else poll
+            await asyncio.sleep(pause * self.rng.uniform(0.9, 1.0))
+
+    def interval(self):
+        """Return the time between two renewals of one endpoint, in seconds."""
+        settings = self.settings
+        return sharing.renewal_interval(
+            len(self.loops),
+            settings.scheduler_renewals_per_second,
+            settings.scheduler_poll_seconds,
+            settings.scheduler_lease_seconds,
+        )
+
+    # Renewing
 
     def lease_deadline(self):
         """Return the deadline of renewals."""
@@ -64,30 +134,83 @@
             settings.scheduler_reclaim_after_seconds,
         )
 
-    async def renew(self, name):
-        """Renew the leases at one endpoint and take its report."""
-        async with self.slots:
-            # The deadline and the standing of the endpoint are of the same read.
-            endpoint = self.shard.state.endpoints.get(name)
-            if endpoint is None or endpoint.lost:
-                return
-            since = self.since(name)
-            expected = () if since else attempts.running(self.shard.state, name)
-            renewal = Renewal(self.lease_deadline(), since)
-            try:
-                report = await self.driver.renew(endpoint.seen.address, renewal)
-            except errors.EndpointError as error:
-                log.debug("%s: %s.", name, error)
-                return
-        if report.version < since:
+    async def renew(self, name, wait_seconds):
+        """Renew the leases at one endpoint and have its report taken.
+
+        Returns how many reports in a row are not in the log.
+        """
+        # The deadline and the standing of the endpoint are of the same read.
+        endpoint = self.shard.state.endpoints.get(name)
+        if endpoint is None or endpoint.lost:
+            return 0
+        standing = self.standings[name]
+        since = self.since(standing)
+        if since is None:
+            expected = attempts.running(self.shard.state, name)
+            renewal = Renewal(self.lease_deadline())
+        else:
+            expected = ()
+            renewal = Renewal(self.lease_deadline(), since, wait_seconds)
+        try:
+            report = await self.driver.renew(endpoint.seen.address, renewal)
+        except errors.EndpointError as error:
+            log.debug("%s: %s.", name, error)
+            return 0
+        if report.version < renewal.since:
             # The worker was restarted and has forgotten what it ran.
-            self.versions[name] = 0
-        elif self.dispatcher.take_reports(name, report.tasks, expected):
-            self.versions[name] = report.version
-
-    def since(self, name):
-        """Return the version of the last report that is in the log, 0 for all."""
-        count = self.reports[name] = self.reports.get(name, 0) + 1
-        if count % REPORTS_BETWEEN_FULL == 0:
-            self.versions[name] = 0
-        return self.versions.get(name, 0)
+            standing.since = None
+            return 0
+        await self.deliver(name, report, expected)
+        if attempts.unrecorded(self.shard.state, name, report.tasks):
+            standing.waits += 1
+        else:
+            standing.since = report.version
+            standing.waits = 0
+        return standing.waits
+
+    @staticmethod
+    def since(standing):
+        """Return the version that changes are asked for from, ``None`` for all."""
+        standing.reports += 1
+        if standing.reports % REPORTS_BETWEEN_FULL == 0:
+            standing.since = None
+        return standing.since
+
+    # Reports
+
+    async def deliver(self, name, report, expected):
+        """Have a report taken here or by the daemon that schedules."""
+        if self.active:
+            self.take(name, report, expected)
+            return
+        scheduler = self.peers.scheduler()
+        if scheduler is None or not (report.tasks or report.services or expected):
+            return
+        message = peer_wire.EndpointReport(
+            name,
+            msgspec.json.encode(report),
+            [peer_wire.Attempt(*attempt) for attempt in sorted(expected)],
+        )
+        try:
+            await self.peers.query(
+                scheduler, peer_wire.Kind.REPORTS, message, peer_wire.ReportTaken
+            )
+        except errors.PeerError as error:
+            log.debug("%s did not take a report: %s.", scheduler.id, error)
+
+    async def on_report(self, message, _envelope):
+        """Take a report that a peer brings, if this daemon schedules."""
+        if self.active:
+            try:
+                report = msgspec.json.decode(message.report, type=Report)
+            except msgspec.DecodeError as error:
+                raise errors.FrameMalformedError(f"no report: {error}") from error
+            expected = {(a.job, a.index, a.attempt) for a in message.expected}
+            self.take(message.endpoint, report, expected)
+        return peer_wire.ReportTaken(self.active)
+
+    def take(self, name, report, expected):
+        """Turn a report into records and tell the listeners."""
+        self.dispatcher.take_reports(name, report.tasks, expected)
+        for listener in self.listeners:
+            listener(name, report)
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -79,6 +79,7 @@
         self.violations = []
         self.requests = []
         self.crossed = None
+        self.ended = asyncio.Event()
         self.faults = {
             "service_seconds": 0.0,
             "fail_tasks": [],
@@ -200,9 +201,20 @@
         for run in self.runs.values():
             if run.state == "running":
                 run.deadline = max(run.deadline, body["lease_deadline"])
+        await self.wait_for_end(body["since"], body.get("wait_seconds", 0.0))
         tasks = [r.report() for r in self.runs.values() if r.version > body["since"]]
         return web.Reply({"version": self.version, "tasks": tasks, "services": []})
 
+    async def wait_for_end(self, since, seconds):
+        """Wait until an attempt ends, for ``seconds`` at most."""
+        if any(run.version > since and run.ended for run in self.runs.values()):
+            return
+        try:
+            async with asyncio.timeout(seconds):
+                await self.ended.wait()
+        except TimeoutError:
+            pass
+
     def touch(self, run):
         """Note that an attempt changed."""
         self.version += 1
@@ -214,6 +226,8 @@
         run.reason = reason
         run.ended = self.clock.now()
         self.touch(run)
+        self.ended.set()
+        self.ended = asyncio.Event()
 
     async def work(self):
         """Advance running tasks and end those whose lease has run out."""
