--- a/clementinebay/policy/moving.py
+++ b/clementinebay/policy/moving.py
@@ -1,6 +1,6 @@
 """Which waiting tasks leave a domain, and where they go."""
 
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Most moves that one decision makes.
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -7,6 +7,7 @@
 #: Service name -> (module, class).
 SERVICES = {
     "bootstrap": ("clementinebay.services.bootstrap", "Bootstrap"),
+    "colocation": ("clementinebay.services.colocation", "Colocation"),
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
--- a/tests/shard/test_state.py
+++ b/tests/shard/test_state.py
@@ -2,7 +2,8 @@
 
 from clementinebay import errors
 from clementinebay.shard import snapshot
-from clementinebay.shard.state import Phase, State
+from clementinebay.shard.entities import Phase
+from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
 from tests.shard import factory
 
