Size each daemon's share of the platform by how many share it

Cause: each daemon could make 200 reads and 40 writes a second whatever their number: 8 daemons 320 writes, 40 daemons 1,600, of the platform's 300. A burst of claims could make the leader lease and the log wait, and all daemons restarted at once had a second's worth of calls to spend at once. Ruled out: a counter in the platform, which costs calls itself. Change: the settings now give the platform's rates for all daemons together; a daemon takes its part of 70% of them by the number of daemons on the live list (40 are assumed until it was read), and a scheduler an extra part of the writes. A fifth of each part is for control alone: leader lease, log and configuration use the store "control". The bucket holds 0.05 s of calls. A call that finds the bucket free no longer waits. Small changes in others' files: scheduler, config watcher and shard follower take the store "control". Shown by tests/platform/test_accountant.py: 1, 8 and 40 daemons that all start at once and call as fast as they may stay within 2,000 reads and 300 writes in each of the first seconds.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,6 +10,7 @@
 import json
 import os
 import platform
+import signal
 import subprocess
 import sys
 import time
@@ -72,14 +73,17 @@
     """Run all points of ``part``, write them and print the fits."""
     rows = []
     for run in range(options.runs):
-        for size in part.sizes:
+        for size in options.sizes or part.sizes:
             rows.append({"run": run, **run_point(part, size, options)})
     os.makedirs(options.out, exist_ok=True)
     with open(os.path.join(options.out, f"slopes-{part.name}.csv"), "w") as file:
         writer = csv.DictWriter(file, list(rows[0]))
         writer.writeheader()
         writer.writerows(rows)
-    print(f"{part.name}: {part.what}; sizes {part.sizes}, {options.runs} runs")
+    print(
+        f"{part.name}: {part.what}; sizes {options.sizes or part.sizes}, "
+        f"{options.runs} runs"
+    )
     for column, unit in MEASURES:
         slope, intercept, residual, spread = fit(rows, column)
         print(
@@ -101,6 +105,7 @@
     parser.add_argument("parts", nargs="*", help=f"of {', '.join(PARTS)}")
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--sizes", type=int, nargs="*", help="instead of the part's")
     parser.add_argument("--out", default="out")
     parser.add_argument("--child", help=argparse.SUPPRESS)
     parser.add_argument("--size", type=int, help=argparse.SUPPRESS)
@@ -110,6 +115,8 @@
         part = PARTS[options.child]
         part.run_child(options.size, options.seconds, options.arguments)
         return
+    # What was started ends with the context that started it.
+    signal.signal(signal.SIGTERM, lambda *_a: sys.exit(1))
     print(f"{platform.machine()}, {os.cpu_count()} processors, ", end="")
     print(f"Python {platform.python_version()}, no random input")
     for name in options.parts or PARTS:
--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -125,6 +125,7 @@
             config=fakes.fake_config(kernel.clock),
             driver=fakes.Fake(driver=HttpDriver(kernel.clock)),
             dispatcher=fakes.Fake(take_reports=lambda *_a: True),
+            platform=fakes.Fake(schedules=True),
             peers=fakes.Fake(
                 handle=lambda *_a: None, companions=lambda: (), leading=True
             ),
@@ -249,6 +250,7 @@
         from clementinebay.services.platform import Platform
 
         kernel = fakes.FakeKernel(url=arguments["url"])
+        kernel.services["livelist"] = fakes.Fake(vms={}, domains=list, daemons=list)
         store = await stack.enter_async_context(Platform(kernel))
         kernel.services["platform"] = store
         self.watcher = await stack.enter_async_context(ConfigWatcher(kernel))
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -22,6 +22,17 @@
 PLATFORM_CALLS = Counter(
     "clementine_platform_calls", "Calls to the platform.", ["kind"]
 )
+PLATFORM_REFUSED = Counter(
+    "clementine_platform_refused", "Calls over this daemon's share.", ["kind"]
+)
+PLATFORM_SHARE = Gauge(
+    "clementine_platform_share", "Calls a second that are this daemon's.", ["kind"]
+)
+BACKGROUND_FAILURES = Counter(
+    "clementine_background_failures",
+    "Loops that failed and were begun again.",
+    ["service", "loop", "error"],
+)
 PLATFORM_WATCHES = Gauge("clementine_platform_watches", "Watches that wait.")
 REQUESTS = Counter("clementine_requests", "Client requests by outcome.", ["outcome"])
 REQUEST_SECONDS = Histogram(
--- a/clementinebay/platform/accountant.py
+++ b/clementinebay/platform/accountant.py
@@ -7,10 +7,18 @@
 
 #: Longest wait for a free call before it is refused, in seconds.
 LONGEST_WAIT_SECONDS = 1.0
+#: Calls that may follow each other at once, in seconds of the rate.
+BURST_SECONDS = 0.05
+#: Share of the platform's rates that all daemons together use, bursts apart.
+USED_SHARE = 0.7
+#: Share of a daemon's rate that is kept for control.
+CONTROL_SHARE = 0.2
+#: Share of all writes that goes to the daemons that schedule.
+SCHEDULERS_SHARE = 0.25
 
 
 class CallRate:
-    """A token bucket of one second's calls; a pure state machine."""
+    """A token bucket; a pure state machine.  ``rate`` is in calls a second."""
 
     __slots__ = ("rate", "free_at")
 
@@ -18,31 +26,94 @@
         self.rate = rate
         self.free_at = 0.0
 
+    def wait(self, now):
+        """Return the seconds until the next call is free."""
+        return max(0.0, self.free_at - now)
+
     def take(self, now):
         """Reserve a call and return the seconds to wait for it.
 
         Raises `CallBudgetSpentError` and reserves nothing if the wait is too long.
         """
-        start = max(self.free_at, now - 1.0)
-        wait = max(0.0, start + 1.0 / self.rate - now)
+        wait = self.wait(now)
         if wait > LONGEST_WAIT_SECONDS:
-            raise errors.CallBudgetSpentError(f"more than {self.rate} calls a second")
-        self.free_at = start + 1.0 / self.rate
+            raise errors.CallBudgetSpentError(f"over {self.rate:.1f} calls a second")
+        self.free_at = max(self.free_at, now - BURST_SECONDS) + 1.0 / self.rate
+        return wait
+
+
+class Share:
+    """A daemon's share of one rate: a part for control alone, and the rest."""
+
+    __slots__ = ("control", "rest")
+
+    def __init__(self, rate):
+        self.control = CallRate(rate)
+        self.rest = CallRate(rate)
+        self.resize(rate)
+
+    def resize(self, rate):
+        """Change the calls a second."""
+        self.control.rate = rate * CONTROL_SHARE
+        self.rest.rate = rate * (1 - CONTROL_SHARE)
+
+    def take(self, now, control):
+        """Reserve a call, for control where it is free sooner; see `CallRate.take`."""
+        if control and self.control.wait(now) < self.rest.wait(now):
+            return self.control.take(now)
+        return self.rest.take(now)
+
+
+def shares(reads, writes, daemons, schedulers, schedules):
+    """Return a daemon's reads and writes a second.
+
+    ``reads`` and ``writes`` are the platform's rates; ``daemons`` share them.  Part of
+    the writes goes to the ``schedulers``, one a domain, of which this is one if it
+    ``schedules``.
+    """
+    reads *= USED_SHARE
+    writes *= USED_SHARE
+    equal = writes * (1 - SCHEDULERS_SHARE) / daemons
+    extra = writes * SCHEDULERS_SHARE / schedulers if schedules else 0.0
+    return reads / daemons, equal + extra
+
+
+class Budget:
+    """What this daemon may call the platform in one second, by kind of call."""
+
+    def __init__(self, clock, reads, writes):
+        self.clock = clock
+        self.shares = {"read": Share(reads), "write": Share(writes)}
+        self.resize(reads, writes)
+
+    def resize(self, reads, writes):
+        """Change the calls a second."""
+        for kind, rate in (("read", reads), ("write", writes)):
+            self.shares[kind].resize(rate)
+            metrics.PLATFORM_SHARE.labels(kind).set(rate)
+
+    def take(self, kind, control):
+        """Count a call and return the seconds to wait for its turn."""
+        try:
+            wait = self.shares[kind].take(self.clock.now(), control)
+        except errors.CallBudgetSpentError:
+            metrics.PLATFORM_REFUSED.labels(kind).inc()
+            raise
+        metrics.PLATFORM_CALLS.labels(kind).inc()
         return wait
 
 
 class AccountedStore(KeyValueStore):
-    """Wraps ``store``; at most ``reads`` and ``writes`` calls a second."""
+    """Wraps ``store`` and keeps to a `Budget`; ``control`` may use all of it."""
 
-    def __init__(self, store, clock, reads, writes):
+    def __init__(self, store, budget, control=False):
         self.store = store
-        self.clock = clock
-        self.rates = {"read": CallRate(reads), "write": CallRate(writes)}
+        self.budget = budget
+        self.control = control
 
     async def count(self, kind):
         """Count a call of ``kind`` and wait for its turn."""
-        wait = self.rates[kind].take(self.clock.now())
-        metrics.PLATFORM_CALLS.labels(kind).inc()
+        wait = self.budget.take(kind, self.control)
         if wait:
             await asyncio.sleep(wait)
 
--- a/clementinebay/services/configwatcher.py
+++ b/clementinebay/services/configwatcher.py
@@ -21,7 +21,7 @@
 
     async def start(self):
         """Begin to read."""
-        self.store = ConfigStore(self.kernel.find("platform").store, self.clock)
+        self.store = ConfigStore(self.kernel.find("platform").control, self.clock)
         self.document = config.Document(config.Head(), {})
         self.confirmed_at = 0.0
         self.background.spawn(self.watch)
--- a/clementinebay/services/platform.py
+++ b/clementinebay/services/platform.py
@@ -1,11 +1,17 @@
 """Service "platform": the key-value store, accounted."""
 
+import asyncio
 import importlib
 
 from clementinebay import errors
-from clementinebay.platform.accountant import AccountedStore
+from clementinebay.platform.accountant import AccountedStore, Budget, shares
 from clementinebay.service import Service
 
+#: Daemons that are assumed to share the platform until the live list was read.
+ASSUMED_DAEMONS = 40
+#: Time between two looks at how many share it, in seconds.
+RESIZE_SECONDS = 1.0
+
 #: Protocol name -> (module, class) of `KeyValueStore`.
 STORES = {"etcd-json": ("clementinebay.platform.etcd", "EtcdStore")}
 
@@ -20,9 +26,15 @@
 
 
 class Platform(Service):
-    """Owns ``store``, through which every call to the platform goes."""
+    """Owns ``store`` and ``control``, through which every call to the platform goes.
+
+    ``control`` is for what promises depend on: the leader lease, the shard's log and
+    the configuration.  A part of this daemon's share is kept for it.  ``schedules``
+    tells whether this daemon schedules its domain, for which it needs more writes.
+    """
 
     name = "platform"
+    requires = ("livelist",)
 
     async def start(self):
         """Open the store."""
@@ -32,11 +44,30 @@
             settings.platform_url,
             settings.platform_timeout_seconds,
         )
-        self.store = AccountedStore(
-            store,
-            self.clock,
+        self.schedules = False
+        self.budget = Budget(self.clock, *self.share())
+        self.store = AccountedStore(store, self.budget)
+        self.control = AccountedStore(store, self.budget, control=True)
+        self.background.spawn(self.resize)
+
+    async def resize(self):
+        """Follow the number of daemons that share the platform."""
+        while True:
+            self.budget.resize(*self.share())
+            await asyncio.sleep(RESIZE_SECONDS)
+
+    def share(self):
+        """Return this daemon's reads and writes a second."""
+        livelist = self.kernel.find("livelist")
+        settings = self.settings
+        daemons = 1 + len(livelist.daemons()) if livelist.vms else ASSUMED_DAEMONS
+        domains = max(1, len(livelist.domains()))
+        return shares(
             settings.platform_reads_per_second,
             settings.platform_writes_per_second,
+            daemons,
+            domains,
+            self.schedules,
         )
 
     async def stop(self):
--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -45,7 +45,7 @@
     """
 
     name = "renewals"
-    requires = ("shard", "driver", "dispatcher", "peers")
+    requires = ("shard", "driver", "dispatcher", "peers", "platform")
 
     async def start(self):
         """Begin to renew."""
@@ -71,6 +71,7 @@
     @active.setter
     def active(self, active):
         self.peers.leading = active
+        self.kernel.find("platform").schedules = active
 
     def ask_again(self):
         """Have every endpoint report all that it knows."""
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -42,7 +42,7 @@
         self.livelist = self.kernel.find("livelist")
         self.domain = settings.daemon_failure_domain
         self.leader = LeaderLease(
-            self.kernel.find("platform").store,
+            self.kernel.find("platform").control,
             self.domain,
             settings.daemon_name,
             settings.scheduler_leader_seconds,
--- a/clementinebay/services/shard.py
+++ b/clementinebay/services/shard.py
@@ -36,7 +36,7 @@
 
     def open(self, domain):
         """Return the log of ``domain`` for this daemon as a writer."""
-        store = self.kernel.find("platform").store
+        store = self.kernel.find("platform").control
         return ShardLog(store, domain, self.settings.daemon_name, self.clock)
 
     @property
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -101,8 +101,8 @@
     Option("platform", "live_list_url", REQUIRED, "URL of the list of VMs."),
     _seconds("platform", "timeout_seconds", 2.0, "Longest wait for one call."),
     _seconds("platform", "live_list_seconds", 1.0, "Time between two list reads."),
-    _count("platform", "reads_per_second", 200, "This daemon's share of reads."),
-    _count("platform", "writes_per_second", 40, "This daemon's share of writes."),
+    _count("platform", "reads_per_second", 2000, "Reads of all daemons together."),
+    _count("platform", "writes_per_second", 300, "Writes of all daemons together."),
     Option(
         "endpoint",
         "driver",
--- /dev/null
+++ b/tests/platform/test_accountant.py
@@ -0,0 +1,67 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinebay import errors
+from clementinebay.clock import ManualClock
+from clementinebay.platform import accountant
+
+READS, WRITES = 2000, 300
+
+
+def spend(budget, kind, count, control):
+    """Return the times at which calls of a burst go out."""
+    times = []
+    for _call in range(count):
+        try:
+            times.append(budget.clock.now() + budget.take(kind, control))
+        except errors.CallBudgetSpentError:
+            break
+    return times
+
+
+def test_daemons_that_all_start_at_once_stay_within_the_rates():
+    for daemons in (1, 8, 40):
+        for kind, limit in (("read", READS), ("write", WRITES)):
+            times = []
+            for number in range(daemons):
+                rates = accountant.shares(READS, WRITES, daemons, 5, number < 5)
+                budget = accountant.Budget(ManualClock(), *rates)
+                times += spend(budget, kind, 3000, control=True)
+            first = min(times)
+            for second in range(2):
+                start = first + second * 0.5
+                assert sum(start <= t < start + 1.0 for t in times) <= limit
+
+
+@given(st.integers(1, 80), st.integers(1, 10))
+def test_shares_of_all_daemons_leave_room(daemons, domains):
+    domains = min(daemons, domains)
+    rates = [
+        accountant.shares(READS, WRITES, daemons, domains, number < domains)
+        for number in range(daemons)
+    ]
+    assert (
+        sum(reads for reads, _writes in rates) <= READS * accountant.USED_SHARE + 1e-6
+    )
+    assert (
+        sum(writes for _reads, writes in rates) <= WRITES * accountant.USED_SHARE + 1e-6
+    )
+
+
+def test_control_finds_room_when_the_rest_is_spent():
+    budget = accountant.Budget(ManualClock(), 50, 10)
+    spend(budget, "write", 1000, control=False)
+    with pytest.raises(errors.CallBudgetSpentError):
+        budget.take("write", False)
+    assert budget.take("write", True) < accountant.LONGEST_WAIT_SECONDS / 2
+
+
+def test_rate_is_regained_with_time():
+    clock = ManualClock()
+    budget = accountant.Budget(clock, 50, 10)
+    assert len(spend(budget, "write", 1000, control=True)) <= 13
+    with pytest.raises(errors.CallBudgetSpentError):
+        budget.take("write", True)
+    clock.advance(10.0)
+    assert budget.take("write", True) == 0.0
--- a/tests/services/test_renewals.py
+++ b/tests/services/test_renewals.py
@@ -78,6 +78,7 @@
         driver=Fake(driver=Endpoints()),
         dispatcher=Fake(take_reports=lambda *report: taken.append(report)),
         peers=PeerLink(),
+        platform=Fake(schedules=False),
     )
     async with contextlib.AsyncExitStack() as stack:
         yield await stack.enter_async_context(Renewals(kernel))
