--- a/clementinebay/kernel.py
+++ b/clementinebay/kernel.py
@@ -20,6 +20,7 @@
         self.services = {}
         self.stack = contextlib.AsyncExitStack()
         self.stopping = asyncio.Event()
+        self.starting = []
 
     def find(self, name):
         """Return the running service ``name``; raise `KernelError` if none runs."""
@@ -32,6 +33,17 @@
         """Start service ``name`` after the services that it requires."""
         if name in self.services:
             return self.services[name]
+        if name in self.starting:
+            circle = " -> ".join([*self.starting, name])
+            raise errors.KernelError(f"services require each other: {circle}")
+        self.starting.append(name)
+        try:
+            return await self.start_after_required(name)
+        finally:
+            self.starting.pop()
+
+    async def start_after_required(self, name):
+        """Start what service ``name`` requires, and the service."""
         kind = find_service_class(name)
         for required in kind.requires:
             await self.start(required)
--- a/clementinebay/service.py
+++ b/clementinebay/service.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from clementinebay.background import Background
+from clementinebay.log import Log
 
 
 class Service(ABC):
@@ -29,9 +30,23 @@
         """Finish what is in progress and close what the service owns."""
 
     async def __aenter__(self):
-        await self.start()
+        try:
+            await self.start()
+        except BaseException:
+            await self.close_what_was_opened()
+            raise
         return self
 
+    async def close_what_was_opened(self):
+        """Stop after a start that failed, as far as that is possible."""
+        try:
+            await self.__aexit__()
+        except Exception as error:
+            Log(self.name).debug("Half a start cannot be stopped: %r.", error)
+            await self.background.__aexit__()
+
     async def __aexit__(self, *exc):
-        await self.stop()
-        await self.background.__aexit__(*exc)
+        try:
+            await self.stop()
+        finally:
+            await self.background.__aexit__(*exc)
