--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -75,11 +75,11 @@
         )
         return status, answer
 
-    async def order(self, address, path, message, kind):
-        """POST an order and return the decoded answer."""
+    async def order(self, address, path, message, kind, wait_seconds=0.0):
+        """POST an order and return the decoded answer, kept for ``wait_seconds``."""
         content = msgspec.json.encode(message)
         status, _headers, body = await self.send(
-            address, path, content, {}, ORDER_SECONDS, ""
+            address, path, content, {}, ORDER_SECONDS + wait_seconds, ""
         )
         if status == 409:
             raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
@@ -105,4 +105,6 @@
 
     async def renew(self, address, renewal):
         """See `EndpointDriver`."""
-        return await self.order(address, "/v1/renew", renewal, Report)
+        return await self.order(
+            address, "/v1/renew", renewal, Report, renewal.wait_seconds
+        )
