Share the scores of batch jobs of one kind and size

Change: what runs on an endpoint is looked up once a decision, jobs of one kind and size share a heap of scores, and quotas count each job once.

--- a/clementinebay/policy/colocation.py
+++ b/clementinebay/policy/colocation.py
@@ -231,12 +231,24 @@
         self.model = model
         self.mixes = mixes
         self.usage = usage
-        self.added = {}
+        self.cores = {}
+        self.slowdowns = {}
 
-    def mix(self, name):
-        """Return the services and cores by kind on an endpoint as now decided."""
-        found = self.mixes.get(self.state, self.state.endpoints[name], self.usage)
-        return self.added.get(name, (found.services, found.cores))
+    def look(self, name):
+        """Return {service's kind: slowdown} on an endpoint as now decided."""
+        found = self.slowdowns.get(name)
+        if found is None:
+            endpoint = self.state.endpoints[name]
+            mix = self.mixes.get(self.state, endpoint, self.usage)
+            found = self.note(name, mix.services, mix.cores)
+        return found
+
+    def note(self, name, services, cores):
+        """Keep what runs on an endpoint; return its services' slowdowns."""
+        self.cores[name] = cores
+        found = {kind: self.model.slowdown(kind, cores) for kind in services}
+        self.slowdowns[name] = found
+        return found
 
     def slowdown(self, job, room):
         """Return the slowdown that a task of ``job`` adds in ``room``.
@@ -244,25 +256,24 @@
         It is infinite where throttling could not keep it within bounds.
         """
         spec = job.spec
-        services, cores = self.mix(room.id)
+        slowdowns = self.look(room.id)
         if spec.workload == wire.Workload.SERVICE:
-            return self.model.slowdown(spec.kind, cores) - 1.0
+            return self.model.slowdown(spec.kind, self.cores[room.id]) - 1.0
         own = spec.size.processors_milli / 1000.0
         worst = 0.0
-        for kind in services:
+        for kind, slowdown in slowdowns.items():
             more = self.model.weight(kind, spec.kind) * own
-            total = self.model.slowdown(kind, cores) - 1.0 + more
-            if 1.0 + MIN_SHARE * total > AIM:
+            if 1.0 + MIN_SHARE * (slowdown - 1.0 + more) > AIM:
                 return math.inf
             worst = max(worst, more)
         return worst
 
     def took(self, job, room):
         """Count a task that was bound in ``room``."""
-        services, cores = self.mix(room.id)
-        services, cores = set(services), Counter(cores)
+        services = set(self.look(room.id))
+        cores = Counter(self.cores[room.id])
         if job.spec.workload == wire.Workload.SERVICE:
             services.add(job.spec.kind)
         else:
             cores[job.spec.kind] += job.spec.size.processors_milli / 1000.0
-        self.added[room.id] = (services, cores)
+        self.note(room.id, services, cores)
--- a/clementinebay/policy/planner.py
+++ b/clementinebay/policy/planner.py
@@ -8,8 +8,8 @@
 import heapq
 from collections import defaultdict
 
+from clementinebay.policy import quota
 from clementinebay.policy.placement import FORBIDDEN, Balanced, Neighbours, Room
-from clementinebay.policy.quota import Ledger
 from clementinebay.policy.taskhealth import TaskHealth
 from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
@@ -71,7 +71,7 @@
         self.policy = policy
         self.now = now
         self.health = health or TaskHealth()
-        self.ledger = ledger or Ledger()
+        self.ledger = ledger or quota.Ledger()
         self.rooms = [
             Room(endpoint)
             for endpoint in state.endpoints.values()
@@ -81,6 +81,7 @@
             room.id for room in self.rooms if self.health.on_probation(room.id)
         }
         self.unfit = []
+        self.heaps = {}
         self.taken = defaultdict(int)
 
     def plan(self, lease_deadline, limit):
@@ -119,7 +120,20 @@
             plan.binds.append(self.bind(candidate, room, lease_deadline))
 
     def heap(self, job, neighbours):
-        """Return the rooms that fit ``job``, best first, as a heap."""
+        """Return the rooms that fit ``job``, best first, as a heap.
+
+        Batch jobs of the same kind and size share one, as their scores are the same.
+        """
+        spec = job.spec
+        if spec.workload == wire.Workload.SERVICE:
+            return self.make_heap(job, neighbours)
+        key = (spec.kind, *quota.amounts(spec.size))
+        if key not in self.heaps:
+            self.heaps[key] = self.make_heap(job, neighbours)
+        return self.heaps[key]
+
+    def make_heap(self, job, neighbours):
+        """Return a heap of (negative score, id, `Room`)."""
         heap = [
             (-score, room.id, room)
             for room in self.rooms
--- a/clementinebay/policy/quota.py
+++ b/clementinebay/policy/quota.py
@@ -56,11 +56,11 @@
             for most, used, more in zip(limit, held, amounts(size), strict=True)
         )
 
-    def take(self, team, size):
-        """Count ``size`` as held by ``team``."""
+    def take(self, team, size, count=1):
+        """Count ``count`` tasks of ``size`` as held by ``team``."""
         held = self.held.get(team, (0, 0, 0))
         self.held[team] = tuple(
-            used + more for used, more in zip(held, amounts(size), strict=True)
+            used + more * count for used, more in zip(held, amounts(size), strict=True)
         )
 
 
@@ -72,7 +72,6 @@
     for job in state.jobs.values():
         if job.spec.team not in limits:
             continue
-        for task in job.tasks.values():
-            if task.phase in HOLDING:
-                book.take(job.spec.team, job.spec.size)
+        holding = sum(task.phase in HOLDING for task in job.tasks.values())
+        book.take(job.spec.team, job.spec.size, holding)
     return book
