--- a/clementinebay/policy/colocation.py
+++ b/clementinebay/policy/colocation.py
@@ -10,7 +10,7 @@
 
 from clementinebay.policy import eviction
 from clementinebay.policy.placement import Room
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Slowdown of a service above which something is done.
--- a/clementinebay/policy/eviction.py
+++ b/clementinebay/policy/eviction.py
@@ -1,7 +1,7 @@
 """Which running work gives way to urgent work, at the least lost work."""
 
 from clementinebay.policy.placement import Room
-from clementinebay.shard.state import HOLDING, Phase
+from clementinebay.shard.entities import HOLDING, Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Most releases that one decision makes.
--- a/clementinebay/policy/planner.py
+++ b/clementinebay/policy/planner.py
@@ -11,7 +11,7 @@
 from clementinebay.policy import quota
 from clementinebay.policy.placement import FORBIDDEN, Balanced, Neighbours, Room
 from clementinebay.policy.taskhealth import TaskHealth
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Most bindings that one decision makes.
--- a/clementinebay/policy/quota.py
+++ b/clementinebay/policy/quota.py
@@ -1,6 +1,6 @@
 """Quotas of teams: how much of what a team holds may be bound in one domain."""
 
-from clementinebay.shard.state import HOLDING
+from clementinebay.shard.entities import HOLDING
 
 #: Keys of a team's section, in the order of `amounts`.
 KEYS = ("processors", "memory_mb", "accelerators")
--- a/clementinebay/policy/taskhealth.py
+++ b/clementinebay/policy/taskhealth.py
@@ -11,7 +11,7 @@
 from collections import deque
 from enum import StrEnum
 
-from clementinebay.shard.state import HOLDING
+from clementinebay.shard.entities import HOLDING
 from clementinebay.shard.wire import ttypes as wire
 
 #: Time for which an outcome counts, in seconds.
--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -7,7 +7,7 @@
 from clementinebay.peer.wire import ttypes as peer_wire
 from clementinebay.service import Service
 from clementinebay.services.shard import submit
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -7,8 +7,8 @@
 from clementinebay.policy import eviction, membership, placement, planner, quota
 from clementinebay.policy.taskhealth import ParkReason, TaskHealth
 from clementinebay.service import Service
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.leader import LeaderLease
-from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Longest time between two decisions about a state that did not change, in seconds.
@@ -121,7 +121,7 @@
         """Return the records that the state and the platform's word ask for."""
         state, settings = self.shard.state, self.settings
         self.health.forget(state, now)
-        records = self.domain_records()
+        records = membership.domain_records(state, self.config.document, self.domain)
         records += self.endpoint_records(now)
         skew = settings.scheduler_clock_skew_seconds
         records += membership.expired_records(state, now, skew)
@@ -173,16 +173,6 @@
         ]
         return quota.limits(document, self.domain, domains)
 
-    def domain_records(self):
-        """Return the record that takes the domain out or in, if that changed."""
-        document = self.config.document
-        state = self.shard.state
-        out = document.domain_out(self.domain)
-        if out == state.out or document.revision <= state.revision:
-            return []
-        change = wire.DomainState(out, document.revision)
-        return [wire.Record(domain_state=change)]
-
     def first_lease(self):
         """Return the deadline of a first lease.
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -23,11 +23,12 @@
 port = {front}
 [peer]
 port = {peer}
+seeds = {seeds}
 [platform]
 url = {platform}
 live_list_url = {live_list}
 [trace]
-sample_percent = 100
+sample_percent = {sample}
 {extra}
 """
 
@@ -140,9 +141,16 @@
     """
 
     def __init__(
-        self, domains=("a", "b", "c"), daemons=2, endpoints=2, extra="", **size
+        self,
+        domains=("a", "b", "c"),
+        daemons=2,
+        endpoints=2,
+        extra="",
+        sample=100.0,
+        **size,
     ):
         self.domains = domains
+        self.sample = sample
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -232,7 +240,8 @@
                 front, peer = free_ports(2)
                 daemon = Daemon(f"{domain}-entry-{number}", domain, front, peer)
                 self.daemons.append(daemon)
-                self.start_daemon(daemon)
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
         self.list_vms([self.daemon_vm(daemon) for daemon in self.daemons])
         for daemon in self.daemons:
             self.wait_ready(daemon)
@@ -256,13 +265,20 @@
                     domain=daemon.domain,
                     front=daemon.front,
                     peer=daemon.peer,
+                    seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
                     live_list=f"{self.platform_of(daemon)}/vms",
                     extra=self.extra,
+                    sample=self.sample,
                 )
             )
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
 
+    def seeds_of(self, daemon):
+        """Return the peer addresses of all other daemons."""
+        others = [d for d in self.daemons if d is not daemon]
+        return ", ".join(f"127.0.0.1:{other.peer}" for other in others)
+
     def platform_of(self, _daemon):
         """Return the platform's URL as a daemon sees it."""
         return self.platform_url
--- a/tests/policy/test_taskhealth.py
+++ b/tests/policy/test_taskhealth.py
@@ -1,6 +1,6 @@
 from clementinebay.policy import planner, taskhealth
 from clementinebay.policy.taskhealth import TaskHealth
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 from tests.policy import factory
 
