Let a part of a job's untouched tasks move

Cause: a move had to take all tasks that were never bound, so a job could not be split over targets by what they have free. The state machine takes a prefix now; the rest stays as it was.

--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -288,10 +288,13 @@
                 raise errors.SecondBindingError(f"{record.job}/{record.first_index}")
             checkpoint = task.checkpoint
             del job.tasks[record.first_index]
-        elif record.first_index != job.next_index or record.count != job.untouched:
+        elif (
+            record.first_index != job.next_index
+            or not 0 < record.count <= job.untouched
+        ):
             raise errors.StaleAttemptError(f"{record.job}/{record.first_index}")
         else:
-            job.next_index = job.end_index
+            job.next_index += record.count
         self.outbox[record.part] = Outgoing(record.target, spec, checkpoint)
         self.settle(job, record.at)
 
--- a/tests/shard/test_state.py
+++ b/tests/shard/test_state.py
@@ -204,3 +204,11 @@
     state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
     state.apply(forget)
     assert not state.endpoints
+
+
+def test_part_of_the_untouched_tasks_may_move(state):
+    move = wire.Move("minutes", 0, 2, "b", "minutes~0~x")
+    state.apply(wire.Record(move=move))
+    assert (state.jobs["minutes"].next_index, state.jobs["minutes"].untouched) == (2, 1)
+    with pytest.raises(errors.StaleAttemptError):
+        state.apply(wire.Record(move=wire.Move("minutes", 2, 2, "b", "other")))
