Move waiting work to domains that have room for it

Cause: work left only a domain that was out, in turn to all others, whatever they had free, and never came back. Change: policy/balance.py takes the place of policy/moving.py. A domain that is out sends everything, urgent work first, by what is free; one that is in sends what finds no room, a quarter of what a target has free in a second at most. What is free is read from the target's log, only while tasks are left over.

--- /dev/null
+++ b/clementinebay/policy/balance.py
@@ -0,0 +1,162 @@
+"""Which waiting tasks move to another domain, and how many at a time.
+
+A domain that is out sends everything away, urgent work first.  One that is in sends
+only what finds no room, and only a part of what a target has free, so that a domain
+which has come back fills slowly and no target is overloaded by several sources.
+"""
+
+import math
+
+from clementinebay.policy import placement, planner
+from clementinebay.shard.state import Phase
+from clementinebay.shard.wire import ttypes as wire
+
+#: Most moves that one decision makes.
+MOVES_PER_DECISION = 100
+#: Part of what a target has free that all sources together fill in one decision.
+REFILL_PART = 0.25
+
+
+class Space:
+    """Free room on a domain's endpoints, taken as tasks are sent there."""
+
+    def __init__(self, state):
+        self.rooms = [
+            placement.Room(endpoint)
+            for endpoint in state.endpoints.values()
+            if endpoint.usable
+        ]
+        self.unfit = []
+
+    def count(self, size, most):
+        """Return how many tasks of ``size`` fit, ``most`` at the most."""
+        return sum(n for _room, n in self.fitting(size, most))
+
+    def take(self, size, most):
+        """Reserve ``size`` for as many tasks as fit; return how many."""
+        total = 0
+        for room, number in list(self.fitting(size, most)):
+            room.processors -= size.processors_milli * number
+            room.memory -= size.memory_mb * number
+            room.accelerators -= size.accelerators * number
+            total += number
+        return total
+
+    def fitting(self, size, most):
+        """Yield (room, tasks of ``size`` that fit there)."""
+        if size in self.unfit:
+            return
+        left = most
+        for room in self.rooms:
+            number = min(left, tasks_in(room, size))
+            if number:
+                left -= number
+                yield room, number
+            if not left:
+                return
+        if left == most:
+            self.unfit.append(size)
+
+
+def tasks_in(room, size):
+    """Return how many tasks of ``size`` fit into ``room``."""
+    wanted = (size.processors_milli, size.memory_mb, size.accelerators)
+    free = (room.processors, room.memory, room.accelerators)
+    return min(f // w for f, w in zip(free, wanted, strict=True) if w)
+
+
+def space_for_new(state):
+    """Return the `Space` that a domain's own waiting tasks leave."""
+    space = Space(state)
+    for job in planner.queue(state):
+        space.take(job.spec.size, waiting(job))
+    return space
+
+
+def waiting(job):
+    """Return how many tasks of ``job`` wait."""
+    return job.untouched + sum(t.phase == Phase.WAITING for t in job.tasks.values())
+
+
+def surplus(state):
+    """Return (job, tasks that should move), urgent jobs first."""
+    if state.out:
+        return [(job, waiting(job)) for job in planner.queue(state)]
+    space = Space(state)
+    found = []
+    for job in planner.queue(state):
+        wanted = waiting(job)
+        left = wanted - space.take(job.spec.size, wanted)
+        if left:
+            found.append((job, left))
+    return found
+
+
+class Balancer:
+    """One decision of what moves from ``state`` to ``targets``, states by domain."""
+
+    def __init__(self, state, targets, nonce, now):
+        self.state = state
+        self.nonce = nonce
+        self.now = now
+        self.spaces = {
+            name: space_for_new(target)
+            for name, target in sorted(targets.items())
+            if not target.out
+        }
+        self.sources = max(1, len(targets))
+        self.records = []
+
+    def plan(self):
+        """Return the `wire.Move` records."""
+        for job, number in surplus(self.state):
+            if not self.spaces or len(self.records) >= MOVES_PER_DECISION:
+                break
+            shares = self.shares(job.spec.size, number)
+            self.move(job, shares)
+        return self.records
+
+    def shares(self, size, number):
+        """Return {domain: tasks} of ``number`` tasks of ``size``."""
+        part = 1.0 if self.state.out else REFILL_PART / self.sources
+        shares = {}
+        free = {name: s.count(size, number) for name, s in self.spaces.items()}
+        for name in sorted(free, key=lambda name: -free[name]):
+            most = min(number, math.ceil(free[name] * part))
+            shares[name] = self.spaces[name].take(size, most) if most else 0
+            number -= shares[name]
+        if self.state.out:
+            self.split_rest(shares, number)
+        return shares
+
+    def split_rest(self, shares, number):
+        """Add ``number`` tasks without room to ``shares``, as equally as can be."""
+        for turn, name in enumerate(shares):
+            shares[name] += number // len(shares) + (turn < number % len(shares))
+
+    def move(self, job, shares):
+        """Add the moves of ``job``: tasks that ran before first, then new ones."""
+        waiting_indexes = [
+            task.index for task in job.tasks.values() if task.phase == Phase.WAITING
+        ]
+        next_index = job.next_index
+        for target, number in shares.items():
+            while number and waiting_indexes:
+                self.add(job, waiting_indexes.pop(0), 1, target)
+                number -= 1
+            if number:
+                self.add(job, next_index, number, target)
+                next_index += number
+
+    def add(self, job, first, count, target):
+        """Add one move."""
+        if len(self.records) >= MOVES_PER_DECISION:
+            return
+        part = f"{job.spec.origin or job.spec.id}~{first}~{self.nonce}"
+        move = wire.Move(job.spec.id, first, count, target, part)
+        self.records.append(wire.Record(move=move))
+
+
+def move_records(state, targets, nonce, now):
+    """Return the moves that one decision makes."""
+    return Balancer(state, targets, nonce, now).plan()
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -1,4 +1,4 @@
-"""Service "mover": takes waiting tasks out of a domain that is out.
+"""Service "mover": moves waiting tasks to domains that have room for them.
 
 A move is two idempotent steps: the source's log puts the tasks into its outbox, then
 the target's log takes them by a submission that is keyed by the part's name.
@@ -9,11 +9,15 @@
 
 from clementinebay import errors
 from clementinebay.log import Log
-from clementinebay.policy import moving
+from clementinebay.policy import balance
 from clementinebay.service import Service
 from clementinebay.services.shard import submit
 from clementinebay.shard.wire import ttypes as wire
 
+#: Time between two decisions, and after one that found no room, in seconds.
+BALANCE_SECONDS = 1.0
+NO_ROOM_SECONDS = 3.0
+
 log = Log("mover")
 
 
@@ -28,6 +32,7 @@
         self.shard = self.kernel.find("shard")
         self.scheduler = self.kernel.find("scheduler")
         self.logs = {}
+        self.balance_at = 0.0
         self.background.spawn(self.run)
 
     async def run(self):
@@ -42,18 +47,34 @@
                     log.debug("Moving again: %s.", error)
 
     async def move_out(self):
-        """Put waiting tasks into the outbox if the domain is out."""
+        """Put into the outbox what should run in another domain.
+
+        The others' logs tell what is free there; they are read only if tasks are left
+        over here, and rarely while there is no room anywhere.
+        """
+        state, now = self.shard.state, self.clock.now()
+        if state.outbox or (not state.out and now < self.balance_at):
+            return
+        self.balance_at = now + BALANCE_SECONDS
+        if not balance.surplus(state):
+            return
+        targets = {name: (await self.log_of(name)).state for name in self.targets()}
+        nonce = uuid.uuid4().hex[:8]
+        records = balance.move_records(self.shard.state, targets, nonce, now)
+        if records:
+            await self.shard.append(records)
+        else:
+            self.balance_at = now + NO_ROOM_SECONDS
+
+    def targets(self):
+        """Return the other domains that are in."""
         domain = self.settings.daemon_failure_domain
         document = self.kernel.find("config").document
-        targets = [
+        return [
             name
             for name in self.kernel.find("livelist").domains()
             if name != domain and not document.domain_out(name)
         ]
-        nonce = uuid.uuid4().hex[:8]
-        records = moving.move_records(self.shard.state, domain, targets, nonce)
-        if records:
-            await self.shard.append(records)
 
     async def deliver(self):
         """Submit the outbox to the targets, then forget what they have taken."""
--- /dev/null
+++ b/tests/policy/test_balance.py
@@ -0,0 +1,77 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinebay.policy import balance
+from clementinebay.shard.state import State
+from clementinebay.shard.wire import ttypes as wire
+from tests.policy import factory
+
+
+def moves(state, targets):
+    found = []
+    for record in balance.move_records(state, targets, "n", 1.0):
+        state.apply(record)
+        found.append(record.move)
+    state.check()
+    return found
+
+
+def counts(found):
+    total = {}
+    for move in found:
+        total[move.target] = total.get(move.target, 0) + move.count
+    return total
+
+
+def test_domain_that_is_out_sends_everything_urgent_first():
+    state = State()
+    factory.submit(state, "minutes", 30)
+    factory.submit(state, "crew", 2, urgency=wire.Urgency.URGENT)
+    state.apply(wire.Record(domain_state=wire.DomainState(True, 1)))
+    found = moves(state, {"b": factory.fleet(2), "c": factory.fleet(1)})
+    assert found[0].job == "crew"
+    assert sum(counts(found).values()) == 32
+    assert counts(found)["b"] > counts(found)["c"]
+
+
+def test_domain_that_is_in_sends_only_what_finds_no_room_and_slowly():
+    state = factory.fleet(1)
+    factory.submit(state, "minutes", 40)
+    found = moves(state, {"b": factory.fleet(4), "c": State()})
+    assert counts(found) == {"b": 4}
+    factory.submit(state, "more", 1)
+    assert not moves(state, {"b": State(), "c": State()})
+
+
+def test_target_that_is_out_or_whose_own_work_waits_gets_nothing():
+    state = factory.fleet(1)
+    factory.submit(state, "minutes", 40)
+    busy, away = factory.fleet(1), factory.fleet(1)
+    factory.submit(busy, "own", 8)
+    away.apply(wire.Record(domain_state=wire.DomainState(True, 1)))
+    assert not moves(state, {"b": busy, "c": away})
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 50), st.sampled_from((500, 3000))), max_size=6),
+    st.lists(st.integers(0, 3), min_size=1, max_size=3),
+    st.booleans(),
+)
+def test_every_move_is_accepted_and_fits_unless_the_domain_is_out(jobs, sizes, out):
+    state = factory.fleet(1)
+    for number, (count, processors) in enumerate(jobs):
+        factory.submit(state, f"j-{number}", count, processors=processors)
+    if out:
+        state.apply(wire.Record(domain_state=wire.DomainState(True, 1)))
+    targets = {f"t-{n}": factory.fleet(size) for n, size in enumerate(sizes)}
+    found = moves(state, targets)
+    if out:
+        assert not any(balance.waiting(job) for job in state.jobs.values())
+        return
+    for name, target in targets.items():
+        load = sum(
+            move.count * state.jobs[move.job].spec.size.processors_milli
+            for move in found
+            if move.target == name
+        )
+        assert load <= 8000 * len(target.endpoints)
