Settle every change of the configuration, deletions and lost answers too

Cause: a change of a section that another had deleted did not conflict; a retry that found the platform down reported a write as without effect that may have had one; a value of two lines, or a text with a second section sent over HTTP, became other keys or sections when the document was joined; an old revision told by the platform counted as word of what is in force; all texts were read one after another. Ruled out: a history read for each conflict check (up to 2,000 entries a call).

--- a/clementinebay/config.py
+++ b/clementinebay/config.py
@@ -7,6 +7,7 @@
 
 import configparser
 import hashlib
+import re
 
 import msgspec
 
@@ -16,6 +17,8 @@
 MAX_SECTION_BYTES = 100_000
 #: Most sections of a document.
 MAX_SECTIONS = 5_000
+#: What a section may be named.
+SECTION_NAME = re.compile(r"[a-z]+:[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 
 
 class Key:
@@ -105,10 +108,14 @@
 
 
 class Head(msgspec.Struct):
-    """One revision of the document."""
+    """One revision of the document.
+
+    ``deleted`` maps sections that were deleted lately to the revision that did it.
+    """
 
     revision: int = 0
     sections: dict[str, SectionRef] = {}
+    deleted: dict[str, int] = {}
 
 
 class Change(msgspec.Struct):
@@ -128,6 +135,8 @@
 
 def parse(text):
     """Return the parsed document; raise `ConfigInvalidError` if it is not INI."""
+    if "\0" in text:
+        raise errors.ConfigInvalidError([Problem("*", "*", "\0", "text without NUL")])
     parser = configparser.ConfigParser(interpolation=None, default_section="\0")
     try:
         parser.read_string(text, source="document")
@@ -137,18 +146,43 @@
 
 
 def split(text):
-    """Return {section: canonical text} of a document; raise `ConfigInvalidError`.
-
-    The canonical text has one line a key, sorted, so that equal sections have equal
-    digests.
-    """
+    """Return {section: canonical text} of a document; raise `ConfigInvalidError`."""
     parser = parse(text)
-    return {
-        section: "".join(
-            f"{key} = {value}\n" for key, value in sorted(parser.items(section))
+    sections = {name: list(parser.items(name)) for name in parser.sections()}
+    problems = [
+        Problem(section, key, value, "one line of text")
+        for section, items in sections.items()
+        for key, value in items
+        if "\n" in value
+    ]
+    if problems:
+        raise errors.ConfigInvalidError(problems)
+    return {section: canonical(items) for section, items in sections.items()}
+
+
+def canonical(items):
+    """Return the text of (key, value) pairs: one line a key, sorted.
+
+    Equal sections so have equal digests.
+    """
+    return "".join(f"{key} = {value}\n" for key, value in sorted(items))
+
+
+def clean(section, text):
+    """Return the canonical text of one section; raise `ConfigInvalidError`."""
+    if not SECTION_NAME.fullmatch(section):
+        raise errors.ConfigInvalidError([_misnamed(section)])
+    found = split(f"[{section}]\n{text}")
+    if list(found) != [section]:
+        raise errors.ConfigInvalidError(
+            [Problem(section, "*", list(found)[-1], "one section")]
         )
-        for section in parser.sections()
-    }
+    return found[section]
+
+
+def _misnamed(section):
+    allowed = ", ".join(f"{kind}:NAME" for kind in KINDS)
+    return Problem(section, "*", None, f"a section named {allowed}")
 
 
 def join(sections):
@@ -180,10 +214,9 @@
             Problem("*", "*", len(sections), f"at most {MAX_SECTIONS} sections")
         )
     for section, text in sections.items():
-        kind, _colon, name = section.partition(":")
-        if kind not in KINDS or not name:
-            allowed = ", ".join(f"{kind}:NAME" for kind in KINDS)
-            problems.append(Problem(section, "*", None, f"a section named {allowed}"))
+        kind = section.partition(":")[0]
+        if kind not in KINDS or not SECTION_NAME.fullmatch(section):
+            problems.append(_misnamed(section))
         elif len(text.encode()) > MAX_SECTION_BYTES:
             allowed = f"at most {MAX_SECTION_BYTES} bytes"
             problems.append(Problem(section, "*", len(text), allowed))
--- a/clementinebay/configstore.py
+++ b/clementinebay/configstore.py
@@ -6,22 +6,31 @@
 import msgspec
 
 from clementinebay import config, errors
-from clementinebay.platform.base import Put, prefix_end
+from clementinebay.platform.base import MAX_VALUE_BYTES, Put, prefix_end
 
 HEAD_KEY = "config/head"
 REVISION_KEY = "config/revision"
 HISTORY_PREFIX = "config/history/"
-#: Changes that the history keeps.
+SECTION_PREFIX = "config/section/"
+#: Changes that the history keeps; deletions are remembered as long.
 HISTORY_LIMIT = 2_000
+#: Most changes that one read of the history returns.
+HISTORY_READ_LIMIT = 200
+#: Reads of section texts in progress at once.
+FETCHES = 8
+#: Texts that one scan returns; when more than `FETCHES` lack, they are scanned.
+SCAN_LIMIT = 100
 #: Attempts to merge a change with those of others.
 MERGE_ATTEMPTS = 100
 #: Wait before a change whose answer was lost is tried again, in seconds.
 RETRY_SECONDS = 0.2
+#: Longest time in which a write whose answer was lost is settled, in seconds.
+SETTLE_SECONDS = 10.0
 
 
 def text_key(section, digest):
     """Return the platform key of a section's text."""
-    return f"config/section/{section}/{digest}"
+    return f"{SECTION_PREFIX}{section}/{digest}"
 
 
 def history_key(revision):
@@ -59,37 +68,58 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def texts(self, head, known):
-        """Return {section: text} of ``head``."""
-        texts = {}
-        for section, ref in head.sections.items():
-            old = known.head.sections.get(section) if known else None
-            if old and old.digest == ref.digest:
-                texts[section] = known.texts[section]
-                continue
-            entry = await self.store.get(text_key(section, ref.digest))
-            if entry is None:
+        """Return {section: text} of ``head``; raise `ConfigError` if one is gone."""
+        texts = _unchanged(head, known)
+        lacking = {
+            section: text_key(section, ref.digest)
+            for section, ref in head.sections.items()
+            if section not in texts
+        }
+        if len(lacking) > FETCHES:
+            found = await self.scan_texts()
+        else:
+            entries = await asyncio.gather(*map(self.store.get, lacking.values()))
+            found = {entry.key: entry.value for entry in entries if entry}
+        for section, key in lacking.items():
+            if key not in found:
                 raise errors.ConfigError(f"the text of [{section}] is gone")
-            texts[section] = entry.value.decode()
+            texts[section] = found[key].decode()
         return texts
 
+    async def scan_texts(self):
+        """Return {key: value} of all texts, in few calls."""
+        found = {}
+        start = SECTION_PREFIX
+        while True:
+            entries, _revision = await self.store.scan(
+                start, prefix_end(SECTION_PREFIX), SCAN_LIMIT
+            )
+            found.update((entry.key, entry.value) for entry in entries)
+            if len(entries) < SCAN_LIMIT:
+                return found
+            start = entries[-1].key + "\0"
+
     async def history(self, limit):
         """Return the newest ``limit`` changes, newest first."""
+        limit = min(limit, HISTORY_READ_LIMIT)
         head, _version = await self.head()
         start = history_key(max(0, head.revision - limit + 1))
         entries, _revision = await self.store.scan(start, prefix_end(HISTORY_PREFIX))
         changes = [msgspec.json.decode(e.value, type=config.Change) for e in entries]
         return changes[::-1]
 
-    async def apply(self, changes, base, author):
+    async def apply(self, changes, base, author, known=None):
         """Change sections and return the new revision.
 
         ``changes`` maps sections to texts, or to ``None`` to delete; ``base`` is the
         revision on which they were made.  Changes to other sections are merged; a
-        newer change to the same section raises `ConfigConflictError`, a document that
-        would be wrong `ConfigInvalidError`.
+        newer change or deletion of the same section raises `ConfigConflictError`
+        unless it was the same change, a document that would be wrong
+        `ConfigInvalidError`, and an answer that stays lost
+        `ConfigOutcomeUnknownError`.  ``known`` is a `Document` that saves reads.
         """
+        changes = _clean(changes)
         nonce = uuid.uuid4().hex
-        known = None
         for _attempt in range(MERGE_ATTEMPTS):
             head, version = await self.head()
             _raise_conflicts(changes, base, head)
@@ -111,29 +141,82 @@
         """Write ``revised``; return whether it took effect."""
         puts = _puts(revised, change)
         deletes = _stale(head, revised, change)
+        deadline = self.clock.now() + SETTLE_SECONDS
+        uncertain = False
         while True:
             try:
                 await self.store.commit([(HEAD_KEY, version)], puts, deletes)
                 return True
             except errors.CompareFailedError:
-                return await self.took_effect(change)
+                # No copy of the write can take effect any more.
+                return uncertain and await self.took_effect(change, deadline)
             except errors.PlatformOutcomeUnknownError:
-                await asyncio.sleep(RETRY_SECONDS)
+                uncertain = True
+            except errors.PlatformError:
+                if not uncertain:
+                    raise
+            await self.wait_to_settle(deadline)
 
-    async def took_effect(self, change):
+    async def wait_to_settle(self, deadline):
+        """Wait before the next try; raise `ConfigOutcomeUnknownError` if too late."""
+        if self.clock.now() >= deadline:
+            raise errors.ConfigOutcomeUnknownError(
+                "the platform does not tell whether the change is in force"
+            )
+        await asyncio.sleep(RETRY_SECONDS)
+
+    async def took_effect(self, change, deadline):
         """Return whether the history shows ``change`` at its revision."""
-        entry = await self.store.get(history_key(change.revision))
-        if entry is None:
-            return False
-        found = msgspec.json.decode(entry.value, type=config.Change)
-        return found.nonce == change.nonce
+        while True:
+            try:
+                entry = await self.store.get(history_key(change.revision))
+            except errors.PlatformError:
+                await self.wait_to_settle(deadline)
+                continue
+            if entry is None:
+                return False
+            found = msgspec.json.decode(entry.value, type=config.Change)
+            return found.nonce == change.nonce
+
+
+def _unchanged(head, known):
+    """Return {section: text} of what ``known`` holds of ``head``."""
+    if known is None:
+        return {}
+    old = known.head.sections
+    return {
+        section: known.texts[section]
+        for section, ref in head.sections.items()
+        if section in old and old[section].digest == ref.digest
+    }
+
+
+def _clean(changes):
+    """Return ``changes`` with canonical texts; raise `ConfigInvalidError`."""
+    cleaned, problems = {}, []
+    for section, text in changes.items():
+        try:
+            cleaned[section] = None if text is None else config.clean(section, text)
+        except errors.ConfigInvalidError as error:
+            problems += error.problems
+    if problems:
+        raise errors.ConfigInvalidError(problems)
+    return cleaned
 
 
 def _raise_conflicts(changes, base, head):
-    for section in changes:
+    forgotten = head.revision - HISTORY_LIMIT
+    for section, text in changes.items():
         ref = head.sections.get(section)
-        if ref and ref.revision > base:
-            raise errors.ConfigConflictError(section, base, ref.revision)
+        if text is None if ref is None else ref.digest == _digest(text):
+            continue
+        found = ref.revision if ref else head.deleted.get(section, forgotten)
+        if found > base:
+            raise errors.ConfigConflictError(section, base, found)
+
+
+def _digest(text):
+    return None if text is None else config.digest(text)
 
 
 def _raise_invalid(texts, changes):
@@ -146,14 +229,17 @@
 def _revise(head, changes):
     revision = head.revision + 1
     sections = dict(head.sections)
+    deleted = {s: r for s, r in head.deleted.items() if r > revision - HISTORY_LIMIT}
     for section, text in changes.items():
         if text is None:
-            sections.pop(section, None)
+            if sections.pop(section, None):
+                deleted[section] = revision
             continue
+        deleted.pop(section, None)
         digest = config.digest(text)
         if section not in sections or sections[section].digest != digest:
             sections[section] = config.SectionRef(digest, revision)
-    return config.Head(revision, sections)
+    return config.Head(revision, sections, deleted)
 
 
 def _puts(revised, change):
@@ -166,9 +252,18 @@
         if text is not None:
             key = text_key(section, config.digest(text))
             puts.append(Put(key, text.encode()))
+    _raise_oversize(puts)
     return puts
 
 
+def _raise_oversize(puts):
+    allowed = f"at most {MAX_VALUE_BYTES} bytes a change and a head"
+    for put in puts:
+        if len(put.value) > MAX_VALUE_BYTES:
+            problem = config.Problem("*", "*", len(put.value), allowed)
+            raise errors.ConfigInvalidError([problem])
+
+
 def _stale(head, revised, change):
     """Return ranges to delete: replaced texts and the oldest change."""
     doomed = []
--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -60,6 +60,12 @@
         )
 
 
+class ConfigOutcomeUnknownError(ConfigError):
+    """The answer to a change was lost; it may be in force, or come into force."""
+
+    code = "config-outcome-unknown"
+
+
 # Platform
 
 
--- a/clementinebay/operatorapi.py
+++ b/clementinebay/operatorapi.py
@@ -15,6 +15,7 @@
     (errors.RecordRefusedError, 409),
     (errors.PlatformUnavailableError, 503),
     (errors.PlatformError, 504),
+    (errors.ConfigOutcomeUnknownError, 504),
     (errors.ClementineError, 500),
 )
 URGENCIES = {"batch": 0, "normal": 1, "urgent": 2}
@@ -161,8 +162,10 @@
 
     @post("/v1/config")
     async def apply(data: ConfigChange) -> dict[str, int]:
-        store = watcher.store
-        return {"revision": await store.apply(data.sections, data.base, data.author)}
+        revision = await watcher.store.apply(
+            data.sections, data.base, data.author, watcher.document
+        )
+        return {"revision": revision}
 
     @get("/v1/config/history")
     async def history(limit: int = 20) -> list[config.Change]:
@@ -177,7 +180,7 @@
         keys["state"] = data.state
         text = "".join(f"{key} = {keys[key]}\n" for key in sorted(keys))
         revision = await watcher.store.apply(
-            {section: text}, document.revision, data.author
+            {section: text}, document.revision, data.author, document
         )
         return {"revision": revision}
 
--- a/clementinebay/services/configwatcher.py
+++ b/clementinebay/services/configwatcher.py
@@ -35,17 +35,32 @@
     async def read(self):
         """Read the revision, and the document if it is newer."""
         asked_at = self.clock.now()
+        held = self.document.revision
         try:
-            if await self.store.revision() > self.document.revision:
+            newest = await self.store.revision()
+            if newest > self.document.revision:
                 self.adopt(await self.store.document(self.document))
         except errors.PlatformError as error:
             log.debug("Cannot read the revision: %s.", error)
             return
-        self.confirmed_at = asked_at
+        if held <= newest <= self.document.revision:
+            self.confirmed_at = asked_at
+        else:
+            # An old value says nothing of what is in force now.
+            log.warning("The platform told revision %d after %d.", newest, held)
 
     def adopt(self, document):
         """Put ``document`` in force if it is newer than the one that is."""
+        self.check(document)
         if document.revision > self.document.revision:
             self.document = document
             metrics.CONFIG_REVISION.set(document.revision)
             log.info("Revision %d is in force.", document.revision)
+
+    def check(self, document):
+        """Raise `InvariantBrokenError` if one revision has two contents."""
+        same = document.revision == self.document.revision
+        if same and document.head != self.document.head:
+            raise errors.InvariantBrokenError(
+                f"revision {document.revision} has two contents"
+            )
--- /dev/null
+++ b/tests/test_configstore.py
@@ -0,0 +1,205 @@
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from clementinebay import config, configstore, errors
+from clementinebay.clock import ManualClock
+from clementinebay.platform.keyspace import KeySpace, MemoryStore
+
+SECTIONS = ("domain:a", "domain:b", "team:c")
+
+
+class CrashError(Exception):
+    """The process that called the store ended."""
+
+
+class FaultyStore(MemoryStore):
+    """Yields at each call and brings about the faults in ``plan``, one a commit."""
+
+    def __init__(self, space, clock):
+        super().__init__(space)
+        self.clock = clock
+        self.plan = []
+        self.late = []
+
+    async def get(self, key):
+        await asyncio.sleep(0)
+        return await super().get(key)
+
+    async def commit(self, compares, puts=(), deletes=()):
+        await asyncio.sleep(0)
+        fault = self.plan.pop(0) if self.plan else "none"
+        if fault == "late":
+            self.late.append((compares, puts, deletes))
+        if fault in ("none", "lost", "crash-after"):
+            result = await super().commit(compares, puts, deletes)
+        if fault == "none":
+            return result
+        self.clock.advance(3.0)
+        if fault.startswith("crash"):
+            raise CrashError
+        if fault == "down":
+            raise errors.PlatformUnavailableError(fault)
+        raise errors.PlatformOutcomeUnknownError(fault)
+
+    async def deliver(self):
+        """Let the writes that were on their way take effect, if they still can."""
+        for write in self.late:
+            try:
+                await super().commit(*write)
+            except errors.CompareFailedError:
+                pass
+        self.late = []
+
+
+FAULTS = st.lists(
+    st.sampled_from(["none", "lost", "late", "down", "crash-before", "crash-after"]),
+    max_size=6,
+)
+CHANGES = st.dictionaries(
+    st.sampled_from(SECTIONS),
+    st.none() | st.integers(0, 3).map(lambda n: f"owner = {n}\n"),
+    min_size=1,
+    max_size=2,
+)
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Operators who race one another over a store that fails."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.space = KeySpace(self.clock)
+        self.store = FaultyStore(self.space, self.clock)
+        self.config = configstore.ConfigStore(self.store, self.clock)
+        self.number = 0
+        self.accepted = {}
+        self.refused = set()
+        self.highest = 0
+        configstore.RETRY_SECONDS = 0
+
+    def teardown(self):
+        configstore.RETRY_SECONDS = 0.2
+
+    async def change(self, changes, age):
+        self.number += 1
+        author = f"operator-{self.number}"
+        head, _version = await self.config.head()
+        base = max(0, head.revision - age)
+        try:
+            revision = await self.config.apply(changes, base, author)
+        except CrashError:
+            return
+        except errors.ConfigOutcomeUnknownError:
+            return
+        except (errors.ConfigError, errors.PlatformUnavailableError):
+            self.refused.add(author)
+            return
+        self.accepted[author] = revision
+
+    @rule(
+        wanted=st.lists(st.tuples(CHANGES, st.integers(0, 2)), min_size=1, max_size=4),
+        faults=FAULTS,
+    )
+    def race(self, wanted, faults):
+        self.store.plan = list(faults)
+
+        async def all_at_once():
+            await asyncio.gather(*(self.change(*one) for one in wanted))
+
+        asyncio.run(all_at_once())
+        self.store.plan = []
+
+    @rule()
+    def deliver(self):
+        asyncio.run(self.store.deliver())
+
+    @invariant()
+    def history_makes_the_document(self):
+        document = asyncio.run(self.config.document())
+        changes = asyncio.run(self.config.history(200))[::-1]
+        assert document.revision >= self.highest
+        self.highest = document.revision
+        assert [c.revision for c in changes] == list(range(1, document.revision + 1))
+        texts = {}
+        for change in changes:
+            texts.update(change.sections)
+        assert document.texts == {s: t for s, t in texts.items() if t is not None}
+        authors = [change.author for change in changes]
+        assert len(set(authors)) == len(authors)
+        assert not self.refused.intersection(authors)
+
+        written = {change.author: change.revision for change in changes}
+        for author, revision in self.accepted.items():
+            # A change that was in force already writes nothing.
+            assert written.get(author, revision) == revision <= document.revision
+
+
+ConfigMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=12)
+TestConfigMachine = ConfigMachine.TestCase
+
+
+@pytest.fixture
+def store(space, clock, monkeypatch):
+    monkeypatch.setattr(configstore, "RETRY_SECONDS", 0)
+    return FaultyStore(space, clock)
+
+
+@pytest.fixture
+def operators(store, clock):
+    return configstore.ConfigStore(store, clock)
+
+
+async def test_second_operator_on_a_section_is_told_both_revisions(operators):
+    await operators.apply({"domain:a": "state = in"}, 0, "first")
+    with pytest.raises(errors.ConfigConflictError) as conflict:
+        await operators.apply({"domain:a": "state = out"}, 0, "second")
+    assert (conflict.value.expected, conflict.value.found) == (0, 1)
+
+
+async def test_change_of_a_section_that_was_deleted_conflicts(operators):
+    await operators.apply({"domain:a": "state = in"}, 0, "first")
+    await operators.apply({"domain:a": None}, 1, "second")
+    with pytest.raises(errors.ConfigConflictError) as conflict:
+        await operators.apply({"domain:a": "state = out"}, 1, "third")
+    assert (conflict.value.expected, conflict.value.found) == (1, 2)
+
+
+async def test_platform_that_stays_away_leaves_the_outcome_unknown(operators, store):
+    store.plan = ["lost", "down", "down", "down", "down", "down"]
+    with pytest.raises(errors.ConfigOutcomeUnknownError):
+        await operators.apply({"domain:a": "state = out"}, 0, "first")
+    assert (await operators.document()).domain_out("a")
+
+
+async def test_oversize_change_is_refused(operators):
+    changes = {f"team:t{n}": "owner = " + "x" * 90_000 for n in range(12)}
+    with pytest.raises(errors.ConfigInvalidError):
+        await operators.apply(changes, 0, "first")
+
+
+async def test_large_document_is_read_in_few_calls_and_fits(operators, store):
+    names = [f"team:team-{n}" for n in range(48)] + [
+        f"service:s-{n}" for n in range(400)
+    ]
+    for first in range(0, len(names), 64):
+        changes = dict.fromkeys(names[first : first + 64], "owner = someone\n")
+        await operators.apply(changes, 0, "first")
+    scans = []
+    scan = store.scan
+    store.scan = lambda *span: scans.append(span) or scan(*span)
+    document = await configstore.ConfigStore(store, operators.clock).document()
+    assert len(document.texts) == 448
+    assert len(scans) <= 5
+    assert len(msgspec.json.encode(document.head)) < 50_000
+    changed = await operators.apply(
+        {names[0]: "owner = other\n"}, 99, "second", document
+    )
+    fresh = await operators.document(document)
+    assert len(scans) <= 5 and fresh.revision == changed
+    assert isinstance(fresh, config.Document)
