Report no request as not run whose earlier attempt may have run

Cause: a repeatable request whose first answer was lost was tried again; when that attempt was refused, or no peer could be reached, it ended as not run. Ruled out: the endpoint's record, which lists the id as run. Change: a lost answer is remembered over the attempts (services/router.py, owned by the requests part). Test: tests/system/test_not_run.py:: test_repeatable_request_whose_second_attempt_is_refused failed before, passes now.

--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -53,16 +53,20 @@
         """Try replicas until one answers or nothing more may be tried."""
         self.budget.earn()
         excluded = set()
+        lost = None
         while True:
             try:
                 return await self.attempt(request, excluded)
+            except errors.NotRunError as error:
+                # An earlier attempt may have run although this one did not.
+                raise lost or error from None
             except (
                 errors.EndpointUnreachableError,
                 errors.EndpointRefusedError,
             ) as error:
-                failure = errors.NotRunError(str(error))
+                failure = lost or errors.NotRunError(str(error))
             except errors.EndpointAnswerLostError as error:
-                failure = errors.OutcomeUnknownError(str(error))
+                failure = lost = errors.OutcomeUnknownError(str(error))
                 if not request.repeatable:
                     raise failure from error
             if not self.budget.spend():
--- a/tests/system/test_not_run.py
+++ b/tests/system/test_not_run.py
@@ -115,6 +115,14 @@
     check(cluster, answers, most=2)
 
 
+def test_repeatable_request_whose_second_attempt_is_refused(cluster):
+    """The first attempt ran and its answer is lost; no other domain can be reached."""
+    cluster.proxy("endpoint:a-0", reset="after", sever=True)
+    cluster.proxy("peer:*", refuse=True, sever=True)
+    answers = send(cluster, 6, X_Repeatable="true")
+    assert "unknown" in check(cluster, answers)
+
+
 def test_peer_killed_while_forwarding(cluster):
     """The only replica is in the other domain, whose daemon dies at work."""
     entry, peer = cluster.daemons
