Ask the peers before the platform's first word of the configuration

Cause: a daemon that started while the platform told old values put an old revision in force until a peer told it better. Ruled out: the watcher's own order; it takes newer revisions only, but a new process knows none. Change: a daemon that starts waits for one round of gossip, three seconds at most; gossip begins with the first list read (services/peers.py). Gossip that lacks a field is refused. Test: tests/system/test_configuration.py:: test_old_values_from_the_platform_revert_nothing failed before, passes now.

--- a/clementinebay/services/configwatcher.py
+++ b/clementinebay/services/configwatcher.py
@@ -9,6 +9,8 @@
 
 #: Time between two reads of the revision, in seconds.
 POLL_SECONDS = 1.0
+#: Longest wait of a daemon that starts for the word of its peers, in seconds.
+FIRST_PEERS_SECONDS = 3.0
 
 log = Log("config")
 
@@ -24,10 +26,19 @@
         self.store = ConfigStore(self.kernel.find("platform").store, self.clock)
         self.document = config.Document(config.Head(), {})
         self.confirmed_at = 0.0
+        self.peers_asked = asyncio.Event()
         self.background.spawn(self.watch)
 
     async def watch(self):
-        """Read the revision at every interval."""
+        """Read the revision at every interval, once the peers have been asked.
+
+        They may know a newer revision than an old value of the platform shows.
+        """
+        try:
+            async with asyncio.timeout(FIRST_PEERS_SECONDS):
+                await self.peers_asked.wait()
+        except TimeoutError:
+            log.info("No peer answers; the platform's word is taken.")
         while True:
             await self.read()
             await asyncio.sleep(POLL_SECONDS)
--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -12,6 +12,8 @@
 
 #: Longest wait for an answer to gossip or a query, in seconds.
 QUERY_SECONDS = 2.0
+#: Time between two looks for the first list of VMs, in seconds.
+FIRST_LIST_SECONDS = 0.02
 #: A peer that has not gossiped for so long takes no requests, in seconds.
 SILENCE_SECONDS = 5.0
 
@@ -88,9 +90,12 @@
 
     async def gossip(self):
         """Tell every peer of this daemon at every interval."""
+        livelist = self.kernel.find("livelist")
+        while not livelist.confirmed_at:
+            await asyncio.sleep(FIRST_LIST_SECONDS)
         while True:
-            vms = self.kernel.find("livelist").daemons()
-            await asyncio.gather(*(self.tell(vm) for vm in vms))
+            await asyncio.gather(*(self.tell(vm) for vm in livelist.daemons()))
+            self.kernel.find("config").peers_asked.set()
             await asyncio.sleep(self.settings.peer_gossip_seconds)
 
     async def tell(self, vm):
@@ -118,7 +123,10 @@
         )
 
     def learn(self, gossip):
-        """Keep what a peer told."""
+        """Keep what a peer told; raise `FrameMalformedError` if it is incomplete."""
+        counts = [capacity.replicas for capacity in gossip.services or ()]
+        if not gossip.daemon or gossip.config_revision is None or None in counts:
+            raise errors.FrameMalformedError("gossip lacks a field")
         fresh_until = self.clock.now() + SILENCE_SECONDS
         self.neighbours[gossip.daemon] = Neighbour(gossip, fresh_until)
 
