Refuse oversize heads, slow heads, endless deadlines, incomplete messages

Cause: a head of 500 kB was answered 200; a deadline of 1e400 was taken; a peer message without its fields left a traceback and its sender without a reply. Change: services/front.py bounds a request's head to 64 kB and 10 s; requestapi.py refuses a deadline that is not finite; peer/link.py answers any failed message with a typed error.

--- a/clementinebay/peer/link.py
+++ b/clementinebay/peer/link.py
@@ -72,6 +72,10 @@
             reply = self.failure(envelope, error)
         except KeyError:
             reply = self.failure(envelope, errors.PeerError("kind without handler"))
+        except Exception as error:
+            # A message with fields missing must not leave its sender waiting.
+            log.error("Cannot handle kind %d: %r.", envelope.kind, error)
+            reply = self.failure(envelope, errors.PeerError("cannot be handled"))
         try:
             data = frame.encode(reply, self.limit)
         except errors.FrameTooLargeError as error:
--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -6,6 +6,7 @@
 ``traceparent``.  The answer's ``X-Outcome`` is done, not-run or unknown.
 """
 
+import math
 import uuid
 
 import msgspec
@@ -74,6 +75,8 @@
                 deadline = float(headers["x-deadline"])
             except ValueError as error:
                 raise errors.BadRequestError("X-Deadline is not a number") from error
+        if math.isinf(deadline):
+            raise errors.BadRequestError("X-Deadline is not finite")
         if not deadline > now:
             raise errors.DeadlinePassedError("the deadline has passed")
         return model.Request(
--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from clementinebay import operatorapi, requestapi
 from clementinebay.log import Log
@@ -11,6 +12,9 @@
 
 #: New requests are still taken for so long after /ready says no, in seconds.
 NOTICE_SECONDS = 0.5
+#: Largest head of a request, in bytes, and longest time of the first one, in seconds.
+MAX_HEAD_BYTES = 65_536
+HEAD_SECONDS = 10.0
 
 log = Log("front")
 
@@ -24,6 +28,45 @@
         yield
 
 
+class BoundedProtocol(HttpToolsProtocol):
+    """Refuses the head of a request that is too large or comes too slowly."""
+
+    def connection_made(self, transport):
+        """Begin to wait for the head of the first request."""
+        super().connection_made(transport)
+        self.head_bytes = 0
+        self.head_timer = self.loop.call_later(HEAD_SECONDS, self.refuse_head)
+
+    def data_received(self, data):
+        """Parse ``data`` and count it if the head is not complete."""
+        self.in_head = True
+        super().data_received(data)
+        self.head_bytes = self.head_bytes + len(data) if self.in_head else 0
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.refuse_head()
+
+    def on_headers_complete(self):
+        """Note that the head is complete."""
+        self.in_head = False
+        self.head_timer.cancel()
+        super().on_headers_complete()
+
+    def on_body(self, body):
+        """Note that this is no head."""
+        self.in_head = False
+        super().on_body(body)
+
+    def connection_lost(self, exc):
+        """Stop waiting."""
+        self.head_timer.cancel()
+        super().connection_lost(exc)
+
+    def refuse_head(self):
+        """Answer 400 and close."""
+        if not self.transport.is_closing():
+            self.send_400_response("The head is too large or too slow.")
+
+
 class Front(Service):
     """Owns the HTTP server; ``ready`` is what /ready answers."""
 
@@ -42,7 +85,7 @@
                 host=settings.front_address,
                 port=settings.front_port,
                 loop="asyncio",
-                http="httptools",
+                http=BoundedProtocol,
                 ws="none",
                 lifespan="off",
                 interface="asgi3",
