--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -91,7 +91,7 @@
     async def gossip(self):
         """Tell every peer of this daemon at every interval."""
         livelist = self.kernel.find("livelist")
-        while not livelist.confirmed_at:
+        while not (livelist.vms or livelist.confirmed_at):
             await asyncio.sleep(FIRST_LIST_SECONDS)
         while True:
             await asyncio.gather(*(self.tell(vm) for vm in livelist.daemons()))
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -29,11 +29,12 @@
 port = {front}
 [peer]
 port = {peer}
+seeds = {seeds}
 [platform]
 url = {platform}
 live_list_url = {live_list}
 [trace]
-sample_percent = 100
+sample_percent = {sample}
 {extra}
 """
 
@@ -155,9 +156,11 @@
         endpoints=2,
         extra="",
         proxied=False,
+        sample=100.0,
         **size,
     ):
         self.domains = domains
+        self.sample = sample
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -310,13 +313,23 @@
                     domain=daemon.domain,
                     front=daemon.front,
                     peer=daemon.peer,
+                    seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
                     live_list=f"{self.platform_of(daemon)}/vms/{daemon.domain}",
                     extra=self.extra,
+                    sample=self.sample,
                 )
             )
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
 
+    def seeds_of(self, daemon):
+        """Return the peer addresses of all other daemons, as ``daemon`` sees them."""
+        return ", ".join(
+            self.daemon_vm(other)["views"][daemon.domain]
+            for other in self.daemons
+            if other is not daemon
+        )
+
     def platform_of(self, daemon):
         """Return the platform's URL as a daemon sees it."""
         address = self.platform_url.removeprefix("http://")
