--- a/clementinebay/operatorapi.py
+++ b/clementinebay/operatorapi.py
@@ -16,6 +16,7 @@
     (errors.RecordRefusedError, 409),
     (errors.PlatformUnavailableError, 503),
     (errors.PlatformError, 504),
+    (errors.ConfigOutcomeUnknownError, 504),
     (errors.ClementineError, 500),
 )
 URGENCIES = {"batch": 0, "normal": 1, "urgent": 2}
@@ -175,8 +176,10 @@
 
     @post("/v1/config")
     async def apply(data: ConfigChange) -> dict[str, int]:
-        store = watcher.store
-        return {"revision": await store.apply(data.sections, data.base, data.author)}
+        revision = await watcher.store.apply(
+            data.sections, data.base, data.author, watcher.document
+        )
+        return {"revision": revision}
 
     @get("/v1/config/history")
     async def history(limit: int = 20) -> list[config.Change]:
@@ -190,7 +193,7 @@
             raise errors.UnknownDomainError(f"no failure domain {name}")
         text = domain_text(document.texts.get(section, ""), data.state)
         revision = await watcher.store.apply(
-            {section: text}, document.revision, data.author
+            {section: text}, document.revision, data.author, document
         )
         return {"revision": revision}
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -155,8 +155,8 @@
         daemons=2,
         endpoints=2,
         extra="",
-        sample=100.0,
         proxied=False,
+        sample=100.0,
         **size,
     ):
         self.domains = domains
@@ -323,9 +323,12 @@
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
 
     def seeds_of(self, daemon):
-        """Return the peer addresses of all other daemons."""
-        views = [self.daemon_vm(d)["views"] for d in self.daemons if d is not daemon]
-        return ", ".join(view[daemon.domain] for view in views)
+        """Return the peer addresses of all other daemons, as ``daemon`` sees them."""
+        return ", ".join(
+            self.daemon_vm(other)["views"][daemon.domain]
+            for other in self.daemons
+            if other is not daemon
+        )
 
     def platform_of(self, daemon):
         """Return the platform's URL as a daemon sees it."""
