Tell the peers at once that a daemon is stopping

Cause: peers learned it with the next round of gossip, up to a second later, and forwarded requests onto a connection that closed: outcome unknown. Ruled out: requests in progress at the peer; the drain waits for those. Change: /ready says no and the peers are told in the same step (services/peers.py, services/front.py).

--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -114,7 +114,8 @@
     async def stop(self):
         """Say not ready, finish what is in progress, close."""
         self.ready = False
-        await asyncio.sleep(NOTICE_SECONDS)
+        peers = self.kernel.find("peers")
+        await asyncio.gather(peers.leave(), asyncio.sleep(NOTICE_SECONDS))
         deadline = self.clock.now() + self.settings.daemon_drain_seconds
         await self.kernel.find("router").drain(deadline)
         self.server.should_exit = True
--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -98,6 +98,12 @@
             self.kernel.find("config").peers_asked.set()
             await asyncio.sleep(self.settings.peer_gossip_seconds)
 
+    async def leave(self):
+        """Tell every peer at once that this daemon takes no more requests."""
+        self.leaving = True
+        vms = self.kernel.find("livelist").daemons()
+        await asyncio.gather(*(self.tell(vm) for vm in vms))
+
     async def tell(self, vm):
         """Exchange gossip with one peer."""
         try:
--- a/tests/system/helpers.py
+++ b/tests/system/helpers.py
@@ -35,9 +35,14 @@
 
 
 def wait_done(daemon, name, count, seconds=20):
-    wait_for(
-        f"{count} of {name}", lambda: standing(daemon, name)["done"] == count, seconds
-    )
+    try:
+        wait_for(
+            f"{count} of {name}",
+            lambda: standing(daemon, name)["done"] == count,
+            seconds,
+        )
+    except TimeoutError as error:
+        raise AssertionError(f"{name}: {standing(daemon, name)}") from error
 
 
 def request(daemon, service="call-in", body=b"tank 7", client=None, **headers):
