--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -126,6 +126,12 @@
         silence = self.clock.now() - neighbour.heard_at
         return silence >= self.settings.peer_heartbeat_seconds
 
+    async def leave(self):
+        """Tell every peer at once that this daemon takes no more requests."""
+        self.leaving = True
+        vms = self.kernel.find("livelist").daemons()
+        await asyncio.gather(*(self.tell(vm) for vm in vms))
+
     async def tell(self, vm):
         """Exchange gossip with one peer."""
         standing = self.standing()
