--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,22 +17,20 @@
 
 import numpy
 
+from bench.slopes_daemon import DAEMON_PARTS
 from bench.slopes_parts import PARTS
+from bench.slopes_pure import PURE
 from standins.cluster import ROOT
 
-#: What is fitted: column, unit.
-MEASURES = (
-    ("cpu_ms", "ms of processor a second"),
-    ("sent", "bytes sent a second"),
-    ("received", "bytes received a second"),
-    ("rss_mb", "MB resident"),
-)
+ALL = {part.name: part for part in (*PARTS, *PURE, *DAEMON_PARTS)}
 #: Longest run of one point, in seconds.
 POINT_SECONDS = 60.0
 
 
 def run_point(part, size, options):
     """Return the row that one fresh process measures, while this one drives it."""
+    if part.whole:
+        return part.point(size, options.seconds)
     with part.stand_ins(size) as arguments:
         child = subprocess.Popen(
             [sys.executable, "-m", "bench.slopes", "--child", part.name]
@@ -84,25 +82,20 @@
         f"{part.name}: {part.what}; sizes {options.sizes or part.sizes}, "
         f"{options.runs} runs"
     )
-    for column, unit in MEASURES:
+    for column in rows[0]:
+        if column in ("run", "size"):
+            continue
         slope, intercept, residual, spread = fit(rows, column)
         print(
-            f"  {unit:28} {slope:10.4f} each + {intercept:9.3f}"
+            f"  {column:28} {slope:10.4f} each + {intercept:9.3f}"
             f"  residual {residual:.3f}  spread {spread:.3f}"
         )
-    for column in rows[0]:
-        if column not in ("run", "size", *(name for name, _unit in MEASURES)):
-            slope, intercept, residual, spread = fit(rows, column)
-            print(
-                f"  {column:28} {slope:10.4f} each + {intercept:9.3f}"
-                f"  residual {residual:.3f}  spread {spread:.3f}"
-            )
 
 
 def main():
     """Measure the parts that are named, or all."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("parts", nargs="*", help=f"of {', '.join(PARTS)}")
+    parser.add_argument("parts", nargs="*", help=f"of {', '.join(ALL)}")
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--sizes", type=int, nargs="*", help="instead of the part's")
@@ -112,15 +105,15 @@
     parser.add_argument("--arguments", type=json.loads, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.child:
-        part = PARTS[options.child]
+        part = ALL[options.child]
         part.run_child(options.size, options.seconds, options.arguments)
         return
     # What was started ends with the context that started it.
     signal.signal(signal.SIGTERM, lambda *_a: sys.exit(1))
     print(f"{platform.machine()}, {os.cpu_count()} processors, ", end="")
     print(f"Python {platform.python_version()}, no random input")
-    for name in options.parts or PARTS:
-        measure(PARTS[name], options)
+    for name in options.parts or ALL:
+        measure(ALL[name], options)
 
 
 if __name__ == "__main__":
--- a/bench/slopes_fakes.py
+++ b/bench/slopes_fakes.py
@@ -1,5 +1,6 @@
 """A small kernel with fake services, and counters of processor time and bytes."""
 
+import random
 import resource
 import socket
 
@@ -140,9 +141,15 @@
     return state
 
 
+def moment(rng):
+    """Return a time of some day, in seconds since the Unix epoch."""
+    return 1764806400.0 + rng.random() * 86_400
+
+
 def add_jobs(state, names, prefix, workload, tasks, tasks_a_job):
     """Add jobs with ``tasks`` running tasks in all."""
     size = wire.Resources(1000, 2000, 0)
+    rng = random.Random(1)
     for job in range(-(-tasks // tasks_a_job)):
         count = min(tasks_a_job, tasks - job * tasks_a_job)
         name = f"{prefix}-{job}@d"
@@ -152,6 +159,7 @@
         state.apply(wire.Record(submit=wire.Submit(spec)))
         for index in range(count):
             where = names[(job * tasks_a_job + index) % len(names)]
-            bind = wire.Bind(name, index, 1, where, 4e9, 1e6)
+            times = moment(rng), moment(rng)
+            bind = wire.Bind(name, index, 1, where, *times)
             state.apply(wire.Record(bind=bind))
             state.apply(wire.Record(started=wire.Started(name, index, 1)))
--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -9,7 +9,7 @@
 import httpx
 
 from bench import slopes_fakes as fakes
-from clementinebay.endpoint.http import HttpDriver
+from clementinebay.endpoint import open_driver
 from standins.cluster import Process, free_ports, free_range, wait_for
 
 #: Services of a domain at the target size.
@@ -22,6 +22,8 @@
     name = ""
     what = ""
     sizes = (1, 2, 4, 8)
+    #: Whether a point is measured by ``point`` of the part instead of a child.
+    whole = False
     #: Time between two calls of `drive`, in seconds.
     drive_seconds = 0.2
     #: Time for connections and first messages before a window, in seconds.
@@ -51,16 +53,16 @@
             start = before.pop("time")
             elapsed = after.pop("time") - start
             row = {key: (after[key] - before[key]) / elapsed for key in after}
-            row["rss_mb"] = fakes.resident_mb()
+            row["rss MB"] = fakes.resident_mb()
             print(json.dumps({"size": size, **row}))
 
     def reading(self):
         """Return counters whose growth is measured."""
         return {
             "time": time.monotonic(),
-            "cpu_ms": fakes.processor_seconds() * 1000,
-            "sent": fakes.Bytes.sent,
-            "received": fakes.Bytes.received,
+            "cpu ms/s": fakes.processor_seconds() * 1000,
+            "sent bytes/s": fakes.Bytes.sent,
+            "received bytes/s": fakes.Bytes.received,
             **self.counters(),
         }
 
@@ -120,10 +122,12 @@
         first = arguments["first"]
         addresses = [f"127.0.0.1:{port}" for port in range(first, first + size)]
         shard = fakes.FakeShard(kernel.clock, addresses)
+        driver = open_driver("aiohttp", kernel.clock)
+        stack.push_async_callback(driver.close)
         kernel.services.update(
             shard=shard,
             config=fakes.fake_config(kernel.clock),
-            driver=fakes.Fake(driver=HttpDriver(kernel.clock)),
+            driver=fakes.Fake(driver=driver),
             dispatcher=fakes.Fake(take_reports=lambda *_a: True),
             platform=fakes.Fake(schedules=True),
             peers=fakes.Fake(
@@ -292,14 +296,11 @@
         await store.close()
 
 
-PARTS = {
-    part.name: part
-    for part in (
-        Renewals(),
-        Gossip(),
-        LiveList(),
-        LiveListChange(),
-        Config(),
-        ConfigChange(),
-    )
-}
+PARTS = (
+    Renewals(),
+    Gossip(),
+    LiveList(),
+    LiveListChange(),
+    Config(),
+    ConfigChange(),
+)
