Call the platform by aiohttp, and read its failures as the gateway means them

(2) The client took every 503 for "had no effect". The gateway gives 503 also for "request timed out" and "leader changed", after which a write may have taken effect: an append or a claim could have been given up and yet be there. (3) A put on a lease that is gone failed inside the stand-in after it had raised the revision; the stand-in wrote fields that the gateway leaves out, no "created" and "canceled" lines of a watch, and no error texts. Change: aiohttp, which endpoints are driven by already; a 503 other than "no leader" leaves the outcome unknown; 429 was refused; a lease that is gone is a LeaseGoneError; lines of a watch may be long. The stand-in answers as the gateway does, and has a fault "time_out".

--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -98,6 +98,12 @@
         super().__init__(f"{key} has another version")
 
 
+class LeaseGoneError(PlatformError):
+    """The lease of a write has run out or never was; the write had no effect."""
+
+    code = "lease-gone"
+
+
 class CallBudgetSpentError(PlatformUnavailableError):
     """The call would exceed this daemon's share of the platform's rates."""
 
--- a/clementinebay/platform/etcd.py
+++ b/clementinebay/platform/etcd.py
@@ -1,24 +1,29 @@
 """The key-value service over the JSON gateway of etcd's version 3 interface.
 
 Source: the "gRPC gateway" page of etcd's documentation.  Keys and values are base64,
-64-bit integers are texts, a watch is one streaming POST.
+64-bit integers are texts, fields with their default value are absent, a watch is one
+streaming POST.  A failure has an HTTP status and the text of the service's error.
 """
 
 import base64
 
-import httpx
 import msgspec
 
 from clementinebay import errors
 from clementinebay.platform.base import Entry, KeyValueStore
+from clementinebay.platform.session import FAILED, NOT_SENT, Session
 
 #: Longest silence on a watch before it is opened again, in seconds.
 WATCH_SILENCE_SECONDS = 30.0
-#: Connections that one daemon keeps to the platform.
-CONNECTIONS = 16
-
-#: Failures that prove that no byte of the call was sent.
-NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+#: Statuses of a service that may have begun to carry out a call.
+UNAVAILABLE = 503
+#: Statuses of calls that were refused before anything was done.
+REFUSED = (429,)
+NOT_FOUND = 404
+#: Begin of the error of an unavailable service that has not begun the call.
+NO_LEADER = "etcdserver: no leader"
+#: Longest line of a watch, in bytes.
+WATCH_LINE_BYTES = 16_000_000
 
 
 def _encode(data):
@@ -46,25 +51,26 @@
     """A client of the service at ``url``; calls end after ``timeout`` seconds."""
 
     def __init__(self, url, timeout):
-        limits = httpx.Limits(max_connections=CONNECTIONS)
-        self.client = httpx.AsyncClient(base_url=url, timeout=timeout, limits=limits)
+        self.url = url.rstrip("/")
+        self.session = Session(timeout)
 
     async def call(self, path, body):
         """POST ``body`` and return the decoded answer."""
         try:
-            response = await self.client.post(path, content=msgspec.json.encode(body))
+            async with self.session.open().post(
+                self.url + path, data=msgspec.json.encode(body), allow_redirects=False
+            ) as response:
+                status, content = response.status, await response.read()
         except NOT_SENT as error:
             raise errors.PlatformUnavailableError(
                 f"{path} not sent: {error!r}"
             ) from error
-        except httpx.HTTPError as error:
+        except FAILED as error:
             raise errors.PlatformOutcomeUnknownError(f"{path}: {error!r}") from error
-        if response.status_code == 503:
-            raise errors.PlatformUnavailableError(f"{path} refused")
-        if response.status_code != 200:
-            raise errors.PlatformOutcomeUnknownError(f"{path}: {response.status_code}")
+        if status != 200:
+            raise _failure(path, status, content)
         try:
-            return msgspec.json.decode(response.content)
+            return msgspec.json.decode(content)
         except msgspec.DecodeError as error:
             raise errors.PlatformOutcomeUnknownError(f"{path}: cut answer") from error
 
@@ -109,29 +115,33 @@
 
     async def revoke(self, lease):
         """See `KeyValueStore`."""
-        await self.call("/v3/lease/revoke", {"ID": str(lease)})
+        try:
+            await self.call("/v3/lease/revoke", {"ID": str(lease)})
+        except errors.LeaseGoneError:
+            pass
 
     async def watch(self, start, end, revision):
         """See `KeyValueStore`."""
         span = {**_span(start, end), "start_revision": str(revision + 1)}
         body = msgspec.json.encode({"create_request": span})
-        timeout = httpx.Timeout(self.client.timeout.connect, read=WATCH_SILENCE_SECONDS)
         try:
-            async with self.client.stream(
-                "POST", "/v3/watch", content=body, timeout=timeout
+            async with self.session.open().post(
+                self.url + "/v3/watch",
+                data=body,
+                timeout=self.session.watching(WATCH_SILENCE_SECONDS),
+                allow_redirects=False,
             ) as response:
-                if response.status_code != 200:
+                if response.status != 200:
                     raise errors.PlatformUnavailableError("watch refused")
-                async for line in response.aiter_lines():
-                    if line:
-                        yield _changes(line)
-        except (httpx.HTTPError, msgspec.DecodeError) as error:
+                async for line in _lines(response.content):
+                    yield _changes(line)
+        except (*FAILED, msgspec.DecodeError) as error:
             raise errors.PlatformUnavailableError(f"watch broke: {error!r}") from error
         raise errors.PlatformUnavailableError("watch ended")
 
     async def close(self):
         """See `KeyValueStore`."""
-        await self.client.aclose()
+        await self.session.close()
 
 
 def _transaction(compares, puts, deletes):
@@ -162,6 +172,37 @@
     }
 
 
+def _failure(path, status, content):
+    """Return the error that stands for an answer of ``status``."""
+    try:
+        message = str(msgspec.json.decode(content).get("error", ""))
+    except (msgspec.DecodeError, AttributeError):
+        message = ""
+    text = f"{path}: {status} {message}"
+    if status in REFUSED or (status == UNAVAILABLE and message.startswith(NO_LEADER)):
+        return errors.PlatformUnavailableError(text)
+    if status == NOT_FOUND and "lease" in message:
+        return errors.LeaseGoneError(text)
+    return errors.PlatformOutcomeUnknownError(text)
+
+
+async def _lines(stream):
+    """Yield the lines of ``stream`` that are not empty, however long."""
+    parts = []
+    size = 0
+    async for data in stream.iter_any():
+        *ended, rest = data.split(b"\n")
+        for end in ended:
+            line = b"".join((*parts, end))
+            parts, size = [], 0
+            if line:
+                yield line
+        parts.append(rest)
+        size += len(rest)
+        if size > WATCH_LINE_BYTES:
+            raise errors.PlatformUnavailableError("a line of the watch is too long")
+
+
 def _changes(line):
     result = msgspec.json.decode(line)["result"]
     if result.get("canceled"):
--- a/clementinebay/platform/keyspace.py
+++ b/clementinebay/platform/keyspace.py
@@ -44,6 +44,9 @@
             entry = self.entries.get(key)
             if (entry.version if entry else 0) != version:
                 raise errors.CompareFailedError(key, entry)
+        for put in puts:
+            if put.lease and put.lease not in self.leases:
+                raise errors.LeaseGoneError(f"lease {put.lease} of {put.key}")
         doomed = [key for s, e in deletes for key in self.entries if s <= key < e]
         if not puts and not doomed:
             return self.revision
--- a/clementinebay/platform/livelist.py
+++ b/clementinebay/platform/livelist.py
@@ -1,10 +1,10 @@
 """The platform's list of VMs, read over HTTP with an entity tag."""
 
-import httpx
 import msgspec
 
 from clementinebay import errors
 from clementinebay.platform.base import LiveList, Vm
+from clementinebay.platform.session import FAILED, Session
 
 
 class HttpLiveList(LiveList):
@@ -12,22 +12,23 @@
 
     def __init__(self, url, timeout):
         self.url = url
-        self.client = httpx.AsyncClient(timeout=timeout)
+        self.session = Session(timeout)
         self.tag = None
 
     async def read(self):
         """See `LiveList`."""
         headers = {"If-None-Match": self.tag} if self.tag else {}
         try:
-            response = await self.client.get(self.url, headers=headers)
-        except httpx.HTTPError as error:
+            async with self.session.open().get(self.url, headers=headers) as response:
+                content = await response.read()
+        except FAILED as error:
             raise errors.PlatformUnavailableError(f"live list: {error!r}") from error
-        if response.status_code == 304:
+        if response.status == 304:
             return None
-        if response.status_code != 200:
-            raise errors.PlatformUnavailableError(f"live list: {response.status_code}")
+        if response.status != 200:
+            raise errors.PlatformUnavailableError(f"live list: {response.status}")
         try:
-            vms = [Vm(**item) for item in msgspec.json.decode(response.content)]
+            vms = [Vm(**item) for item in msgspec.json.decode(content)]
         except (msgspec.DecodeError, TypeError, ValueError) as error:
             raise errors.PlatformUnavailableError(f"live list: {error!r}") from error
         self.tag = response.headers.get("ETag")
@@ -35,4 +36,4 @@
 
     async def close(self):
         """See `LiveList`."""
-        await self.client.aclose()
+        await self.session.close()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 Faults are set by ``POST /control/faults`` with any of: ``down`` (refuse all calls),
 ``delay`` (seconds before each call), ``lose`` (share of writes that take effect and are
-not answered), ``watch_lag`` (seconds), ``list_lag`` (seconds).
+not answered), ``time_out`` (share of writes that take effect and are answered by the
+service's timeout), ``watch_lag`` (seconds), ``list_lag`` (seconds).
 """
 
 import argparse
@@ -19,9 +20,6 @@
 from clementinebay.platform.keyspace import KeySpace
 from standins import web
 
-#: A watch line without events is sent after so long, in seconds.
-PROGRESS_SECONDS = 10.0
-
 
 def decode(text):
     """Return the bytes that base64 ``text`` stands for."""
@@ -33,6 +31,11 @@
     return base64.b64encode(data).decode()
 
 
+def failure(status, code, message):
+    """Return the answer to a call that failed, as the gateway writes it."""
+    return web.Reply({"error": message, "code": code, "message": message}, status)
+
+
 class Platform:
     """One key space, one list of VMs, and the faults that are set."""
 
@@ -46,6 +49,7 @@
             "down": False,
             "delay": 0.0,
             "lose": 0.0,
+            "time_out": 0.0,
             "watch_lag": 0.0,
             "list_lag": 0.0,
         }
@@ -57,7 +61,7 @@
     async def kv(self, call):
         """Answer a call of the key-value service."""
         if self.faults["down"]:
-            return web.Reply({"error": "down"}, 503)
+            return failure(503, 14, "etcdserver: no leader")
         if self.faults["delay"]:
             await asyncio.sleep(self.faults["delay"])
         if call.path == "/v3/watch":
@@ -72,19 +76,27 @@
         }[call.path]
         writing = call.path != "/v3/kv/range"
         self.counts["write" if writing else "read"] += 1
-        answer = action(call.json())
+        try:
+            answer = action(call.json())
+        except errors.LeaseGoneError:
+            return failure(404, 5, "etcdserver: requested lease not found")
         if writing and self.rng.random() < self.faults["lose"]:
             return None
+        if writing and self.rng.random() < self.faults["time_out"]:
+            return failure(503, 14, "etcdserver: request timed out")
         return web.Reply({"header": self.header(), **answer})
 
     def item(self, entry):
         """Return an entry as the gateway writes it."""
-        return {
+        item = {
             "key": encode(entry.key.encode()),
-            "value": encode(entry.value or b""),
             "mod_revision": str(entry.version),
-            "lease": str(entry.lease),
         }
+        if entry.value:
+            item["value"] = encode(entry.value)
+        if entry.lease:
+            item["lease"] = str(entry.lease)
+        return item
 
     def range(self, body):
         """Answer a read."""
@@ -93,6 +105,8 @@
             decode(body["range_end"]).decode() if "range_end" in body else start + "\0"
         )
         entries = self.space.range(start, end, int(body.get("limit", 0)))
+        if not entries:
+            return {}
         return {"kvs": [self.item(entry) for entry in entries]}
 
     def transact(self, body):
@@ -124,11 +138,17 @@
     def keep_alive(self, body):
         """Answer a lease renewal."""
         ttl = self.space.keep_alive(int(body["ID"]))
-        return {"result": {"ID": body["ID"], "TTL": str(ttl)}}
+        result = {"ID": body["ID"]}
+        if ttl:
+            result["TTL"] = str(ttl)
+        return {"result": result}
 
     def revoke(self, body):
         """Answer the end of a lease."""
-        self.space.revoke(int(body["ID"]))
+        lease = int(body["ID"])
+        if lease not in self.space.leases:
+            raise errors.LeaseGoneError(str(lease))
+        self.space.revoke(lease)
         return {}
 
     # The list of VMs
@@ -181,8 +201,11 @@
         start = {"type": "http.response.start", "status": 200, "headers": []}
         await send(start)
         try:
+            await self.say(send, created=True)
             while not left.done() and not self.platform.faults["down"]:
                 await self.step(send)
+        except errors.LogGapError:
+            await self.say(send, canceled=True, compact_revision=self.oldest())
         finally:
             left.cancel()
 
@@ -192,6 +215,18 @@
         while (await receive())["type"] != "http.disconnect":
             pass
 
+    def oldest(self):
+        """Return the oldest revision that a watch may start from."""
+        return str(self.platform.space.history[0].version)
+
+    async def say(self, send, revision=0, **result):
+        """Send one line."""
+        header = {"revision": str(revision or self.platform.space.revision)}
+        line = msgspec.json.encode({"result": {"header": header, **result}})
+        await send(
+            {"type": "http.response.body", "body": line + b"\n", "more_body": True}
+        )
+
     async def step(self, send):
         """Send what changed, or wait for a change."""
         space = self.platform.space
@@ -207,18 +242,15 @@
         self.revision = entries[-1].version
         if self.platform.faults["watch_lag"]:
             await asyncio.sleep(self.platform.faults["watch_lag"])
-        events = [
-            {
-                "type": "PUT" if entry.value is not None else "DELETE",
-                "kv": self.platform.item(entry),
-            }
-            for entry in entries
-        ]
-        header = {"revision": str(self.revision)}
-        line = msgspec.json.encode({"result": {"header": header, "events": events}})
-        await send(
-            {"type": "http.response.body", "body": line + b"\n", "more_body": True}
-        )
+        events = [self.event(entry) for entry in entries]
+        await self.say(send, self.revision, events=events)
+
+    def event(self, entry):
+        """Return a change as the gateway writes it."""
+        event = {"kv": self.platform.item(entry)}
+        if entry.value is None:
+            event["type"] = "DELETE"
+        return event
 
 
 def main():
