--- a/clementinebay/endpoint/aio.py
+++ b/clementinebay/endpoint/aio.py
@@ -83,12 +83,12 @@
         headers = response.headers
         if not request_id:
             return response.status, headers, await response.read()
-        if headers.get("X-Outcome") == "not-run":
-            text = await response.read()
-            raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
         try:
+            # A refusal, too, counts only if it is this request's own.
             http.check_head(headers, request_id)
             body = await response.read()
+            if headers.get("X-Outcome") == "not-run":
+                raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
             http.check_body(headers, body)
         except errors.AnswerMismatchError:
             response.drop()
--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -4,12 +4,15 @@
 import hashlib
 
 from clementinebay import errors, registry, thriftcodec
+from clementinebay.log import Log
 from clementinebay.peer.wire import ttypes as peer_wire
 from clementinebay.service import Service
 from clementinebay.services.shard import submit
 from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
+log = Log("jobs")
+
 
 class Jobs(Service):
     """Serves operators; any daemon may."""
@@ -64,26 +67,36 @@
                 await submit(shard_log, records)
 
     async def standings(self, names):
-        """Return `JobStanding`s of parts in all domains; no names stand for all."""
+        """Return `JobStanding`s of parts, and the domains that did not answer.
+
+        No names stand for all jobs.
+        """
         query = peer_wire.JobsQuery(names)
         found = list((await self.on_jobs_query(query, None)).jobs)
-        asked = {self.settings.daemon_failure_domain}
-        vms = []
-        for vm in self.kernel.find("livelist").daemons():
-            if vm.failure_domain not in asked and not vm.leaving:
-                asked.add(vm.failure_domain)
-                vms.append(vm)
-        replies = await asyncio.gather(
-            *(
-                self.peers.query(vm, peer_wire.Kind.JOBS, query, peer_wire.JobsReply)
-                for vm in vms
-            ),
-            return_exceptions=True,
-        )
+        own = self.settings.daemon_failure_domain
+        others = [d for d in self.kernel.find("livelist").domains() if d != own]
+        replies = await asyncio.gather(*(self.ask(d, query) for d in others))
         for reply in replies:
-            if isinstance(reply, peer_wire.JobsReply):
-                found += reply.jobs
-        return found
+            found += reply.jobs if reply is not None else ()
+        unanswered = [
+            domain
+            for domain, reply in zip(others, replies, strict=True)
+            if reply is None
+        ]
+        return found, unanswered
+
+    async def ask(self, domain, query):
+        """Return the answer of the first daemon of ``domain`` that gives one."""
+        for vm in self.kernel.find("livelist").daemons():
+            if vm.failure_domain != domain:
+                continue
+            try:
+                return await self.peers.query(
+                    vm, peer_wire.Kind.JOBS, query, peer_wire.JobsReply
+                )
+            except errors.PeerError as error:
+                log.debug("%s: %s.", vm.id, error)
+        return None
 
     async def on_jobs_query(self, message, _envelope):
         """Answer with the standing of this domain's parts."""
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -5,7 +5,8 @@
 look for runs of one task that overlap.  Faults are set by ``POST /control/faults``:
 ``service_seconds`` (mean time of a request), ``fail_tasks`` (kinds whose tasks fail, or
 ``["*"]``), ``fail_requests`` (refuse every request at once), ``cross_answers`` (give
-each answer to another request), ``run_factor`` (real over declared run time),
+each answer to another request), ``answer_factor`` (the answer repeats the body so many
+times), ``run_factor`` (real over declared run time),
 ``wrong_factor`` (bound of the factor by which real sizes and run times are wrong),
 ``lag_seconds`` (age of measured usage), ``checkpoint_seconds`` (time between two
 checkpoints; 0 makes one at any time), ``interference`` (weights of pairs of kinds).
@@ -49,6 +50,7 @@
             "fail_tasks": [],
             "fail_requests": False,
             "cross_answers": False,
+            "answer_factor": 1,
             "run_factor": 1.0,
             "wrong_factor": 1.0,
             "lag_seconds": 2.0,
@@ -85,16 +87,16 @@
     async def request(self, call):
         """Answer a request by echoing its body."""
         service = call.path.rsplit("/", 1)[1]
-        not_run = [("X-Outcome", "not-run")]
+        request_id = call.headers.get("x-request-id", "")
+        not_run = [("X-Outcome", "not-run"), ("X-Request-Id", request_id)]
         if self.faults["fail_requests"]:
             return web.Reply(b"fault", 500, not_run)
         if not self.serves(service):
             return web.Reply(b"no replica", 503, not_run)
-        request_id = call.headers.get("x-request-id", "")
         async with self.slots:
             self.requests.append(request_id)
             await self.spend_service_time(service)
-        answer = (request_id, call.body)
+        answer = (request_id, call.body * self.faults["answer_factor"])
         if self.faults["cross_answers"]:
             answer, self.crossed = self.crossed or answer, answer
         request_id, body = answer
