Give up endpoints that are listed as live and do not answer

Cause: only the live list could bar an endpoint, and it lags; what was bound to a VM that hung waited until the list dropped it. Ruled out: judging by one daemon's renewals (its own way may be broken), so the daemon that schedules looks itself, which also renews the leases; giving up most of a domain at once, which is more likely a fault of this side.

--- a/clementinebay/operatorapi.py
+++ b/clementinebay/operatorapi.py
@@ -216,6 +216,7 @@
                 "rack": vm.rack,
                 "address": vm.address,
                 "leaving": vm.leaving,
+                "lost": lost(shard.state, vm.id),
                 "tasks": held(shard.state, vm.id),
             }
             for vm in livelist.vms.values()
@@ -261,6 +262,12 @@
     return len(known.held) if known else -1
 
 
+def lost(state, endpoint):
+    """Return whether an endpoint of this domain was given up."""
+    known = state.endpoints.get(endpoint)
+    return bool(known and known.lost)
+
+
 def build(kernel, front, request_api):
     """Return the ASGI application of the front.
 
--- a/clementinebay/peer/wire/ttypes.py
+++ b/clementinebay/peer/wire/ttypes.py
@@ -26,6 +26,7 @@
     JOBS = 6
     STATE = 7
     REPORTS = 8
+    LOOK = 10
 
     _VALUES_TO_NAMES = {
         0: "REPLY",
@@ -37,6 +38,7 @@
         6: "JOBS",
         7: "STATE",
         8: "REPORTS",
+        10: "LOOK",
     }
 
     _NAMES_TO_VALUES = {
@@ -49,6 +51,7 @@
         "JOBS": 6,
         "STATE": 7,
         "REPORTS": 8,
+        "LOOK": 10,
     }
 
 
@@ -994,6 +997,74 @@
         return not (self == other)
 
 
+class Look(object):
+    """
+    Attributes:
+     - endpoint
+
+    """
+
+    __slots__ = (
+        'endpoint',
+    )
+
+
+    def __init__(self, endpoint=None,):
+        self.endpoint = endpoint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Look')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigQuery(object):
     """
     Attributes:
@@ -1942,6 +2013,11 @@
     None,  # 0
     (1, TType.BOOL, 'taken', None, None, ),  # 1
 )
+all_structs.append(Look)
+Look.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+)
 all_structs.append(ConfigQuery)
 ConfigQuery.thrift_spec = (
     None,  # 0
--- a/clementinebay/policy/reachability.py
+++ b/clementinebay/policy/reachability.py
@@ -5,8 +5,7 @@
     """Remembers since when each endpoint has not answered; pure.
 
     An endpoint is silent when its calls have failed for ``silence`` seconds with no
-    answer between.  If more than half of the endpoints that were called are silent, the
-    fault is more likely on this side, so none is reported and ``isolated`` is true.
+    answer between.
     """
 
     __slots__ = ("silence", "failing_since")
@@ -29,18 +28,34 @@
         for endpoint in [e for e in self.failing_since if e not in endpoints]:
             del self.failing_since[endpoint]
 
-    def unanswering(self, now):
-        """Return the endpoints that have failed for long enough."""
-        return {
+    def answers(self, endpoint):
+        """Return whether the last call of ``endpoint`` was answered."""
+        return self.failing_since.get(endpoint, 0.0) is None
+
+    def silent(self, now, total):
+        """Return the silent ones of ``total`` endpoints.
+
+        None is given up while more than half are silent: the fault is then more likely
+        on this side.
+        """
+        found = {
             endpoint
             for endpoint, since in self.failing_since.items()
             if since is not None and now - since >= self.silence
         }
-
-    def isolated(self, now):
-        """Return whether most endpoints are silent."""
-        return 2 * len(self.unanswering(now)) > len(self.failing_since)
-
-    def silent(self, now):
-        """Return the endpoints to give up, none if this side looks isolated."""
-        return set() if self.isolated(now) else self.unanswering(now)
+        return found if 2 * len(found) <= total else set()
+
+    def trusted(self, state, vms, now):
+        """Return those of the listed ``vms`` that take part in the shard ``state``.
+
+        A lost endpoint takes part again only after it has answered.
+        """
+        known = state.endpoints
+        self.keep_only({vm.id for vm in vms})
+        silent = self.silent(now, sum(not e.lost for e in known.values()))
+        return [
+            vm
+            for vm in vms
+            if vm.id not in silent
+            and (vm.id not in known or not known[vm.id].lost or self.answers(vm.id))
+        ]
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -17,6 +17,7 @@
     "mover": ("clementinebay.services.mover", "Mover"),
     "peers": ("clementinebay.services.peers", "Peers"),
     "platform": ("clementinebay.services.platform", "Platform"),
+    "reachability": ("clementinebay.services.reachability", "EndpointReachability"),
     "renewals": ("clementinebay.services.renewals", "Renewals"),
     "router": ("clementinebay.services.router", "Router"),
     "scheduler": ("clementinebay.services.scheduler", "Scheduler"),
--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -41,7 +41,8 @@
 class Renewals(Service):
     """Calls this daemon's share of the endpoints; ``active`` while it schedules.
 
-    Each of ``listeners`` is called with an endpoint's name and its `Report`.
+    Each of ``listeners`` is called with an endpoint's name and its `Report`, each of
+    ``watchers`` with the name and whether the endpoint answered.
     """
 
     name = "renewals"
@@ -54,6 +55,7 @@
         self.dispatcher = self.kernel.find("dispatcher")
         self.peers = self.kernel.find("peers")
         self.listeners = []
+        self.watchers = []
         self.standings = {}
         self.loops = {}
         self.shared = None
@@ -156,7 +158,9 @@
             report = await self.driver.renew(endpoint.seen.address, renewal)
         except errors.EndpointError as error:
             log.debug("%s: %s.", name, error)
+            self.tell_watchers(name, False)
             return 0
+        self.tell_watchers(name, True)
         if report.version < renewal.since:
             # The worker was restarted and has forgotten what it ran.
             standing.since = None
@@ -169,6 +173,11 @@
             standing.waits = 0
         return standing.waits
 
+    def tell_watchers(self, name, answered):
+        """Tell the watchers whether an endpoint answered."""
+        for watcher in self.watchers:
+            watcher(name, answered)
+
     @staticmethod
     def since(standing):
         """Return the version that changes are asked for from, ``None`` for all."""
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -25,6 +25,7 @@
         "shard",
         "dispatcher",
         "renewals",
+        "reachability",
         "colocation",
         "config",
         "livelist",
@@ -37,6 +38,7 @@
         self.shard = self.kernel.find("shard")
         self.dispatcher = self.kernel.find("dispatcher")
         self.renewals = self.kernel.find("renewals")
+        self.reachability = self.kernel.find("reachability")
         self.colocation = self.kernel.find("colocation")
         self.config = self.kernel.find("config")
         self.livelist = self.kernel.find("livelist")
@@ -153,7 +155,7 @@
             + settings.scheduler_reclaim_after_seconds
             + 2 * settings.scheduler_clock_skew_seconds
         )
-        vms = self.livelist.endpoints(self.domain)
+        vms = self.reachability.trusted(self.livelist.endpoints(self.domain))
         return membership.endpoint_records(self.shard.state, vms, now, free_at)
 
     def policy(self):
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -4,6 +4,7 @@
 enum Kind {
   REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6,
   STATE = 7, REPORTS = 8,
+  LOOK = 10,
 }
 
 // One frame.  A reply or error carries the id of the message that it answers.
@@ -52,6 +53,8 @@
   1: string endpoint, 2: binary report, 3: list<Attempt> expected,
 }
 struct ReportTaken { 1: bool taken }
+// Asks the scheduler of the shard to call an endpoint itself.
+struct Look { 1: string endpoint }
 
 // Asks for the configuration if the peer holds a newer one than revision.
 struct ConfigQuery { 1: i64 revision, 2: list<string> digests }
--- a/tests/policy/test_reachability.py
+++ b/tests/policy/test_reachability.py
@@ -1,4 +1,8 @@
+from clementinebay.platform.base import Vm
 from clementinebay.policy.reachability import Reachability
+from clementinebay.shard.state import State
+from clementinebay.shard.wire import ttypes as wire
+from tests.shard import factory
 
 
 def known(count=4):
@@ -12,8 +16,8 @@
     reachability = known()
     reachability.failed("e-0", 10.0)
     reachability.failed("e-0", 14.0)
-    assert reachability.silent(14.9) == set()
-    assert reachability.silent(15.0) == {"e-0"}
+    assert reachability.silent(14.9, 4) == set()
+    assert reachability.silent(15.0, 4) == {"e-0"}
 
 
 def test_one_answer_ends_the_silence():
@@ -21,19 +25,29 @@
     reachability.failed("e-0", 10.0)
     reachability.answered("e-0")
     reachability.failed("e-0", 16.0)
-    assert reachability.silent(17.0) == set()
+    assert reachability.silent(17.0, 4) == set()
 
 
 def test_most_endpoints_silent_is_a_fault_of_this_side():
     reachability = known()
     for number in range(3):
         reachability.failed(f"e-{number}", 10.0)
-    assert reachability.isolated(15.0)
-    assert reachability.silent(15.0) == set()
+    assert reachability.silent(15.0, 4) == set()
+
+
+def test_lost_endpoint_is_trusted_only_after_it_answered():
+    state = State()
+    state.apply(factory.endpoint("e-0"))
+    state.apply(wire.Record(endpoint_lost=wire.EndpointLost("e-0", at=1.0)))
+    vms = [Vm(f"e-{n}", "endpoint", "127.0.0.1:1", "a") for n in range(2)]
+    reachability = Reachability(silence=5.0)
+    assert [vm.id for vm in reachability.trusted(state, vms, 10.0)] == ["e-1"]
+    reachability.answered("e-0")
+    assert [vm.id for vm in reachability.trusted(state, vms, 10.0)] == ["e-0", "e-1"]
 
 
 def test_endpoint_that_is_gone_is_forgotten():
     reachability = known()
     reachability.failed("e-0", 10.0)
-    reachability.keep_only({"e-1", "e-2", "e-3"})
-    assert reachability.silent(20.0) == set()
+    reachability.trusted(State(), [], 10.0)
+    assert not reachability.failing_since
--- /dev/null
+++ b/tests/system/test_silent_endpoint.py
@@ -0,0 +1,36 @@
+"""An endpoint that hangs while the live list goes on to show it as live."""
+
+import pytest
+
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(
+        ("a",), daemons=2, endpoints=3, extra=helpers.SHORT, proxied=True
+    ) as cluster:
+        yield cluster
+
+
+def test_its_tasks_run_elsewhere_and_it_comes_back(cluster):
+    operator = cluster.daemons[0]
+    helpers.submit(operator, "plans", 9, run_seconds=4)
+    wait_for("runs", lambda: helpers.standing(operator, "plans")["running"] == 9)
+    cluster.proxy("endpoint:a-0", cut="both")
+    helpers.wait_done(operator, "plans", 9, seconds=30)
+    assert not cluster.violations()
+    assert lost(operator) == {"a-0"}
+    cluster.heal()
+    wait_for("a-0 to be taken back", lambda: not lost(operator))
+    helpers.submit(operator, "more", 60, run_seconds=1)
+    helpers.wait_done(operator, "more", 60, seconds=30)
+    used = {run["endpoint"] for run in cluster.runs() if run["origin"] == "more"}
+    assert used == {"a-0", "a-1", "a-2"}
+    assert not cluster.violations()
+
+
+def lost(daemon):
+    rows = helpers.CLIENT.get(f"{daemon.url}/v1/endpoints").json()
+    return {row["id"] for row in rows if row["lost"]}
