Forget what ended, look after domains without entry VMs, group commands

Cause: ended jobs and lost endpoints stayed in the state for good; a job submitted again after it was forgotten would have run twice; a cancellation did not reach parts on the move; a domain whose entry VMs are gone kept its work.

Change: a part is forgotten after its plan says it is over, or its source's outbox lacks it; submissions and moves ask that between the read of the log and a write pinned to it. Two daemons of other domains, ranked by a hash, try for the lease of a domain without entry VMs, let batch tasks end and move the rest. The shard is checked after each batch; what is broken is counted and logged.

Partial: the adopter has no system test yet.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -30,6 +30,9 @@
 FORWARDS = Counter("clementine_forwards", "Requests forwarded to peers.")
 PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
 RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
+INVARIANTS_BROKEN = Counter(
+    "clementine_invariants_broken", "Assertions about the shard that did not hold."
+)
 REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
--- /dev/null
+++ b/clementinebay/policy/adoption.py
@@ -0,0 +1,52 @@
+"""Which daemons look after a failure domain whose entry VMs are all gone."""
+
+import hashlib
+
+from clementinebay.shard.entities import HOLDING, Phase
+from clementinebay.shard.wire import ttypes as wire
+
+#: Daemons that try for the leader lease of one such domain.
+CANDIDATES = 2
+
+
+class Absence:
+    """Remembers since when each domain has had no entry VM; pure."""
+
+    __slots__ = ("since",)
+
+    def __init__(self):
+        self.since = {}
+
+    def look(self, domains, served, now):
+        """Note that of ``domains`` those in ``served`` have entry VMs at ``now``."""
+        for domain in domains:
+            if domain in served:
+                self.since.pop(domain, None)
+            else:
+                self.since.setdefault(domain, now)
+
+    def absent(self, now, seconds):
+        """Return the domains that have had no entry VM for ``seconds``."""
+        return sorted(d for d, since in self.since.items() if now - since >= seconds)
+
+
+def candidates(domain, daemons):
+    """Return the names of the ``daemons`` that try to look after ``domain``."""
+
+    def rank(name):
+        return hashlib.sha256(f"{domain}/{name}".encode()).digest()
+
+    return sorted(daemons, key=rank)[:CANDIDATES]
+
+
+def release_records(state):
+    """Return releases of replicas: nobody forwards requests to this domain."""
+    records = []
+    for name, job in state.jobs.items():
+        if job.spec.workload != wire.Workload.SERVICE:
+            continue
+        for task in job.tasks.values():
+            if task.phase in HOLDING and task.phase != Phase.STOPPING:
+                release = wire.Release(name, task.index, task.attempt, "no-entry-vm")
+                records.append(wire.Record(release=release))
+    return records
--- a/clementinebay/policy/moving.py
+++ b/clementinebay/policy/moving.py
@@ -7,22 +7,29 @@
 MOVES_PER_DECISION = 100
 
 
-def move_records(state, domain, targets, nonce, now):
-    """Return moves of all waiting tasks of a domain that is out.
+def move_records(state, targets, nonce, now):
+    """Return moves of all waiting tasks of a domain that is out."""
+    return moves(state, targets, nonce, now) if state.out else []
+
+
+def moves(state, targets, nonce, now):
+    """Return moves of all waiting tasks, the most urgent first.
 
     ``targets`` are the domains that are in; parts go to them in turn.  ``nonce`` makes
     the names of the parts unique.
     """
-    if not state.out or not targets:
-        return []
     records = []
-    for name, job in state.jobs.items():
+    jobs = sorted(
+        state.jobs.values(),
+        key=lambda job: (-job.spec.urgency, job.spec.submitted_at, job.spec.id),
+    )
+    for job in jobs if targets else ():
         for first, count in waiting_ranges(job):
             if len(records) >= MOVES_PER_DECISION:
                 return records
             target = targets[len(records) % len(targets)]
-            part = f"{job.spec.origin or name}~{first}~{nonce}"
-            move = wire.Move(name, first, count, target, part, now)
+            part = f"{job.origin}~{first}~{nonce}"
+            move = wire.Move(job.spec.id, first, count, target, part, now)
             records.append(wire.Record(move=move))
     return records
 
--- a/clementinebay/registry.py
+++ b/clementinebay/registry.py
@@ -13,6 +13,8 @@
 from clementinebay.shard.wire import ttypes as wire
 
 PREFIX = "job/"
+#: Time that the plan of a job which is over is kept, in whole seconds.
+PLAN_SECONDS = 7 * 86_400
 
 
 class Part(msgspec.Struct):
@@ -25,11 +27,16 @@
 
 
 class Plan(msgspec.Struct):
-    """How a job was split, and the digest of what was submitted."""
+    """How a job was split, and the digest of what was submitted.
+
+    Parts in ``closed`` are over and forgotten; they must not be submitted again.
+    """
 
     name: str
     digest: str
     parts: list[Part]
+    created_at: float = 0.0
+    closed: list[str] = []
 
 
 def split(name, count, domains):
@@ -87,6 +94,29 @@
             raise errors.UnknownJobError(f"no job {name}")
         return msgspec.json.decode(entry.value, type=Plan)
 
+    async def close(self, name, parts):
+        """Note that ``parts`` of job ``name`` are over, ``None`` for all of them.
+
+        A plan whose parts are all over is deleted after `PLAN_SECONDS`.
+        """
+        while True:
+            entry = await self.store.get(PREFIX + name)
+            if entry is None:
+                return
+            plan = msgspec.json.decode(entry.value, type=Plan)
+            names = {part.name for part in plan.parts}
+            closed = names & {*plan.closed, *(names if parts is None else parts)}
+            if closed == set(plan.closed):
+                return
+            plan.closed = sorted(closed)
+            lease = await self.store.grant(PLAN_SECONDS) if closed == names else 0
+            value = msgspec.json.encode(plan)
+            try:
+                await self.store.swap(entry.key, value, entry.version, lease)
+                return
+            except errors.CompareFailedError:
+                continue
+
     async def all(self):
         """Return all plans in order of their names."""
         entries, _revision = await self.store.scan(PREFIX, prefix_end(PREFIX))
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -6,6 +6,7 @@
 
 #: Service name -> (module, class).
 SERVICES = {
+    "adopter": ("clementinebay.services.adopter", "Adopter"),
     "bootstrap": ("clementinebay.services.bootstrap", "Bootstrap"),
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
@@ -17,6 +18,7 @@
     "peers": ("clementinebay.services.peers", "Peers"),
     "platform": ("clementinebay.services.platform", "Platform"),
     "renewals": ("clementinebay.services.renewals", "Renewals"),
+    "retention": ("clementinebay.services.retention", "Retention"),
     "router": ("clementinebay.services.router", "Router"),
     "scheduler": ("clementinebay.services.scheduler", "Scheduler"),
     "shard": ("clementinebay.services.shard", "ShardFollower"),
@@ -24,7 +26,7 @@
 }
 
 #: What a daemon runs; each starts what it requires first.
-DAEMON = ("scheduler", "mover", "bootstrap", "front")
+DAEMON = ("scheduler", "mover", "retention", "adopter", "bootstrap", "front")
 
 
 def find_service_class(name):
--- /dev/null
+++ b/clementinebay/services/adopter.py
@@ -0,0 +1,169 @@
+"""Service "adopter": looks after failure domains whose entry VMs are all gone.
+
+Running batch tasks go on under renewed leases and their ends are recorded.  Replicas
+are released.  What waits is moved to other domains, and nothing new is bound.
+"""
+
+import asyncio
+import uuid
+
+from clementinebay import errors
+from clementinebay.endpoint.base import Renewal
+from clementinebay.log import Log
+from clementinebay.policy import adoption, attempts, membership, moving
+from clementinebay.service import Service
+from clementinebay.services.dispatcher import EndpointOrders
+from clementinebay.shard import transfer
+from clementinebay.shard.leader import LeaderLease
+from clementinebay.shard.log import split
+
+log = Log("adopter")
+
+
+class Adopter(Service):
+    """Holds a `Ward` for each domain that this daemon may look after."""
+
+    name = "adopter"
+    requires = ("shard", "driver", "config", "livelist", "platform")
+
+    async def start(self):
+        """Begin to look."""
+        self.livelist = self.kernel.find("livelist")
+        self.config = self.kernel.find("config")
+        self.absence = adoption.Absence()
+        self.known = set()
+        self.wards = {}
+        self.background.spawn(self.run)
+
+    async def stop(self):
+        """Hand the domains over."""
+        await self.background.__aexit__()
+        for ward in self.wards.values():
+            await ward.__aexit__()
+
+    async def run(self):
+        """Look after domains at every interval."""
+        while True:
+            await asyncio.sleep(self.settings.scheduler_poll_seconds)
+            if self.livelist.confirmed_at:
+                await self.change_wards()
+            for domain, ward in self.wards.items():
+                try:
+                    await ward.tick()
+                except (errors.PlatformError, errors.ShardError) as error:
+                    log.debug("%s: %s.", domain, error)
+
+    async def change_wards(self):
+        """Take on domains that have no entry VM, give up those that have."""
+        wanted = set(self.wanted())
+        for domain in set(self.wards) - wanted:
+            await self.wards.pop(domain).__aexit__()
+            log.info("Gave domain %s up.", domain)
+        for domain in wanted - set(self.wards):
+            self.wards[domain] = Ward(self, domain)
+
+    def wanted(self):
+        """Return the domains that this daemon should try to look after."""
+        own, name = self.settings.daemon_failure_domain, self.settings.daemon_name
+        entries = [vm for vm in self.livelist.daemons() if not vm.leaving]
+        served = {vm.failure_domain for vm in entries} | {own}
+        self.known.update(self.livelist.domains())
+        self.known.update(self.config.document.named("domain"))
+        now = self.clock.now()
+        self.absence.look(self.known, served, now)
+        names = [vm.id for vm in entries] + [name]
+        after = self.settings.scheduler_adopt_after_seconds
+        return [
+            domain
+            for domain in self.absence.absent(now, after)
+            if name in adoption.candidates(domain, names)
+        ]
+
+
+class Ward:
+    """One domain that this daemon looks after while it holds its leader lease."""
+
+    def __init__(self, adopter, domain):
+        self.adopter = adopter
+        self.domain = domain
+        self.settings = adopter.settings
+        self.clock = adopter.clock
+        self.shard = adopter.kernel.find("shard")
+        self.log = self.shard.log_of(domain)
+        self.driver = adopter.kernel.find("driver").driver
+        self.orders = EndpointOrders(
+            self, self.driver, self.clock, self.settings.scheduler_tick_seconds
+        )
+        self.leader = LeaderLease(
+            adopter.kernel.find("platform").store,
+            domain,
+            self.settings.daemon_name,
+            self.settings.scheduler_leader_seconds,
+            self.clock,
+        )
+
+    async def __aexit__(self, *exc):
+        await self.orders.__aexit__(*exc)
+        await self.leader.give_up()
+
+    async def tick(self):
+        """Make one round of decisions, write them, and act on the state."""
+        if not await self.leader.hold():
+            return
+        await self.log.catch_up()
+        names = list(self.log.state.endpoints)
+        await asyncio.gather(*(self.renew(name) for name in names))
+        for part in split(self.orders.take_records() + self.decide()):
+            await self.log.append(part)
+        self.orders.reconcile()
+        for target in {p.target for p in self.log.state.outbox.values()}:
+            count = await transfer.deliver(
+                self.log, self.shard.log_of(target), self.domain
+            )
+            log.info("Moved %d parts from %s to %s.", count, self.domain, target)
+
+    def decide(self):
+        """Return the records for the log, as the domain's scheduler would."""
+        state, now = self.log.state, self.clock.now()
+        settings, document = self.settings, self.adopter.config.document
+        skew = settings.scheduler_clock_skew_seconds
+        free_at = now + settings.scheduler_reclaim_after_seconds + 2 * skew
+        vms = self.adopter.livelist.endpoints(self.domain)
+        records = membership.domain_records(state, document, self.domain)
+        records += membership.endpoint_records(state, vms, now, free_at)
+        records += membership.expired_records(state, now, skew)
+        records += membership.release_records(state)
+        if not state.out:
+            records += adoption.release_records(state)
+        nonce = uuid.uuid4().hex[:8]
+        targets = self.targets()
+        return records + moving.moves(state, targets, nonce, now)
+
+    def targets(self):
+        """Return the domains that are in and have entry VMs."""
+        document = self.adopter.config.document
+        entries = self.adopter.livelist.daemons()
+        served = {vm.failure_domain for vm in entries if not vm.leaving}
+        served.add(self.settings.daemon_failure_domain)
+        served.discard(self.domain)
+        return sorted(name for name in served if not document.domain_out(name))
+
+    async def renew(self, name):
+        """Renew the leases at one endpoint and take a full report."""
+        endpoint = self.log.state.endpoints[name]
+        if endpoint.lost:
+            return
+        expected = attempts.running(self.log.state, name)
+        deadline = attempts.renewal_deadline(
+            self.clock.now(),
+            self.log.confirmed_at,
+            self.settings.scheduler_lease_seconds,
+            self.settings.scheduler_reclaim_after_seconds,
+        )
+        try:
+            renewal = Renewal(deadline)
+            report = await self.driver.renew(endpoint.seen.address, renewal)
+        except errors.EndpointError as error:
+            log.debug("%s: %s.", name, error)
+            return
+        self.orders.take_reports(name, report.tasks, expected)
--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -6,16 +6,18 @@
 from clementinebay import errors, registry, thriftcodec
 from clementinebay.peer.wire import ttypes as peer_wire
 from clementinebay.service import Service
-from clementinebay.services.shard import submit
 from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
 
+#: Time after its creation in which no part of a plan can be over and forgotten.
+FRESH_PLAN_SECONDS = 60.0
+
 
 class Jobs(Service):
     """Serves operators; any daemon may."""
 
     name = "jobs"
-    requires = ("shard", "platform", "peers", "livelist")
+    requires = ("shard", "platform", "peers", "livelist", "config")
 
     async def start(self):
         """Begin to answer peers."""
@@ -30,38 +32,53 @@
         Submitting the same again changes nothing; other contents under the same name
         raise `RecordRefusedError`.
         """
-        domains = self.kernel.find("livelist").domains()
-        if not domains:
-            raise errors.PlatformUnavailableError("the live list was not read yet")
+        domains = self.open_domains()
         digest = hashlib.sha256(thriftcodec.encode(spec)).hexdigest()
         parts = registry.split(spec.id, spec.count, domains)
-        plan = await self.registry.claim(registry.Plan(spec.id, digest, parts))
-        spec.submitted_at = self.clock.now()
-        for part in plan.parts:
-            await self.submit_part(registry.part_spec(spec, part), part.domain)
+        plan = registry.Plan(spec.id, digest, parts, self.clock.now())
+        plan = await self.registry.claim(plan)
+        # Equal for every submission, so that the state machine takes them as one.
+        spec.submitted_at = plan.created_at
+        await asyncio.gather(*(self.submit_part(spec, plan, p) for p in plan.parts))
         return plan
 
-    async def submit_part(self, spec, domain):
-        """Append one part to its domain's log unless it is there."""
-        shard_log = self.shard.open(domain)
-        await shard_log.load()
-        if spec.id not in shard_log.state.jobs:
-            await submit(shard_log, [wire.Record(submit=wire.Submit(spec))])
+    def open_domains(self):
+        """Return the domains that a new job is split over."""
+        domains = self.kernel.find("livelist").domains()
+        if not domains:
+            raise errors.PlatformUnavailableError("the live list was not read yet")
+        document = self.kernel.find("config").document
+        return [name for name in domains if not document.domain_out(name)] or domains
+
+    async def submit_part(self, spec, plan, part):
+        """Have one part in its domain's log unless it is there or over."""
+        shard_log = self.shard.log_of(part.domain)
+
+        async def still_due():
+            if part.name in shard_log.state.jobs:
+                return False
+            if self.clock.now() < plan.created_at + FRESH_PLAN_SECONDS:
+                return True
+            return part.name not in (await self.registry.find(plan.name)).closed
+
+        submit = wire.Submit(registry.part_spec(spec, part))
+        records = [wire.Record(submit=submit)]
+        writer = self.shard.writer(part.domain)
+        raise_first(await writer.write(records, still_due))
 
     async def cancel(self, name):
-        """Cancel job ``name`` wherever its parts are."""
-        await self.registry.find(name)
-        for domain in self.kernel.find("livelist").domains():
-            shard_log = self.shard.open(domain)
-            await shard_log.load()
-            now = self.clock.now()
-            records = [
-                wire.Record(cancel=wire.Cancel(part, now))
-                for part, job in shard_log.state.jobs.items()
-                if (job.spec.origin or part) == name and not job.cancelled
-            ]
-            if records:
-                await submit(shard_log, records)
+        """Cancel job ``name`` wherever its parts are, or will arrive."""
+        domains = set(self.kernel.find("livelist").domains())
+        if not any(name in self.shard.log_of(d).state.parts for d in domains):
+            plan = await self.registry.find(name)
+            domains.update(part.domain for part in plan.parts)
+        cancel = wire.Cancel("", self.clock.now(), [name])
+        records = [wire.Record(cancel=cancel)]
+        answers = await asyncio.gather(
+            *(self.shard.writer(domain).write(records) for domain in domains)
+        )
+        for refusals in answers:
+            raise_first(refusals)
 
     async def standings(self, names):
         """Return `JobStanding`s of parts in all domains; no names stand for all."""
@@ -97,6 +114,13 @@
         )
 
 
+def raise_first(refusals):
+    """Raise the first refusal if there is any."""
+    for refusal in refusals:
+        if refusal is not None:
+            raise refusal
+
+
 def standing(job, domain):
     """Return the `JobStanding` of one part."""
     counts = dict.fromkeys(Phase, 0)
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -11,8 +11,7 @@
 from clementinebay.log import Log
 from clementinebay.policy import moving
 from clementinebay.service import Service
-from clementinebay.services.shard import submit
-from clementinebay.shard.wire import ttypes as wire
+from clementinebay.shard import transfer
 
 log = Log("mover")
 
@@ -27,7 +26,6 @@
         """Begin to move."""
         self.shard = self.kernel.find("shard")
         self.scheduler = self.kernel.find("scheduler")
-        self.logs = {}
         self.background.spawn(self.run)
 
     async def run(self):
@@ -52,34 +50,16 @@
         ]
         nonce = uuid.uuid4().hex[:8]
         records = moving.move_records(
-            self.shard.state, domain, targets, nonce, self.clock.now()
+            self.shard.state, targets, nonce, self.clock.now()
         )
         if records:
             await self.shard.append(records)
 
     async def deliver(self):
-        """Submit the outbox to the targets, then forget what they have taken."""
-        by_target = {}
-        for outgoing in self.shard.state.outbox.values():
-            by_target.setdefault(outgoing.target, []).append(outgoing)
-        for target, parcels in by_target.items():
-            await submit(
-                await self.log_of(target),
-                [
-                    wire.Record(submit=wire.Submit(parcel.spec, parcel.checkpoint))
-                    for parcel in parcels
-                ],
-            )
-            await self.shard.append(
-                [wire.Record(moved=wire.Moved(parcel.spec.id)) for parcel in parcels]
+        """Hand the outbox over to the targets."""
+        domain = self.settings.daemon_failure_domain
+        for target in {parcel.target for parcel in self.shard.state.outbox.values()}:
+            count = await transfer.deliver(
+                self.shard.log, self.shard.log_of(target), domain
             )
-            log.info("Moved %d parts to %s.", len(parcels), target)
-
-    async def log_of(self, domain):
-        """Return the log of another domain, caught up."""
-        if domain not in self.logs:
-            self.logs[domain] = self.shard.open(domain)
-            await self.logs[domain].load()
-        else:
-            await self.logs[domain].catch_up()
-        return self.logs[domain]
+            log.info("Moved %d parts to %s.", count, target)
--- a/clementinebay/services/shard.py
+++ b/clementinebay/services/shard.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
-from clementinebay import errors, model
+from clementinebay import errors, metrics, model
 from clementinebay.log import Log
 from clementinebay.service import Service
-from clementinebay.shard.log import ShardLog
+from clementinebay.shard import checks
+from clementinebay.shard.groupcommit import GroupWriter
+from clementinebay.shard.log import ShardLog, split
 from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
 
@@ -13,8 +15,8 @@
 CONFIRM_SECONDS = 2.0
 #: Wait before a watch that broke is opened again, in seconds.
 FOLLOW_AGAIN_SECONDS = 0.5
-#: Attempts to write a command that other writers overtake.
-APPEND_ATTEMPTS = 20
+#: Batches after which the whole state is checked, not just what they touched.
+BATCHES_BETWEEN_FULL_CHECKS = 200
 
 log = Log("shard")
 
@@ -28,6 +30,9 @@
     async def start(self):
         """Begin to follow."""
         self.log = self.open(self.settings.daemon_failure_domain)
+        self.log.inspect = self.inspect
+        self.logs = {self.settings.daemon_failure_domain: self.log}
+        self.writers = {}
         self.changed = asyncio.Event()
         self.replica_table = {}
         self.replica_table_of = None
@@ -39,6 +44,34 @@
         store = self.kernel.find("platform").store
         return ShardLog(store, domain, self.settings.daemon_name, self.clock)
 
+    async def stop(self):
+        """End the writers."""
+        for writer in self.writers.values():
+            await writer.__aexit__()
+
+    def log_of(self, domain):
+        """Return the log of ``domain``; only this domain's follows by itself."""
+        if domain not in self.logs:
+            self.logs[domain] = self.open(domain)
+        return self.logs[domain]
+
+    def writer(self, domain):
+        """Return the `GroupWriter` of the log of ``domain``."""
+        if domain not in self.writers:
+            self.writers[domain] = GroupWriter(self.log_of(domain))
+        return self.writers[domain]
+
+    def inspect(self, state):
+        """Check the promises after a batch; count and log what is broken."""
+        try:
+            if state.index % BATCHES_BETWEEN_FULL_CHECKS:
+                checks.check_touched(state)
+            else:
+                state.check()
+        except errors.InvariantBrokenError as error:
+            metrics.INVARIANTS_BROKEN.inc()
+            log.error("Batch %d broke an invariant: %s.", state.index, error)
+
     @property
     def state(self):
         """The shard's state as far as it is known here."""
@@ -71,7 +104,9 @@
 
     async def append(self, records):
         """Append ``records`` once; return their refusals."""
-        refusals = await self.log.append(records)
+        refusals = []
+        for part in split(records):
+            refusals += await self.log.append(part)
         for record, refusal in zip(records, refusals, strict=True):
             if refusal is not None:
                 log.warning("Refused %s: %s.", record, refusal)
@@ -92,23 +127,6 @@
         return list(self.replica_table)
 
 
-async def submit(shard_log, records):
-    """Append ``records`` to ``shard_log``, again while other writers are faster.
-
-    The records must be idempotent.  Raises the first refusal.
-    """
-    for _attempt in range(APPEND_ATTEMPTS):
-        try:
-            refusals = await shard_log.append(records)
-        except errors.LogConflictError:
-            continue
-        for refusal in refusals:
-            if refusal is not None:
-                raise refusal
-        return
-    raise errors.LogConflictError("other writers were faster each time")
-
-
 def replica_table(state):
     """Return {service: replicas} of what runs in ``state``."""
     table = {}
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -118,6 +118,16 @@
     ),
     _seconds("scheduler", "leader_seconds", 4.0, "Lease of the shard's scheduler."),
     _seconds("scheduler", "retention_seconds", 120.0, "Truncated records are kept."),
+    _seconds(
+        "scheduler",
+        "job_retention_seconds",
+        3600.0,
+        "Ended jobs and lost endpoints are kept.",
+        low=120.0,
+    ),
+    _seconds(
+        "scheduler", "adopt_after_seconds", 15.0, "A domain without entry VMs waits."
+    ),
     _count("scheduler", "snapshot_batches", 200, "Batches between two snapshots."),
     Option("log", "level", "info", "Lowest level to log.", choices=log.LEVELS),
     Option("trace", "sample_percent", 1.0, "Traces kept.", float, low=0.0, high=100.0),
--- a/clementinebay/shard/log.py
+++ b/clementinebay/shard/log.py
@@ -77,6 +77,8 @@
     async def catch_up(self):
         """Apply the batches that were written since the last read."""
         async with self.lock:
+            if not self.confirmed_at:
+                await self.read_snapshot()
             await self.read_batches()
 
     async def read_snapshot(self):
--- a/tests/shard/machine.py
+++ b/tests/shard/machine.py
@@ -25,6 +25,11 @@
             daemon.look()
             daemon.begin(daemon.read())
             daemon.finish()
+        self.submit_job(self.daemon(0), 3, False)
+        self.submit_job(self.daemon(2), 2, True)
+        for _round in range(2):
+            self.live(0)
+            self.live(2)
 
     def daemon(self, number):
         return self.world.daemons[number]
@@ -34,7 +39,9 @@
     @precondition(lambda self: len(self.world.totals) < 4)
     @rule(daemon=DAEMONS, count=st.integers(1, 3), service=st.booleans())
     def submit(self, daemon, count, service):
-        daemon = self.daemon(daemon)
+        self.submit_job(self.daemon(daemon), count, service)
+
+    def submit_job(self, daemon, count, service):
         name = f"job-{len(self.world.totals)}"
         workload = wire.Workload.SERVICE if service else wire.Workload.BATCH
         spec = factory.spec(name, count, workload=workload, max_attempts=1000)
@@ -79,6 +86,20 @@
         daemon.finish()
         daemon.orders.reconcile()
 
+    @rule(daemon=DAEMONS)
+    def live(self, daemon):
+        """Let a daemon do its whole work once without a fault."""
+        daemon = self.daemon(daemon)
+        daemon.finish()
+        daemon.look()
+        for operation in (daemon.read, daemon.tick):
+            daemon.begin(operation())
+            daemon.finish()
+        daemon.orders.reconcile()
+        for endpoint in self.world.endpoints:
+            daemon.renew(endpoint)
+        self.deliver_all_messages()
+
     @rule(daemon=DAEMONS)
     def look(self, daemon):
         self.daemon(daemon).look()
@@ -130,15 +151,13 @@
     @precondition(lambda self: self.world.network)
     @rule()
     def deliver_all(self):
-        messages, self.world.network = self.world.network, []
-        for message in messages:
-            self.world.deliver(message)
+        self.deliver_all_messages()
 
     # Endpoints
 
-    @rule(endpoint=ENDPOINTS)
-    def hide_or_list(self, endpoint):
-        self.world.hidden ^= {endpoint}
+    @rule(endpoints=st.sets(ENDPOINTS))
+    def list_all_but(self, endpoints):
+        self.world.hidden = set(endpoints)
 
     @rule(endpoint=ENDPOINTS)
     def leave_or_stay(self, endpoint):
--- a/tests/shard/world.py
+++ b/tests/shard/world.py
@@ -278,7 +278,7 @@
         other = [d for d in DOMAINS if d != self.domain]
         nonce = f"{self.name}{self.lives}-{state.index}"
         targets = [d for d in other if not self.document.domain_out(d)]
-        return records + moving.move_records(state, self.domain, targets, nonce, now)
+        return records + moving.move_records(state, targets, nonce, now)
 
     def binds(self, state, now, shift):
         """Bind whatever waits anywhere, without a look at what is free."""
