--- a/clementinebay/cmdline.py
+++ b/clementinebay/cmdline.py
@@ -115,6 +115,8 @@
             raise ToolError(
                 EXIT_UNREACHABLE, f"{self.http.base_url}: {error}"
             ) from error
+        if domains := response.headers.get("X-Unanswered-Domains"):
+            print(f"clementinectl: partial: no answer from {domains}", file=sys.stderr)
         if response.is_success:
             return response.json()
         code = {409: EXIT_CONFLICT, 422: EXIT_USAGE}.get(
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -22,6 +22,17 @@
 PLATFORM_CALLS = Counter(
     "clementine_platform_calls", "Calls to the platform.", ["kind"]
 )
+PLATFORM_REFUSED = Counter(
+    "clementine_platform_refused", "Calls over this daemon's share.", ["kind"]
+)
+PLATFORM_SHARE = Gauge(
+    "clementine_platform_share", "Calls a second that are this daemon's.", ["kind"]
+)
+BACKGROUND_FAILURES = Counter(
+    "clementine_background_failures",
+    "Loops that failed and were begun again.",
+    ["service", "loop", "error"],
+)
 PLATFORM_WATCHES = Gauge("clementine_platform_watches", "Watches that wait.")
 REQUESTS = Counter("clementine_requests", "Client requests by outcome.", ["outcome"])
 REQUEST_SECONDS = Histogram(
@@ -36,4 +47,10 @@
 REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
+PARKED = Counter("clementine_parked", "Tasks parked.", ["reason"])
+THROTTLED = Gauge("clementine_throttled", "Tasks that are throttled.")
+BARRED = Gauge("clementine_barred", "Endpoints that take no tasks for failures.")
+DECISION_SECONDS = Histogram(
+    "clementine_decision_seconds", "Time to decide.", buckets=LATENCY_BUCKETS
+)
 CONFIG_REVISION = Gauge("clementine_config_revision", "Configuration in force.")
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -8,6 +8,7 @@
 SERVICES = {
     "adopter": ("clementinebay.services.adopter", "Adopter"),
     "bootstrap": ("clementinebay.services.bootstrap", "Bootstrap"),
+    "colocation": ("clementinebay.services.colocation", "Colocation"),
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
--- a/clementinebay/services/adopter.py
+++ b/clementinebay/services/adopter.py
@@ -10,7 +10,7 @@
 from clementinebay import errors
 from clementinebay.endpoint.base import Renewal
 from clementinebay.log import Log
-from clementinebay.policy import adoption, attempts, membership, moving
+from clementinebay.policy import adoption, attempts, balance, membership
 from clementinebay.service import Service
 from clementinebay.services.dispatcher import EndpointOrders
 from clementinebay.shard import transfer
@@ -95,7 +95,7 @@
             self, self.driver, self.clock, self.settings.scheduler_tick_seconds
         )
         self.leader = LeaderLease(
-            adopter.kernel.find("platform").store,
+            adopter.kernel.find("platform").control,
             domain,
             self.settings.daemon_name,
             self.settings.scheduler_leader_seconds,
@@ -115,6 +115,7 @@
         await asyncio.gather(*(self.renew(name) for name in names))
         for part in split(self.orders.take_records() + self.decide()):
             await self.log.append(part)
+        await self.move_out()
         self.orders.reconcile()
         for target in {p.target for p in self.log.state.outbox.values()}:
             count = await transfer.deliver(
@@ -135,9 +136,23 @@
         records += membership.release_records(state)
         if not state.out:
             records += adoption.release_records(state)
+        return records
+
+    async def move_out(self):
+        """Put into the outbox what waits."""
+        if self.log.state.outbox or not balance.surplus(self.log.state, True):
+            return
+        targets = {}
+        for name in self.targets():
+            target = self.shard.log_of(name)
+            await target.catch_up()
+            targets[name] = target.state
         nonce = uuid.uuid4().hex[:8]
-        targets = self.targets()
-        return records + moving.moves(state, targets, nonce, now)
+        records = balance.move_records(
+            self.log.state, targets, nonce, self.clock.now(), True
+        )
+        if records:
+            await self.log.append(records)
 
     def targets(self):
         """Return the domains that are in and have entry VMs."""
--- a/clementinebay/services/shard.py
+++ b/clementinebay/services/shard.py
@@ -6,9 +6,9 @@
 from clementinebay.log import Log
 from clementinebay.service import Service
 from clementinebay.shard import checks
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.groupcommit import GroupWriter
 from clementinebay.shard.log import ShardLog, split
-from clementinebay.shard.state import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Time between two reads that confirm the end of the log, in seconds.
@@ -41,7 +41,7 @@
 
     def open(self, domain):
         """Return the log of ``domain`` for this daemon as a writer."""
-        store = self.kernel.find("platform").store
+        store = self.kernel.find("platform").control
         return ShardLog(store, domain, self.settings.daemon_name, self.clock)
 
     async def stop(self):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,7 +1,7 @@
 """A small system of real processes on loopback, for the demo, tests and the bench."""
 
-import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -11,9 +11,15 @@
 
 import httpx
 
+from standins import platform, proxy
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 #: Longest wait for a process to answer or to end, in seconds.
 WAIT_SECONDS = 20.0
+#: Ports to choose from: from, and before.
+PORTS = (10_000, 32_000)
+#: Ports that were given out.
+GIVEN = set()
 
 SETTINGS = """\
 [daemon]
@@ -28,36 +34,38 @@
 url = {platform}
 live_list_url = {live_list}
 [trace]
-sample_percent = 100
+sample_percent = {sample}
 {extra}
 """
 
 
 def free_ports(count):
     """Return ports of loopback that are free now."""
-    sockets = []
-    for _number in range(count):
-        opened = socket.socket()
-        opened.bind(("127.0.0.1", 0))
-        sockets.append(opened)
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+    return [free_range(1) for _number in range(count)]
 
 
 def free_range(count):
-    """Return the first of ``count`` consecutive free ports."""
+    """Return the first of ``count`` consecutive free ports.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections, and none is given out twice.
+    """
     while True:
-        first = free_ports(1)[0]
-        with contextlib.ExitStack() as stack:
-            try:
-                for port in range(first, first + count):
-                    opened = stack.enter_context(socket.socket())
-                    opened.bind(("127.0.0.1", port))
-                return first
-            except (OSError, OverflowError):
-                continue
+        first = random.randrange(*PORTS)
+        ports = range(first, first + count)
+        if not GIVEN.intersection(ports) and all(map(is_free, ports)):
+            GIVEN.update(ports)
+            return first
+
+
+def is_free(port):
+    """Return whether nothing listens at ``port``."""
+    with socket.socket() as opened:
+        try:
+            opened.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 def wait_for(what, condition, seconds=WAIT_SECONDS):
@@ -136,14 +144,23 @@
 class Cluster:
     """Platform, endpoints and daemons; a context manager that ends them all.
 
-    ``daemon_platform`` and ``endpoint_ports`` may be replaced by addresses of a proxy
-    before the daemons start.
+    With ``proxied``, a fault-injecting proxy stands on every way, under the route names
+    ``platform:DAEMON``, ``endpoint:ENDPOINT``, and ``peer:DOMAIN>DAEMON`` from the
+    daemons of DOMAIN to DAEMON.
     """
 
     def __init__(
-        self, domains=("a", "b", "c"), daemons=2, endpoints=2, extra="", **size
+        self,
+        domains=("a", "b", "c"),
+        daemons=2,
+        endpoints=2,
+        extra="",
+        proxied=False,
+        sample=100.0,
+        **size,
     ):
         self.domains = domains
+        self.sample = sample
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -155,11 +172,18 @@
         self.http = httpx.Client(timeout=10.0)
         self.platform_url = ""
         self.platform = None
+        self.proxied = proxied
+        self.routes = {}
+        self.proxy_url = ""
 
     def __enter__(self):
         try:
             self.start_platform()
             self.start_endpoints()
+            self.plan_daemons()
+            if self.proxied:
+                self.start_proxy()
+            self.list_vms([self.endpoint_vm(name) for name in self.endpoints])
             self.start_daemons()
         except BaseException:
             self.__exit__(None, None, None)
@@ -205,7 +229,34 @@
         for address in self.endpoints.values():
             url = f"http://{address}/control/runs"
             wait_for(f"endpoint {address}", lambda url=url: self.http.get(url))
-        self.list_vms([self.endpoint_vm(name) for name in self.endpoints])
+
+    def plan_daemons(self):
+        """Give every daemon its ports."""
+        for domain in self.domains:
+            for number in range(self.daemons_per_domain):
+                front, peer = free_ports(2)
+                name = f"{domain}-entry-{number}"
+                self.daemons.append(Daemon(name, domain, front, peer))
+
+    def start_proxy(self):
+        """Start the proxy with a route for every way."""
+        targets = {
+            f"endpoint:{name}": address.rpartition(":")[2]
+            for name, address in self.endpoints.items()
+        }
+        platform = self.platform_url.rpartition(":")[2]
+        for daemon in self.daemons:
+            targets[f"platform:{daemon.name}"] = platform
+            for domain in self.domains:
+                targets[f"peer:{domain}>{daemon.name}"] = daemon.peer
+        control, *listens = free_ports(1 + len(targets))
+        self.routes = dict(zip(targets, listens, strict=True))
+        options = ["--control", str(control)]
+        for name, listen in self.routes.items():
+            options += ["--route", f"{name}={listen}:{targets[name]}"]
+        self.spawn("proxy", "standins.proxy", *options)
+        self.proxy_url = f"http://127.0.0.1:{control}"
+        wait_for("the proxy", lambda: self.proxy("nothing") is not None)
 
     def endpoint_vm(self, name):
         """Return an endpoint's entry of the live list."""
@@ -213,7 +264,7 @@
         return {
             "id": name,
             "role": "endpoint",
-            "address": self.endpoints[name],
+            "address": self.route_to(f"endpoint:{name}", self.endpoints[name]),
             "failure_domain": domain,
             "rack": f"{domain}-rack-{int(number) % 3}",
             "processors_milli": self.size["processors"] * 1000,
@@ -228,11 +279,6 @@
 
     def start_daemons(self):
         """Start the daemons and wait until they are ready."""
-        for domain in self.domains:
-            for number in range(self.daemons_per_domain):
-                front, peer = free_ports(2)
-                daemon = Daemon(f"{domain}-entry-{number}", domain, front, peer)
-                self.daemons.append(daemon)
         for daemon in self.daemons:
             self.start_daemon(daemon)
         self.list_vms([self.daemon_vm(daemon) for daemon in self.daemons])
@@ -241,13 +287,22 @@
 
     def daemon_vm(self, daemon):
         """Return a daemon's entry of the live list."""
+        address = f"127.0.0.1:{daemon.peer}"
         return {
             "id": daemon.name,
             "role": "entry",
-            "address": f"127.0.0.1:{daemon.peer}",
+            "address": address,
             "failure_domain": daemon.domain,
+            "views": {
+                domain: self.route_to(f"peer:{domain}>{daemon.name}", address)
+                for domain in self.domains
+            },
         }
 
+    def route_to(self, route, address):
+        """Return the address of a route, or ``address`` without a proxy."""
+        return f"127.0.0.1:{self.routes[route]}" if self.proxied else address
+
     def start_daemon(self, daemon):
         """Start one daemon process."""
         path = os.path.join(self.folder, f"{daemon.name}.ini")
@@ -260,20 +315,25 @@
                     peer=daemon.peer,
                     seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
-                    live_list=f"{self.platform_of(daemon)}/vms",
+                    live_list=f"{self.platform_of(daemon)}/vms/{daemon.domain}",
                     extra=self.extra,
+                    sample=self.sample,
                 )
             )
         daemon.process = self.spawn(daemon.name, "clementinebay", "--settings", path)
 
     def seeds_of(self, daemon):
-        """Return the peer addresses of all other daemons."""
-        others = [d for d in self.daemons if d is not daemon]
-        return ", ".join(f"127.0.0.1:{other.peer}" for other in others)
-
-    def platform_of(self, _daemon):
+        """Return the peer addresses of all other daemons, as ``daemon`` sees them."""
+        return ", ".join(
+            self.daemon_vm(other)["views"][daemon.domain]
+            for other in self.daemons
+            if other is not daemon
+        )
+
+    def platform_of(self, daemon):
         """Return the platform's URL as a daemon sees it."""
-        return self.platform_url
+        address = self.platform_url.removeprefix("http://")
+        return "http://" + self.route_to(f"platform:{daemon.name}", address)
 
     def wait_ready(self, daemon):
         """Wait until a daemon says that it is ready."""
@@ -291,6 +351,51 @@
         address = self.endpoints[name]
         self.http.post(f"http://{address}/control/faults", json=faults)
 
+    def proxy(self, routes, **faults):
+        """Set faults of the proxy's routes that fit a pattern; return their names."""
+        body = {"routes": routes, **faults}
+        return self.http.post(f"{self.proxy_url}/control/faults", json=body).json()
+
+    def heal(self):
+        """End all faults of the proxy and the platform."""
+        self.proxy("*", **proxy.NO_FAULTS)
+        self.platform_faults(**platform.NO_FAULTS)
+
+    def cut_from_platform(self, name, cut="both"):
+        """Cut a daemon, or all daemons whose name fits, from the platform."""
+        self.proxy(f"platform:{name}", cut=cut)
+
+    def cut_from_domains(self, domain, cut="both"):
+        """Cut a domain from all other domains."""
+        for other in self.domains:
+            if other != domain:
+                self.proxy(f"peer:{other}>{domain}-*", cut=cut)
+                self.proxy(f"peer:{domain}>{other}-*", cut=cut)
+
+    def restart(self, daemon):
+        """Start a daemon again that has ended, and wait until it is ready."""
+        daemon.process.start()
+        self.wait_ready(daemon)
+
+    def status(self, daemon):
+        """Return the standing that a daemon tells."""
+        return self.http.get(f"{daemon.url}/v1/status").json()
+
+    def leader(self, domain):
+        """Return the daemon that says it is the scheduler of ``domain``."""
+        for daemon in self.daemons:
+            running = daemon.process.child.poll() is None
+            if daemon.domain == domain and running and self.status(daemon)["scheduler"]:
+                return daemon
+        return None
+
+    def requests_run(self):
+        """Return the ids of all requests that ran at any endpoint."""
+        found = []
+        for address in self.endpoints.values():
+            found += self.http.get(f"http://{address}/control/requests").json()
+        return found
+
     def runs(self):
         """Return every run at any endpoint, with the endpoint's name."""
         found = []
--- a/tests/shard/test_state.py
+++ b/tests/shard/test_state.py
@@ -2,7 +2,8 @@
 
 from clementinebay import errors
 from clementinebay.shard import snapshot
-from clementinebay.shard.state import Phase, State
+from clementinebay.shard.entities import Phase
+from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
 from tests.shard import factory
 
@@ -204,3 +205,11 @@
     state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
     state.apply(forget)
     assert not state.endpoints
+
+
+def test_part_of_the_untouched_tasks_may_move(state):
+    move = wire.Move("minutes", 0, 2, "b", "minutes~0~x")
+    state.apply(wire.Record(move=move))
+    assert (state.jobs["minutes"].next_index, state.jobs["minutes"].untouched) == (2, 1)
+    with pytest.raises(errors.StaleAttemptError):
+        state.apply(wire.Record(move=wire.Move("minutes", 2, 2, "b", "other")))
--- a/tests/shard/world.py
+++ b/tests/shard/world.py
@@ -9,13 +9,13 @@
 from clementinebay.endpoint.base import Report, TaskReport
 from clementinebay.platform.base import KeyValueStore, Vm
 from clementinebay.platform.keyspace import KeySpace
-from clementinebay.policy import attempts, membership, moving
+from clementinebay.policy import attempts, balance, membership
 from clementinebay.policy.attempts import Action
 from clementinebay.services.dispatcher import EndpointOrders
 from clementinebay.shard import snapshot, transfer
 from clementinebay.shard.leader import LeaderLease
 from clementinebay.shard.log import ShardLog
-from clementinebay.shard.state import Phase
+from clementinebay.shard.state import Phase, State
 from clementinebay.shard.wire import ttypes as wire
 
 DOMAINS = ("a", "b")
@@ -277,8 +277,9 @@
         records += self.binds(state, now, shift)
         other = [d for d in DOMAINS if d != self.domain]
         nonce = f"{self.name}{self.lives}-{state.index}"
-        targets = [d for d in other if not self.document.domain_out(d)]
-        return records + moving.move_records(state, targets, nonce, now)
+        # The targets' room is not read, so only a domain that is out moves anything.
+        targets = {d: State() for d in other if not self.document.domain_out(d)}
+        return records + balance.move_records(state, targets, nonce, now)
 
     def binds(self, state, now, shift):
         """Bind whatever waits anywhere, without a look at what is free."""
