--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -165,8 +165,10 @@
             # The worker was restarted and has forgotten what it ran.
             standing.since = None
             return 0
+        reported_at = self.clock.now()
         await self.deliver(name, report, expected)
-        if attempts.unrecorded(self.shard.state, name, report.tasks):
+        newer = self.shard.log.confirmed_at > reported_at
+        if attempts.unrecorded(self.shard.state, name, report.tasks, newer):
             standing.waits += 1
         else:
             standing.since = report.version
