Have a gossip exchange that crashes counted and begun again

Cause: an exchange that failed with another error than a peer's ended as a task that nobody looked at, without a line in the log or a count. Change: exchanges run as loops of the service; stopping ends them before the clients close, so none opens a client again. The slopes tell how long a replaced daemon takes.

--- a/bench/slopes_daemon.py
+++ b/bench/slopes_daemon.py
@@ -54,7 +54,8 @@
             time.sleep(SETTLE_SECONDS)
             before = Reading(c)
             self.load(c, size, seconds)
-            return {"size": size, **self.row(c, before, Reading(c))}
+            row = self.row(c, before, Reading(c))
+            return {"size": size, **row, **self.afterwards(c)}
 
     def endpoints(self, size):
         """Return how many endpoints there are."""
@@ -67,14 +68,18 @@
         """Do for ``seconds`` what is measured."""
         time.sleep(seconds)
 
+    def afterwards(self, cluster):
+        """Return what else is measured."""
+        return {}
+
     @staticmethod
     def row(cluster, before, after):
         """Return what a second cost, the scheduler's and the follower's part."""
         elapsed = after.time - before.time
         row = {}
         for number, daemon in enumerate(cluster.daemons):
-            status = cluster.http.get(f"{daemon.url}/v1/status").json()
-            role = "scheduler" if status["scheduler"] else "follower"
+            schedules = status(cluster, daemon)["scheduler"]
+            role = "scheduler" if schedules else "follower"
             cpu = (after.cpu[number] - before.cpu[number]) * 1000 / elapsed
             row[f"{role} cpu ms/s"] = cpu
             row[f"{role} rss MB"] = resident_mb(daemon.process.child.pid)
@@ -98,6 +103,18 @@
         submit(cluster, "batch", batch, run_seconds=ENDLESS_SECONDS)
         wait_for("all tasks", lambda: running(cluster) >= services + batch, 60.0)
 
+    def afterwards(self, cluster):
+        """Replace the daemon that follows; return the seconds until it is useful."""
+        daemon = next(d for d in cluster.daemons if not status(cluster, d)["scheduler"])
+        index = status(cluster, daemon)["log_index"]
+        daemon.process.kill()
+        start = time.monotonic()
+        cluster.start_daemon(daemon)
+        cluster.wait_ready(daemon)
+        ready = time.monotonic() - start
+        wait_for("the state", lambda: status(cluster, daemon)["log_index"] >= index)
+        return {"ready after s": ready, "has state after s": time.monotonic() - start}
+
 
 class Starts(Domain):
     """Task starts: one job a second of tasks that run a few seconds."""
@@ -118,6 +135,11 @@
             time.sleep(max(0.0, start + number + 1 - time.monotonic()))
 
 
+def status(cluster, daemon):
+    """Return what a daemon says of itself."""
+    return cluster.http.get(f"{daemon.url}/v1/status").json()
+
+
 def submit(cluster, name, count, **rest):
     """Submit a job."""
     url = f"{cluster.daemons[0].url}/v1/jobs"
--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -50,8 +50,7 @@
 
     async def stop(self):
         """Close the server and the clients."""
-        for task in list(self.telling.values()):
-            task.cancel()
+        await self.background.__aexit__()
         await self.server.__aexit__()
         for client in self.clients.values():
             await client.close()
@@ -89,7 +88,7 @@
 
     def begin_to_tell(self, vm):
         """Exchange gossip with one peer, while others are told too."""
-        task = self.telling[vm.id] = asyncio.create_task(self.tell(vm))
+        task = self.telling[vm.id] = self.background.spawn(self.tell, vm)
         task.add_done_callback(lambda _task: self.telling.pop(vm.id, None))
 
     def refresh(self):
