--- a/clementinebay/endpoint/aio.py
+++ b/clementinebay/endpoint/aio.py
@@ -84,11 +84,12 @@
         if not request_id:
             return response.status, headers, await response.read()
         try:
-            # A refusal, too, counts only if it is this request's own.
-            http.check_head(headers, request_id)
-            body = await response.read()
+            http.check_owner(headers, request_id)
             if headers.get("X-Outcome") == "not-run":
-                raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
+                text = await response.read()
+                raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
+            http.check_head(headers)
+            body = await response.read()
             http.check_body(headers, body)
         except errors.AnswerMismatchError:
             response.drop()
--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -25,10 +25,14 @@
     return hashlib.blake2b(body, digest_size=8).hexdigest()
 
 
-def check_head(headers, request_id):
-    """Raise `AnswerMismatchError` unless an answer's ``headers`` fit the request."""
+def check_owner(headers, request_id):
+    """Raise `AnswerMismatchError` unless an answer or refusal is the request's own."""
     if headers.get("X-Request-Id") != request_id:
         raise errors.AnswerMismatchError("the answer is another request's")
+
+
+def check_head(headers):
+    """Raise `AnswerMismatchError` unless an answer tells a length that is allowed."""
     length = headers.get("Content-Length", "")
     if not length.isdecimal():
         raise errors.AnswerMismatchError("the answer does not tell its length")
--- a/clementinebay/endpoint/httpx.py
+++ b/clementinebay/endpoint/httpx.py
@@ -48,10 +48,12 @@
         if not request_id:
             return response.status_code, headers, await response.aread()
         # Leaving the stream before its end closes the connection.
-        http.check_head(headers, request_id)
-        body = await response.aread()
+        http.check_owner(headers, request_id)
         if headers.get("X-Outcome") == "not-run":
-            raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
+            text = await response.aread()
+            raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
+        http.check_head(headers)
+        body = await response.aread()
         http.check_body(headers, body)
         return response.status_code, headers, body
 
--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -15,6 +15,8 @@
 QUERY_SECONDS = 2.0
 #: A peer that missed so many heartbeats takes no requests and renews no leases.
 SILENT_HEARTBEATS = 3
+#: Time between two looks for the first list of VMs, in seconds.
+FIRST_LIST_SECONDS = 0.02
 
 log = Log("peers")
 
@@ -77,6 +79,7 @@
 
     async def gossip(self):
         """Tell peers of this daemon when there is news, and now and then without."""
+        await self.tell_first()
         while True:
             vms = self.kernel.find("livelist").daemons()
             self.refresh()
@@ -86,6 +89,15 @@
                     self.begin_to_tell(vm)
             await asyncio.sleep(self.settings.peer_gossip_seconds)
 
+    async def tell_first(self):
+        """Ask every peer once, before the platform's word of the configuration."""
+        livelist = self.kernel.find("livelist")
+        while not (livelist.vms or livelist.confirmed_at):
+            await asyncio.sleep(FIRST_LIST_SECONDS)
+        self.refresh()
+        await asyncio.gather(*(self.tell(vm) for vm in livelist.daemons()))
+        self.kernel.find("config").peers_asked.set()
+
     def begin_to_tell(self, vm):
         """Exchange gossip with one peer, while others are told too."""
         task = self.telling[vm.id] = self.background.spawn(self.tell, vm)
@@ -113,6 +125,12 @@
         silence = self.clock.now() - neighbour.heard_at
         return silence >= self.settings.peer_heartbeat_seconds
 
+    async def leave(self):
+        """Tell every peer at once that this daemon takes no more requests."""
+        self.leaving = True
+        vms = self.kernel.find("livelist").daemons()
+        await asyncio.gather(*(self.tell(vm) for vm in vms))
+
     async def tell(self, vm):
         """Exchange gossip with one peer."""
         standing = self.standing()
@@ -148,7 +166,10 @@
         )
 
     def learn(self, gossip):
-        """Keep what a peer told."""
+        """Keep what a peer told; raise `FrameMalformedError` if it is incomplete."""
+        counts = [capacity.replicas for capacity in gossip.services or ()]
+        if not gossip.daemon or gossip.config_revision is None or None in counts:
+            raise errors.FrameMalformedError("gossip lacks a field")
         neighbour = self.neighbours.setdefault(gossip.daemon, Neighbour())
         neighbour.learn(gossip)
         neighbour.heard_at = self.clock.now()
