Let fakes of the config service know that peers were asked

Cause: main's gossip begins by asking each peer for the configuration, which the fakes of tests/services/test_peers.py lacked; one test failed for it.

--- a/bench/slopes_fakes.py
+++ b/bench/slopes_fakes.py
@@ -1,5 +1,6 @@
 """A small kernel with fake services, and counters of processor time and bytes."""
 
+import asyncio
 import random
 import resource
 import socket
@@ -114,7 +115,11 @@
 def fake_config(clock):
     """Return a config service that has an empty document."""
     document = config.Document(config.Head(1), {})
-    return Fake(document=document, confirmed_at=clock.now() + 3600.0)
+    return Fake(
+        document=document,
+        confirmed_at=clock.now() + 3600.0,
+        peers_asked=asyncio.Event(),
+    )
 
 
 def fake_tracing():
--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -168,7 +168,7 @@
 
     kernel = fakes.FakeKernel(name, domain, port)
     kernel.services.update(
-        livelist=fakes.Fake(daemons=lambda: vms),
+        livelist=fakes.Fake(daemons=lambda: vms, vms=vms, confirmed_at=1.0),
         config=fakes.fake_config(kernel.clock),
         shard=fakes.FakeShard(kernel.clock, services=SERVICES),
         tracing=fakes.fake_tracing(),
@@ -258,6 +258,7 @@
         store = await stack.enter_async_context(Platform(kernel))
         kernel.services["platform"] = store
         self.watcher = await stack.enter_async_context(ConfigWatcher(kernel))
+        self.watcher.peers_asked.set()
 
     def counters(self):
         """Count the revisions."""
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -46,7 +46,10 @@
             listed = [other for other in vms if other is not vm]
             kernel.services.update(
                 livelist=Fake(daemons=lambda listed=listed: list(listed), vms=listed),
-                config=Fake(document=config.Document(config.Head(1), {})),
+                config=Fake(
+                    document=config.Document(config.Head(1), {}),
+                    peers_asked=asyncio.Event(),
+                ),
                 shard=Shard(),
                 tracing=Fake(tracer=tracing.Tracer(vm.id, 0.0, 10)),
             )
