Parse only the sections of a new document that changed

Change: a document takes the parsed values of sections that the one before has alike. A small change in files of the configuration.

--- a/clementinebay/config.py
+++ b/clementinebay/config.py
@@ -226,16 +226,22 @@
 
 
 class Document:
-    """A revision in force: the texts and values of its sections."""
+    """A revision in force: the texts and values of its sections.
+
+    Sections that document ``known`` has alike are not parsed again.
+    """
 
     __slots__ = ("head", "texts", "values")
 
-    def __init__(self, head, texts):
+    def __init__(self, head, texts, known=None):
         self.head = head
         self.texts = texts
-        self.values = {
-            section: values(section, text)[0] for section, text in texts.items()
-        }
+        self.values = {}
+        for section, text in texts.items():
+            if known is not None and known.texts.get(section) == text:
+                self.values[section] = known.values[section]
+            else:
+                self.values[section] = values(section, text)[0]
 
     @property
     def revision(self):
--- a/clementinebay/configstore.py
+++ b/clementinebay/configstore.py
@@ -62,7 +62,7 @@
         while True:
             head, _version = await self.head()
             try:
-                return config.Document(head, await self.texts(head, known))
+                return config.Document(head, await self.texts(head, known), known)
             except errors.ConfigError:
                 # The section was replaced between the two reads.
                 await asyncio.sleep(RETRY_SECONDS)
--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -257,7 +257,7 @@
         held = {config.digest(text): text for text in known.texts.values()}
         held.update(reply.texts)
         texts = {name: held[ref.digest] for name, ref in head.sections.items()}
-        watcher.adopt(config.Document(head, texts))
+        watcher.adopt(config.Document(head, texts, known))
 
     async def on_config(self, message, _envelope):
         """Answer with the document if it is newer than the peer's."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -61,3 +61,15 @@
         config.split("[domain:a]\nstate = in\nstate = out\n")
     with pytest.raises(errors.ConfigInvalidError):
         config.split("[domain:a]\n[domain:a]\n")
+
+
+def test_document_parses_only_what_differs_from_a_known_one(monkeypatch):
+    texts = {"domain:a": "state = in\n", "domain:b": "state = in\n"}
+    known = config.Document(config.Head(1), texts)
+    parsed = []
+    inner = config.values
+    monkeypatch.setattr(config, "values", lambda *a: parsed.append(a[0]) or inner(*a))
+    changed = {**texts, "domain:b": "state = out\n"}
+    document = config.Document(config.Head(2), changed, known)
+    assert parsed == ["domain:b"]
+    assert not document.domain_out("a") and document.domain_out("b")
