Fit interference by least squares, and share processors by least harm

Cause: steps against each report's error gave the harmless kinds weights near the harmful one's (0.12 and 0.08 for 0.03 and 0), so all 16 batch tasks beside the service were throttled and batch throughput fell to 0.69 of batch alone; a report older than the last throttle brought on the next one. Ruled out: the endpoints' latencies, which are right; noise of the client. Change: one least-squares fit for each kind of service, with the latency alone as a term and the mean of what ran beside it; shares are set from the model, least harmful tasks first; measured excess counts only from reports that can show the last action; harmful work is not bound where it would exceed the aim, and harmless work prefers the endpoints of services.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -35,6 +35,11 @@
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
 PARKED = Counter("clementine_parked", "Tasks parked.", ["reason"])
 THROTTLED = Gauge("clementine_throttled", "Tasks that are throttled.")
+INTERFERENCE = Gauge(
+    "clementine_interference",
+    "Learned slowdown of a service's kind by one core of a neighbour's kind.",
+    ["kind", "neighbour"],
+)
 BARRED = Gauge("clementine_barred", "Endpoints that take no tasks for failures.")
 DECISION_SECONDS = Histogram(
     "clementine_decision_seconds", "Time to decide.", buckets=LATENCY_BUCKETS
--- a/clementinebay/policy/colocation.py
+++ b/clementinebay/policy/colocation.py
@@ -1,8 +1,8 @@
 """What is done about interference: throttle, then checkpoint and move, then evict.
 
-Usage is reported with a lag.  After an action an endpoint is left alone until reports
-can show its effect, and limits for acting and for relaxing lie apart, so the decisions
-do not swing.
+Usage is reported with a lag.  The model answers to a new mix at once; what reports show
+beyond the model counts only once they can show the effect of the last action.  Limits
+for acting and for relaxing lie apart, so the decisions do not swing.
 """
 
 import math
@@ -14,19 +14,24 @@
 from clementinebay.shard.wire import ttypes as wire
 
 #: Slowdown of a service above which something is done.
-ACT_ABOVE = 1.2
+ACT_ABOVE = 1.25
 #: Slowdown that an action aims at, and below which throttles are relaxed.
-AIM = 1.12
-RELAX_BELOW = 1.08
+AIM = 1.18
+RELAX_BELOW = 1.12
 #: Least share of its processors that a throttled task keeps.
 MIN_SHARE = 0.3
-#: Largest step by which a share grows.
-RELAX_STEP = 0.2
-#: Time for which the endpoint is left alone after an action, beyond the lag, in
-#: seconds.
-SETTLE_SECONDS = 2.0
+#: Least change of a share that is ordered.
+SHARE_STEP = 0.1
+#: Time after an action, beyond the lag, from which reports show its effect, in seconds.
+SETTLE_SECONDS = 1.0
+#: Reports needed before they count beside the model, and the excess that is noise.
+MIN_REPORTS = 3
+NOISE = 0.15
 #: Part by which smoothed slowdowns follow a report.
 SMOOTHING = 0.4
+#: Slowdown below which a task had better run beside services, so that endpoints
+#: without any stay free for kinds that do harm.
+HARMLESS = 0.05
 #: Most tasks that one decision sends away from one endpoint.
 MOVES_PER_ENDPOINT = 2
 
@@ -48,18 +53,30 @@
 
 
 class Standing:
-    """What is remembered of one endpoint between decisions."""
+    """What was measured on one endpoint since reports can show the last action."""
 
-    __slots__ = ("slowdowns", "quiet_until")
+    __slots__ = ("excess", "reports", "settled_at")
 
     def __init__(self):
-        self.slowdowns = {}
-        self.quiet_until = 0.0
+        self.excess = 0.0
+        self.reports = 0
+        self.settled_at = 0.0
+
+    def follow(self, excess, now):
+        """Smooth by how much a measured slowdown is above the expected one."""
+        if now < self.settled_at:
+            return
+        self.reports += 1
+        self.excess += max(SMOOTHING, 1 / self.reports) * (excess - self.excess)
 
-    def follow(self, kind, slowdown):
-        """Smooth the measured slowdown of a service's kind."""
-        before = self.slowdowns.get(kind, slowdown)
-        self.slowdowns[kind] = before + SMOOTHING * (slowdown - before)
+    def beyond_model(self):
+        """Return the measured excess that is no noise."""
+        return max(0.0, self.excess - NOISE) if self.reports >= MIN_REPORTS else 0.0
+
+    def acted(self, now, lag):
+        """Forget what was measured; it tells of the time before an action."""
+        self.excess, self.reports = 0.0, 0
+        self.settled_at = now + lag + SETTLE_SECONDS
 
 
 class Mix:
@@ -130,67 +147,84 @@
     """
     decision = Decision()
     for name, endpoint in state.endpoints.items():
-        if not endpoint.usable or not endpoint.held:
+        found = mixes.get(state, endpoint, usage)
+        if not endpoint.usable or not found.services or not found.tasks:
             continue
         standing = standings.setdefault(name, Standing())
-        if now < standing.quiet_until:
-            continue
         before = len(decision.throttles) + len(decision.records)
-        found = mixes.get(state, endpoint, usage)
-        if found.services and found.tasks:
-            treat(state, endpoint, found, model, standing, usage, decision)
+        Treatment(state, endpoint, found, model, usage, standing).treat(decision)
         if len(decision.throttles) + len(decision.records) > before:
-            standing.quiet_until = now + lag + SETTLE_SECONDS
-            standing.slowdowns.clear()
+            standing.acted(now, lag)
     return decision
 
 
-def treat(state, endpoint, found, model, standing, usage, decision):
-    """Add to ``decision`` what one endpoint needs."""
-    kind, slowdown = expected(model, found)
-    measured = max(standing.slowdowns.values(), default=slowdown)
-    worst = max(slowdown, measured)
-    if worst > ACT_ABOVE:
-        reduce(state, endpoint, found, model, kind, worst, usage, decision)
-    elif worst < RELAX_BELOW:
-        relax(endpoint, found, model, kind, slowdown, usage, decision)
-
-
-def by_harm(found, model, kind):
-    """Return the tasks that slow ``kind`` down, those with the most harm first."""
-    harmful = [
-        (model.weight(kind, job.spec.kind), job, task, cores)
-        for job, task, cores in found.tasks
-    ]
-    harmful.sort(key=lambda h: (-h[0] * h[3], h[1].spec.urgency, h[2].bound_at))
-    return [item for item in harmful if item[0] * item[3] > 0]
-
-
-def reduce(state, endpoint, found, model, kind, worst, usage, decision):
-    """Throttle the most harmful tasks; where that is exhausted, send some away."""
-    excess = worst - AIM
-    for weight, job, task, cores in by_harm(found, model, kind):
-        if excess <= 0:
-            return
-        key = (job.spec.id, task.index, task.attempt)
-        share = usage.share(key)
-        wanted = max(MIN_SHARE, share - excess / (weight * cores))
-        if wanted < share:
-            excess -= (share - wanted) * weight * cores
-            decision.throttles.append(Throttle(*key, endpoint.seen.id, wanted))
-    if excess > 0 and not decision.throttles:
-        send_away(state, endpoint, found, model, kind, decision)
+class Treatment:
+    """What one endpoint needs, for the service that suffers most."""
 
+    def __init__(self, state, endpoint, found, model, usage, standing):
+        self.state = state
+        self.endpoint = endpoint
+        self.found = found
+        self.model = model
+        self.usage = usage
+        self.kind, self.expected = expected(model, found)
+        self.beyond = standing.beyond_model()
+
+    def treat(self, decision):
+        """Add throttles and releases to ``decision``."""
+        worst = self.expected + self.beyond
+        throttled = any(
+            self.share(job, task) < 1.0 for job, task, _c in self.found.tasks
+        )
+        if worst > ACT_ABOVE or (throttled and worst < RELAX_BELOW):
+            self.set_shares(decision)
 
-def send_away(state, endpoint, found, model, kind, decision):
-    """Release the most harmful tasks: to be moved if there is room, else evicted."""
-    for _weight, job, task, _cores in by_harm(found, model, kind)[:MOVES_PER_ENDPOINT]:
-        reason = MOVE if elsewhere(state, endpoint, job, model) else EVICT
-        victim = eviction.Victim(job, task, 0.0)
-        decision.records.append(eviction.release(victim, reason))
+    def share(self, job, task):
+        """Return the share that a task keeps now."""
+        return self.usage.share((job.spec.id, task.index, task.attempt))
 
+    def set_shares(self, decision):
+        """Give the least harmful tasks their full share as far as the aim allows.
 
-def elsewhere(state, endpoint, job, model):
+        Where the least shares of all are too much, the most harmful are sent away.
+        """
+        tasks = sorted(self.found.tasks, key=self.harm)
+        budget = AIM - 1.0 - self.beyond
+        budget -= sum(MIN_SHARE * self.harm(item) for item in tasks)
+        if budget < 0.0:
+            self.send_away(tasks[::-1][:MOVES_PER_ENDPOINT], decision)
+        for item in tasks:
+            harm = self.harm(item)
+            more = (1.0 - MIN_SHARE) * harm
+            part = 1.0 if more <= 0.0 else min(1.0, max(0.0, budget) / more)
+            budget -= part * more
+            self.set_share(item, MIN_SHARE + (1.0 - MIN_SHARE) * part, decision)
+
+    def harm(self, item):
+        """Return the slowdown that a task causes at its full share."""
+        job, _task, cores = item
+        return self.model.weight(self.kind, job.spec.kind) * cores
+
+    def set_share(self, item, share, decision):
+        """Throttle a task, or relax its throttle, if that is a change."""
+        job, task, _cores = item
+        before = self.share(job, task)
+        if abs(share - before) >= SHARE_STEP or before < share == 1.0:
+            key = (job.spec.id, task.index, task.attempt)
+            name = self.endpoint.seen.id
+            decision.throttles.append(Throttle(*key, name, share))
+
+    def send_away(self, tasks, decision):
+        """Release tasks that are throttled as far as they can be."""
+        for job, task, _cores in tasks:
+            if self.share(job, task) > MIN_SHARE + SHARE_STEP:
+                continue
+            room = elsewhere(self.state, self.endpoint, job)
+            victim = eviction.Victim(job, task, 0.0)
+            decision.records.append(eviction.release(victim, MOVE if room else EVICT))
+
+
+def elsewhere(state, endpoint, job):
     """Return whether another endpoint without a service has room for ``job``."""
     return any(
         other.usable
@@ -204,25 +238,6 @@
     )
 
 
-def relax(endpoint, found, model, kind, slowdown, usage, decision):
-    """Give throttled tasks back what keeps the expected slowdown below the aim."""
-    spare = AIM - slowdown
-    throttled = [
-        (job, task, cores, share)
-        for job, task, cores in found.tasks
-        if (share := usage.share((job.spec.id, task.index, task.attempt))) < 1.0
-    ]
-    for job, task, cores, share in throttled:
-        weight = model.weight(kind, job.spec.kind)
-        room = spare / (weight * cores) if weight * cores > 0 else 1.0
-        wanted = min(1.0, share + min(RELAX_STEP, room))
-        if wanted <= share:
-            continue
-        spare -= (wanted - share) * weight * cores
-        key = (job.spec.id, task.index, task.attempt)
-        decision.throttles.append(Throttle(*key, endpoint.seen.id, wanted))
-
-
 class Pressure:
     """Slowdown of services that one more task would cause, during one decision."""
 
@@ -253,17 +268,20 @@
     def slowdown(self, job, room):
         """Return the slowdown that a task of ``job`` adds in ``room``.
 
-        It is infinite where throttling could not keep it within bounds.
+        It is infinite where that were too much.  Where no
+        service runs, the room is dear to harmless work.
         """
         spec = job.spec
         slowdowns = self.look(room.id)
         if spec.workload == wire.Workload.SERVICE:
             return self.model.slowdown(spec.kind, self.cores[room.id]) - 1.0
         own = spec.size.processors_milli / 1000.0
+        if not slowdowns:
+            return max(0.0, HARMLESS - self.model.harm(spec.kind) * own)
         worst = 0.0
         for kind, slowdown in slowdowns.items():
             more = self.model.weight(kind, spec.kind) * own
-            if 1.0 + MIN_SHARE * (slowdown - 1.0 + more) > AIM:
+            if slowdown + more > AIM and more > 0.0:
                 return math.inf
             worst = max(worst, more)
         return worst
--- a/clementinebay/policy/interference.py
+++ b/clementinebay/policy/interference.py
@@ -1,22 +1,23 @@
 """How much one kind of work slows down another, learned from lagged latency.
 
 A service's latency on an endpoint is taken as its latency alone times one plus the sum
-over the neighbours' kinds of weight times cores.  Weights are learned by a normalized
-least-mean-squares step for each report, and are never negative.
+over the neighbours' kinds of weight times cores.  That is linear, so it is fitted by
+least squares over the reports, of which older ones count less; a ridge holds weights of
+which little is known near `UNKNOWN_WEIGHT`, and none is negative.
 """
 
-#: Part of the error that one large report corrects.
-LEARNING_RATE = 0.5
-#: Requests in a report at which half of the learning rate applies.
+from collections import defaultdict
+
+#: Part of its influence that a report keeps when the next one comes.
+KEPT = 0.998
+#: Influence of the prior, in reports with one core.
+RIDGE = 1.0
+#: Requests in a report at which it has half of its influence.
 HALF_TRUST_COUNT = 20
-#: Slowdown below which a report also tells of the latency alone.
-ALONE_SLOWDOWN = 1.05
-#: Part by which the latency alone follows a report that is lower or about equal.
-BASE_RATE = 0.2
-#: Part of the difference by which endpoints' latencies are smoothed.
-SMOOTHING = 0.4
 #: Weight that is assumed of a pair that was never seen, a core.
 UNKNOWN_WEIGHT = 0.02
+#: Name of the constant term: the latency alone.
+ALONE = ""
 
 
 class Observation:
@@ -35,50 +36,86 @@
         self.cores = cores
 
 
+class Fit:
+    """A least-squares fit of one service's latency, improved with each report.
+
+    ``terms`` holds the latency alone and what one core of each kind adds, in units of
+    the first report.
+    """
+
+    __slots__ = ("unit", "products", "targets", "terms")
+
+    def __init__(self, unit):
+        self.unit = unit
+        self.products = defaultdict(float)
+        self.targets = defaultdict(float)
+        self.terms = {ALONE: 1.0}
+
+    @property
+    def alone(self):
+        """Latency alone, in seconds."""
+        return self.unit * self.terms[ALONE]
+
+    def weight(self, neighbour):
+        """Return the slowdown by one core of ``neighbour``."""
+        if neighbour not in self.terms:
+            return UNKNOWN_WEIGHT
+        return self.terms[neighbour] / max(self.terms[ALONE], 1e-9)
+
+    def add(self, observation):
+        """Take in one report and improve each term once."""
+        trust = observation.count / (observation.count + HALF_TRUST_COUNT)
+        values = {ALONE: 1.0, **observation.cores}
+        target = observation.seconds / self.unit
+        for table in (self.products, self.targets):
+            for key in table:
+                table[key] *= KEPT
+        for name, value in values.items():
+            self.terms.setdefault(name, UNKNOWN_WEIGHT)
+            self.targets[name] += trust * value * target
+            for other, number in values.items():
+                self.products[name, other] += trust * value * number
+        for name in self.terms:
+            self.improve(name)
+
+    def improve(self, name):
+        """Set one term to what is best beside the others."""
+        ridge = 0.0 if name == ALONE else RIDGE
+        rest = sum(
+            self.products[name, other] * value
+            for other, value in self.terms.items()
+            if other != name and (name, other) in self.products
+        )
+        own = self.products[name, name] + ridge
+        best = (self.targets[name] - rest + ridge * UNKNOWN_WEIGHT) / own
+        self.terms[name] = max(0.0, best)
+
+
 class InterferenceModel:
-    """Weights of pairs (service's kind, neighbour's kind) and latencies alone."""
+    """A `Fit` of each kind of service."""
 
     def __init__(self):
-        self.weights = {}
-        self.alone = {}
-        self.version = 0
+        self.fits = {}
 
     def weight(self, kind, neighbour):
         """Return the slowdown of ``kind`` by one core of ``neighbour``."""
-        return self.weights.get((kind, neighbour), UNKNOWN_WEIGHT)
+        fit = self.fits.get(kind)
+        return UNKNOWN_WEIGHT if fit is None else fit.weight(neighbour)
 
     def slowdown(self, kind, cores):
         """Return the expected slowdown of ``kind`` beside {neighbour: cores}."""
         return 1.0 + sum(self.weight(kind, n) * c for n, c in cores.items())
 
+    def harm(self, neighbour):
+        """Return the largest slowdown that one core of a kind causes to any service."""
+        return max((fit.weight(neighbour) for fit in self.fits.values()), default=0.0)
+
     def observe(self, observation):
-        """Learn from one `Observation`."""
-        if not observation.count:
-            return
-        kind = observation.kind
-        trust = observation.count / (observation.count + HALF_TRUST_COUNT)
-        expected = self.slowdown(kind, observation.cores)
-        self.learn_alone(observation, expected, trust)
-        if observation.cores:
-            ratio = observation.seconds / self.alone[kind]
-            self.learn_weights(observation, ratio - expected, LEARNING_RATE * trust)
-        self.version += 1
-
-    def learn_alone(self, observation, expected, trust):
-        """Follow the latency of the service alone."""
-        kind, seconds = observation.kind, observation.seconds
-        base = self.alone.get(kind)
-        if base is None:
-            self.alone[kind] = seconds / expected
-        elif expected < ALONE_SLOWDOWN or seconds < base:
-            self.alone[kind] += BASE_RATE * trust * (seconds / expected - base)
-
-    def learn_weights(self, observation, error, rate):
-        """Take one step against ``error``, along the cores of the neighbours."""
-        norm = sum(cores * cores for cores in observation.cores.values())
-        if not norm:
-            return
-        for neighbour, cores in observation.cores.items():
-            pair = (observation.kind, neighbour)
-            step = rate * error * cores / norm
-            self.weights[pair] = max(0.0, self.weight(*pair) + step)
+        """Learn from one `Observation`; return the slowdown that it shows."""
+        if not observation.count or observation.seconds <= 0.0:
+            return 1.0
+        fit = self.fits.get(observation.kind)
+        if fit is None:
+            fit = self.fits[observation.kind] = Fit(observation.seconds)
+        fit.add(observation)
+        return observation.seconds / max(fit.alone, 1e-9)
--- a/clementinebay/policy/usage.py
+++ b/clementinebay/policy/usage.py
@@ -1,5 +1,6 @@
 """What endpoints reported of attempts, and what ran beside a service at that time."""
 
+import math
 from collections import Counter, deque
 
 #: Shares of a throttled attempt that this process did not throttle.
@@ -73,12 +74,19 @@
         if not changes or changes[-1][1] != cores:
             changes.append((now, dict(cores)))
 
-    def steady(self, endpoint, since, until):
-        """Return the cores by kind in a time, or ``None`` if they changed in it."""
-        found = None
-        for at, cores in self.changes.get(endpoint, ()):
-            if at <= since:
-                found = cores
-            elif at <= until:
-                return None
-        return found
+    def mean(self, endpoint, since, until):
+        """Return the mean cores by kind from ``since`` to ``until``.
+
+        ``None`` if it is not known what ran at the beginning.
+        """
+        changes = self.changes.get(endpoint, ())
+        if not changes or changes[0][0] > since or until <= since:
+            return None
+        total = Counter()
+        ends = [at for at, _cores in changes][1:] + [math.inf]
+        for (at, cores), end in zip(changes, ends, strict=True):
+            seconds = min(end, until) - max(at, since)
+            if seconds > 0:
+                for kind, number in cores.items():
+                    total[kind] += number * seconds / (until - since)
+        return total
--- a/clementinebay/services/colocation.py
+++ b/clementinebay/services/colocation.py
@@ -56,18 +56,22 @@
             self.learn(name, report.services, since, now)
 
     def learn(self, name, services, since, now):
-        """Learn from latencies if the same work ran beside them all the time."""
+        """Learn from latencies and what ran beside them in the mean."""
         lag = self.settings.scheduler_usage_lag_seconds
-        cores = self.history.steady(name, since - lag, now - lag)
+        cores = self.history.mean(name, since - lag, now - lag)
         if cores is None:
             return
         kinds = self.kinds()
         for usage in services:
             kind = kinds.get(usage.service, usage.service)
             seen = Observation(kind, usage.count, usage.p50_seconds, cores)
-            self.model.observe(seen)
+            slowdown = self.model.observe(seen)
+            for neighbour in cores:
+                weight = self.model.weight(kind, neighbour)
+                metrics.INTERFERENCE.labels(kind, neighbour).set(weight)
             standing = self.standings.setdefault(name, colocation.Standing())
-            standing.follow(kind, usage.p50_seconds / self.model.alone[kind])
+            expected = self.model.slowdown(kind, cores)
+            standing.follow(slowdown - expected, now)
 
     def kinds(self):
         """Return {service: kind} of the shard's services."""
