--- /dev/null
+++ b/bench/urgent.py
@@ -0,0 +1,86 @@
+"""Urgent work that meets machines full of batch work, with and without eviction.
+
+Run ``python -m bench.urgent [--seed N]``; prints the seconds from submission to start
+and writes them to out/urgent.csv.
+"""
+
+import argparse
+import random
+import time
+
+from bench.colocated import metric, print_table, quantile, submit, write_csv
+from standins.cluster import Cluster, wait_for
+
+ENDPOINTS = 6
+PROCESSORS = 8
+ROUNDS = 8
+TASKS = 4
+#: Longest start of urgent work, in seconds.
+TARGET_SECONDS = 2.4
+BATCH_SECONDS = 20.0
+WAIT_SECONDS = 30.0
+
+VARIANTS = {"wait": "eviction = off", "evict": "eviction = on"}
+
+
+def started(cluster, name):
+    """Return the start of the last task of a job, if all have started."""
+    starts = [r["started"] for r in cluster.runs() if r["origin"] == name]
+    return max(starts) if len(starts) >= TASKS else None
+
+
+def measure(variant, seed):
+    """Return the row of one variant."""
+    rng = random.Random(seed)
+    with Cluster(
+        domains=("a",),
+        daemons=1,
+        endpoints=ENDPOINTS,
+        processors=PROCESSORS,
+        extra=f"[scheduler]\n{VARIANTS[variant]}\n",
+        sample=1.0,
+    ) as cluster:
+        submit(cluster, "minutes", count=500, run_seconds=BATCH_SECONDS)
+        full = ENDPOINTS * PROCESSORS
+        wait_for("full machines", lambda: running(cluster) == full)
+        seconds = []
+        for number in range(ROUNDS):
+            time.sleep(rng.uniform(0.2, 0.8))
+            name = f"crew-{number}"
+            begun = time.time()
+            submit(
+                cluster,
+                name,
+                count=TASKS,
+                processors=2.0,
+                urgency="urgent",
+                run_seconds=1.0,
+            )
+            last = wait_for(name, lambda n=name: started(cluster, n), WAIT_SECONDS)
+            seconds.append(last - begun)
+        return {
+            "policy": variant,
+            "p50 s": quantile(seconds, 0.5),
+            "longest s": max(seconds),
+            "within target": sum(s <= TARGET_SECONDS for s in seconds) / ROUNDS,
+            "evictions": int(metric(cluster, "clementine_evictions_total")),
+            "violations": len(cluster.violations()),
+        }
+
+
+def running(cluster):
+    """Return how many tasks run."""
+    return sum(run["state"] == "running" for run in cluster.runs())
+
+
+def main():
+    """Measure both variants."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    rows = [measure(variant, parser.parse_args().seed) for variant in VARIANTS]
+    print_table(rows)
+    write_csv("urgent.csv", rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -95,10 +95,11 @@
 class Balancer:
     """One decision of what moves from ``state`` to ``targets``, states by domain."""
 
-    def __init__(self, state, targets, nonce, now):
+    def __init__(self, state, targets, nonce, now, by_room):
         self.state = state
         self.nonce = nonce
         self.now = now
+        self.by_room = by_room
         self.spaces = {
             name: space_for_new(target)
             for name, target in sorted(targets.items())
@@ -119,6 +120,10 @@
     def shares(self, size, number):
         """Return {domain: tasks} of ``number`` tasks of ``size``."""
         part = 1.0 if self.state.out else REFILL_PART / self.sources
+        if not self.by_room:
+            shares = dict.fromkeys(self.spaces, 0)
+            self.split_rest(shares, number if self.state.out else 0)
+            return shares
         shares = {}
         free = {name: s.count(size, number) for name, s in self.spaces.items()}
         for name in sorted(free, key=lambda name: -free[name]):
@@ -157,6 +162,9 @@
         self.records.append(wire.Record(move=move))
 
 
-def move_records(state, targets, nonce, now):
-    """Return the moves that one decision makes."""
-    return Balancer(state, targets, nonce, now).plan()
+def move_records(state, targets, nonce, now, by_room=True):
+    """Return the moves that one decision makes.
+
+    Without ``by_room``, only a domain that is out sends work away, in equal parts.
+    """
+    return Balancer(state, targets, nonce, now, by_room).plan()
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -60,7 +60,8 @@
             return
         targets = {name: (await self.log_of(name)).state for name in self.targets()}
         nonce = uuid.uuid4().hex[:8]
-        records = balance.move_records(self.shard.state, targets, nonce, now)
+        by_room = self.settings.scheduler_balance == "on"
+        records = balance.move_records(self.shard.state, targets, nonce, now, by_room)
         if records:
             await self.shard.append(records)
         else:
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -148,6 +148,13 @@
         "Whether urgent work evicts batch work.",
         choices=("on", "off"),
     ),
+    Option(
+        "scheduler",
+        "balance",
+        "on",
+        "Whether work moves to domains with room.",
+        choices=("on", "off"),
+    ),
     Option(
         "scheduler",
         "task_health",
