--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -98,11 +98,12 @@
 class Balancer:
     """One decision of what moves from ``state`` to ``targets``, states by domain."""
 
-    def __init__(self, state, targets, nonce, now, leaving=False):
+    def __init__(self, state, targets, nonce, now, leaving=False, by_room=True):
         self.state = state
         self.leaving = leaving or state.out
         self.nonce = nonce
         self.now = now
+        self.by_room = by_room
         self.spaces = {
             name: space_for_new(target)
             for name, target in sorted(targets.items())
@@ -123,6 +124,10 @@
     def shares(self, size, number):
         """Return {domain: tasks} of ``number`` tasks of ``size``."""
         part = 1.0 if self.leaving else REFILL_PART / self.sources
+        if not self.by_room:
+            shares = dict.fromkeys(self.spaces, 0)
+            self.split_rest(shares, number if self.leaving else 0)
+            return shares
         shares = {}
         free = {name: s.count(size, number) for name, s in self.spaces.items()}
         for name in sorted(free, key=lambda name: -free[name]):
@@ -161,6 +166,10 @@
         self.records.append(wire.Record(move=move))
 
 
-def move_records(state, targets, nonce, now, leaving=False):
-    """Return the moves that one decision makes; see `surplus`."""
-    return Balancer(state, targets, nonce, now, leaving).plan()
+def move_records(state, targets, nonce, now, leaving=False, by_room=True):
+    """Return the moves that one decision makes; see `surplus`.
+
+    Without ``by_room``, only a domain that is out or ``leaving`` sends work away, in
+    equal parts.
+    """
+    return Balancer(state, targets, nonce, now, leaving, by_room).plan()
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -62,7 +62,10 @@
             await target.catch_up()
             targets[name] = target.state
         nonce = uuid.uuid4().hex[:8]
-        records = balance.move_records(self.shard.state, targets, nonce, now)
+        by_room = self.settings.scheduler_balance == "on"
+        records = balance.move_records(
+            self.shard.state, targets, nonce, now, by_room=by_room
+        )
         if records:
             await self.shard.append(records)
         else:
