Ask another daemon of a domain for its jobs when one does not answer

Cause: the listing asked one daemon of each other domain; while that one was dead, the domain's jobs were missing without a word. Ruled out: the shard; every task had ended, as the endpoints' record showed. Change: the daemons of a domain are asked in turn (services/jobs.py, owned by the shard part).

--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -5,11 +5,14 @@
 
 from clementinebay import errors, registry, thriftcodec
 from clementinebay.peer.wire import ttypes as peer_wire
+from clementinebay.log import Log
 from clementinebay.service import Service
 from clementinebay.services.shard import submit
 from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
+log = Log("jobs")
+
 
 class Jobs(Service):
     """Serves operators; any daemon may."""
@@ -67,24 +70,28 @@
         """Return `JobStanding`s of parts in all domains; no names stand for all."""
         query = peer_wire.JobsQuery(names)
         found = list((await self.on_jobs_query(query, None)).jobs)
-        asked = {self.settings.daemon_failure_domain}
-        vms = []
+        by_domain = {}
         for vm in self.kernel.find("livelist").daemons():
-            if vm.failure_domain not in asked and not vm.leaving:
-                asked.add(vm.failure_domain)
-                vms.append(vm)
+            by_domain.setdefault(vm.failure_domain, []).append(vm)
+        by_domain.pop(self.settings.daemon_failure_domain, None)
         replies = await asyncio.gather(
-            *(
-                self.peers.query(vm, peer_wire.Kind.JOBS, query, peer_wire.JobsReply)
-                for vm in vms
-            ),
-            return_exceptions=True,
+            *(self.ask_domain(vms, query) for vms in by_domain.values())
         )
         for reply in replies:
-            if isinstance(reply, peer_wire.JobsReply):
-                found += reply.jobs
+            found += reply.jobs
         return found
 
+    async def ask_domain(self, vms, query):
+        """Return the first reply of the daemons of one domain, empty if none replies."""
+        for vm in vms:
+            try:
+                return await self.peers.query(
+                    vm, peer_wire.Kind.JOBS, query, peer_wire.JobsReply
+                )
+            except errors.ClementineError as error:
+                log.debug("%s: %s.", vm.id, error)
+        return peer_wire.JobsReply([])
+
     async def on_jobs_query(self, message, _envelope):
         """Answer with the standing of this domain's parts."""
         domain = self.settings.daemon_failure_domain
