--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -4,8 +4,8 @@
 import hashlib
 
 from clementinebay import errors, registry, thriftcodec
-from clementinebay.peer.wire import ttypes as peer_wire
 from clementinebay.log import Log
+from clementinebay.peer.wire import ttypes as peer_wire
 from clementinebay.service import Service
 from clementinebay.services.shard import submit
 from clementinebay.shard.entities import Phase
@@ -67,30 +67,36 @@
                 await submit(shard_log, records)
 
     async def standings(self, names):
-        """Return `JobStanding`s of parts in all domains; no names stand for all."""
+        """Return `JobStanding`s of parts, and the domains that did not answer.
+
+        No names stand for all jobs.
+        """
         query = peer_wire.JobsQuery(names)
         found = list((await self.on_jobs_query(query, None)).jobs)
-        by_domain = {}
-        for vm in self.kernel.find("livelist").daemons():
-            by_domain.setdefault(vm.failure_domain, []).append(vm)
-        by_domain.pop(self.settings.daemon_failure_domain, None)
-        replies = await asyncio.gather(
-            *(self.ask_domain(vms, query) for vms in by_domain.values())
-        )
+        own = self.settings.daemon_failure_domain
+        others = [d for d in self.kernel.find("livelist").domains() if d != own]
+        replies = await asyncio.gather(*(self.ask(d, query) for d in others))
         for reply in replies:
-            found += reply.jobs
-        return found
-
-    async def ask_domain(self, vms, query):
-        """Return the first reply of the daemons of one domain, empty if none replies."""
-        for vm in vms:
+            found += reply.jobs if reply is not None else ()
+        unanswered = [
+            domain
+            for domain, reply in zip(others, replies, strict=True)
+            if reply is None
+        ]
+        return found, unanswered
+
+    async def ask(self, domain, query):
+        """Return the answer of the first daemon of ``domain`` that gives one."""
+        for vm in self.kernel.find("livelist").daemons():
+            if vm.failure_domain != domain:
+                continue
             try:
                 return await self.peers.query(
                     vm, peer_wire.Kind.JOBS, query, peer_wire.JobsReply
                 )
-            except errors.ClementineError as error:
+            except errors.PeerError as error:
                 log.debug("%s: %s.", vm.id, error)
-        return peer_wire.JobsReply([])
+        return None
 
     async def on_jobs_query(self, message, _envelope):
         """Answer with the standing of this domain's parts."""
