--- a/clementinebay/policy/attempts.py
+++ b/clementinebay/policy/attempts.py
@@ -53,7 +53,7 @@
     for endpoint in state.endpoints.values():
         if endpoint.lost:
             continue
-        for name, index in endpoint.held:
+        for name, index in sorted(endpoint.held):
             job = state.jobs[name]
             task = job.tasks[index]
             action = wanted(task, now)
--- a/clementinebay/services/dispatcher.py
+++ b/clementinebay/services/dispatcher.py
@@ -141,11 +141,11 @@
         now = self.clock.now()
         for report in reports:
             self.take_report(endpoint, report)
-        for key in attempts.strays(self.state, endpoint, reports):
+        for key in sorted(attempts.strays(self.state, endpoint, reports)):
             self.strays.setdefault((endpoint, *key), now)
         known = self.state.endpoints.get(endpoint)
         if known is not None and not known.lost:
-            for key in attempts.missing(set(expected), reports):
+            for key in sorted(attempts.missing(set(expected), reports)):
                 if attempts.held_task(self.state, endpoint, key) is not None:
                     self.order(attempts.Order(Action.STOP, known, *key))
         newer = self.follower.log.confirmed_at > now
--- a/clementinebay/shard/snapshot.py
+++ b/clementinebay/shard/snapshot.py
@@ -96,13 +96,17 @@
         cancelled=job.cancelled,
         ended_at=job.ended_at,
         source=job.source,
-        tasks=[
-            wire.TaskImage(**{name: getattr(task, name) for name in TASK_FIELDS})
-            for task in job.tasks.values()
-        ],
+        tasks=[_task_image(task) for task in job.tasks.values()],
     )
 
 
+def _task_image(task):
+    image = wire.TaskImage(**{name: getattr(task, name) for name in TASK_FIELDS})
+    # The state goes on changing its list.
+    image.failed_on = list(task.failed_on)
+    return image
+
+
 def _restore_job(state, image):
     job = state.add_job(Job(image.spec, image.source))
     job.next_index = image.next_index
