--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -103,7 +103,10 @@
         return found, unanswered
 
     async def ask(self, domain, query):
-        """Return the answer of the first daemon of ``domain`` that gives one."""
+        """Return the answer of the first daemon of ``domain`` that gives one.
+
+        If none does, the domain's log in the platform is read instead.
+        """
         for vm in self.kernel.find("livelist").daemons():
             if vm.failure_domain != domain:
                 continue
@@ -113,18 +116,18 @@
                 )
             except errors.PeerError as error:
                 log.debug("%s: %s.", vm.id, error)
-        return None
+        try:
+            shard_log = self.shard.log_of(domain)
+            await shard_log.catch_up()
+        except (errors.PlatformError, errors.ShardError) as error:
+            log.debug("%s: %s.", domain, error)
+            return None
+        return standings_of(shard_log.state, domain, query.names)
 
     async def on_jobs_query(self, message, _envelope):
         """Answer with the standing of this domain's parts."""
         domain = self.settings.daemon_failure_domain
-        return peer_wire.JobsReply(
-            [
-                standing(job, domain)
-                for name, job in self.shard.state.jobs.items()
-                if not message.names or (job.spec.origin or name) in message.names
-            ]
-        )
+        return standings_of(self.shard.state, domain, message.names)
 
 
 def raise_first(refusals):
@@ -134,6 +137,17 @@
             raise refusal
 
 
+def standings_of(state, domain, names):
+    """Return the `JobsReply` of the parts in ``state``, all if there are no names."""
+    return peer_wire.JobsReply(
+        [
+            standing(job, domain)
+            for job in state.jobs.values()
+            if not names or job.origin in names
+        ]
+    )
+
+
 def standing(job, domain):
     """Return the `JobStanding` of one part."""
     counts = dict.fromkeys(Phase, 0)
--- /dev/null
+++ b/tests/system/test_adoption.py
@@ -0,0 +1,24 @@
+"""A failure domain loses all its entry VMs while its endpoints run on."""
+
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+SETTINGS = "[scheduler]\nadopt_after_seconds = 1\n"
+
+
+def test_work_of_a_domain_without_entry_vms_is_taken_over():
+    with Cluster(domains=("a", "b"), daemons=1, endpoints=1, extra=SETTINGS) as cluster:
+        survivor, lost = cluster.daemons
+        helpers.submit(survivor, "minutes", 40, processors=4, run_seconds=2)
+        wait_for(
+            "work in b", lambda: any(run["endpoint"] == "b-0" for run in runs(cluster))
+        )
+        lost.process.kill()
+        cluster.list_vms(remove=[lost.name])
+        helpers.wait_done(survivor, "minutes", 40, seconds=60)
+        helpers.assert_each_done_once(cluster, "minutes", 40)
+        assert not cluster.violations()
+
+
+def runs(cluster):
+    return [run for run in cluster.runs() if run["state"] == "running"]
