--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -9,11 +9,9 @@
 import httpx
 
 from bench import slopes_fakes as fakes
-from clementinebay.endpoint.http import HttpDriver
+from clementinebay.endpoint import open_driver
 from standins.cluster import Process, free_ports, free_range, wait_for
 
-#: Time for connections and first messages before a window, in seconds.
-WARM_UP_SECONDS = 3.0
 #: Services of a domain at the target size.
 SERVICES = 60
 
@@ -24,8 +22,12 @@
     name = ""
     what = ""
     sizes = (1, 2, 4, 8)
+    #: Whether a point is measured by ``point`` of the part instead of a child.
+    whole = False
     #: Time between two calls of `drive`, in seconds.
     drive_seconds = 0.2
+    #: Time for connections and first messages before a window, in seconds.
+    warm_up_seconds = 2.0
 
     @contextlib.contextmanager
     def stand_ins(self, size):
@@ -44,23 +46,23 @@
         """Run the part and print what one second of it costs."""
         async with contextlib.AsyncExitStack() as stack:
             await self.open(stack, size, arguments)
-            await asyncio.sleep(WARM_UP_SECONDS)
+            await asyncio.sleep(self.warm_up_seconds)
             before = self.reading()
             await asyncio.sleep(seconds)
             after = self.reading()
             start = before.pop("time")
             elapsed = after.pop("time") - start
             row = {key: (after[key] - before[key]) / elapsed for key in after}
-            row["rss_mb"] = fakes.resident_mb()
+            row["rss MB"] = fakes.resident_mb()
             print(json.dumps({"size": size, **row}))
 
     def reading(self):
         """Return counters whose growth is measured."""
         return {
             "time": time.monotonic(),
-            "cpu_ms": fakes.processor_seconds() * 1000,
-            "sent": fakes.Bytes.sent,
-            "received": fakes.Bytes.received,
+            "cpu ms/s": fakes.processor_seconds() * 1000,
+            "sent bytes/s": fakes.Bytes.sent,
+            "received bytes/s": fakes.Bytes.received,
             **self.counters(),
         }
 
@@ -100,6 +102,7 @@
     name = "renewals"
     what = "one daemon renews alone; size is endpoints"
     sizes = (16, 32, 64, 146)
+    warm_up_seconds = 8.0
 
     @contextlib.contextmanager
     def stand_ins(self, size):
@@ -119,12 +122,17 @@
         first = arguments["first"]
         addresses = [f"127.0.0.1:{port}" for port in range(first, first + size)]
         shard = fakes.FakeShard(kernel.clock, addresses)
+        driver = open_driver("aiohttp", kernel.clock)
+        stack.push_async_callback(driver.close)
         kernel.services.update(
             shard=shard,
             config=fakes.fake_config(kernel.clock),
-            driver=fakes.Fake(driver=HttpDriver(kernel.clock)),
-            dispatcher=fakes.Fake(take_report=lambda report: None),
-            peers=fakes.Fake(handle=lambda *_a: None, companions=lambda: [], lead=None),
+            driver=fakes.Fake(driver=driver),
+            dispatcher=fakes.Fake(take_reports=lambda *_a: True),
+            platform=fakes.Fake(schedules=True),
+            peers=fakes.Fake(
+                handle=lambda *_a: None, companions=lambda: (), leading=True
+            ),
         )
         service = await stack.enter_async_context(Service(kernel))
         service.active = True
@@ -136,6 +144,7 @@
     name = "gossip"
     what = "one daemon's peer link; size is peers"
     sizes = (4, 8, 16, 39)
+    warm_up_seconds = 7.0
 
     @contextlib.contextmanager
     def stand_ins(self, size):
@@ -245,6 +254,7 @@
         from clementinebay.services.platform import Platform
 
         kernel = fakes.FakeKernel(url=arguments["url"])
+        kernel.services["livelist"] = fakes.Fake(vms={}, domains=list, daemons=list)
         store = await stack.enter_async_context(Platform(kernel))
         kernel.services["platform"] = store
         self.watcher = await stack.enter_async_context(ConfigWatcher(kernel))
@@ -286,14 +296,11 @@
         await store.close()
 
 
-PARTS = {
-    part.name: part
-    for part in (
-        Renewals(),
-        Gossip(),
-        LiveList(),
-        LiveListChange(),
-        Config(),
-        ConfigChange(),
-    )
-}
+PARTS = (
+    Renewals(),
+    Gossip(),
+    LiveList(),
+    LiveListChange(),
+    Config(),
+    ConfigChange(),
+)
--- a/clementinebay/operatorapi.py
+++ b/clementinebay/operatorapi.py
@@ -16,6 +16,7 @@
     (errors.RecordRefusedError, 409),
     (errors.PlatformUnavailableError, 503),
     (errors.PlatformError, 504),
+    (errors.ConfigOutcomeUnknownError, 504),
     (errors.ClementineError, 500),
 )
 URGENCIES = {"batch": 0, "normal": 1, "urgent": 2}
@@ -108,6 +109,12 @@
     return {name: getattr(struct, name) for name in struct.__slots__}
 
 
+def standings_response(standings, unanswered):
+    """Return the response of a query for jobs; a header names silent domains."""
+    headers = {"X-Unanswered-Domains": ",".join(unanswered)} if unanswered else {}
+    return Response([plain(standing) for standing in standings], headers=headers)
+
+
 def health_routes(front):
     """Return the routes for the balancer and for metrics."""
 
@@ -136,13 +143,13 @@
         return {"name": plan.name, "parts": msgspec.to_builtins(plan.parts)}
 
     @get("/v1/jobs")
-    async def standings() -> list[dict]:
-        return [plain(standing) for standing in await jobs.standings([])]
+    async def standings() -> Response[list[dict]]:
+        return standings_response(*await jobs.standings([]))
 
     @get("/v1/jobs/{name:str}")
-    async def standing(name: str) -> list[dict]:
+    async def standing(name: str) -> Response[list[dict]]:
         await jobs.registry.find(name)
-        return [plain(standing) for standing in await jobs.standings([name])]
+        return standings_response(*await jobs.standings([name]))
 
     @delete("/v1/jobs/{name:str}", status_code=200)
     async def cancel(name: str) -> dict[str, str]:
@@ -169,8 +176,10 @@
 
     @post("/v1/config")
     async def apply(data: ConfigChange) -> dict[str, int]:
-        store = watcher.store
-        return {"revision": await store.apply(data.sections, data.base, data.author)}
+        revision = await watcher.store.apply(
+            data.sections, data.base, data.author, watcher.document
+        )
+        return {"revision": revision}
 
     @get("/v1/config/history")
     async def history(limit: int = 20) -> list[config.Change]:
@@ -184,7 +193,7 @@
             raise errors.UnknownDomainError(f"no failure domain {name}")
         text = domain_text(document.texts.get(section, ""), data.state)
         revision = await watcher.store.apply(
-            {section: text}, document.revision, data.author
+            {section: text}, document.revision, data.author, document
         )
         return {"revision": revision}
 
--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -8,7 +8,7 @@
 import math
 
 from clementinebay.policy import placement, planner
-from clementinebay.shard.state import Phase
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.wire import ttypes as wire
 
 #: Most moves that one decision makes.
@@ -158,7 +158,7 @@
         if len(self.records) >= MOVES_PER_DECISION:
             return
         part = f"{job.spec.origin or job.spec.id}~{first}~{self.nonce}"
-        move = wire.Move(job.spec.id, first, count, target, part)
+        move = wire.Move(job.spec.id, first, count, target, part, self.now)
         self.records.append(wire.Record(move=move))
 
 
