Have a start grant the lease of a renewal

Ruled out: a renewal right after each start (14 calls more a second and daemon at the peak); intervals shorter than a first lease (five times the calls). Change: a start order carries the deadline of a renewal at that time, none if the endpoint was barred since; whether a start is refused still depends on the first lease alone. Small changes in the dispatcher, the endpoint's contract and the stand-in.

--- a/clementinebay/endpoint/base.py
+++ b/clementinebay/endpoint/base.py
@@ -9,7 +9,8 @@
     """Orders one attempt of a task; idempotent by job, index and attempt.
 
     A worker refuses a start that arrives after ``lease_deadline`` or after a stop of
-    the same attempt.
+    the same attempt.  An attempt that it starts has a lease until ``renewed_until`` if
+    that is later, as by a `Renewal` right after the start.
     """
 
     job: str
@@ -25,6 +26,7 @@
     run_seconds: float
     lease_deadline: float
     checkpoint: str = ""
+    renewed_until: float = 0.0
 
 
 class TaskStop(msgspec.Struct):
--- a/clementinebay/services/dispatcher.py
+++ b/clementinebay/services/dispatcher.py
@@ -26,14 +26,20 @@
     """Drives the endpoints of one shard; a context manager that ends its orders.
 
     ``follower`` has the attribute ``log``, a `ShardLog`.  ``again`` is the wait before
-    an order that failed is repeated, in seconds.
+    an order that failed is repeated, in seconds.  ``lease_seconds`` and
+    ``reclaim_seconds`` are what renewals grant; a start grants it too, since the next
+    renewal may be many seconds away.
     """
 
-    def __init__(self, follower, driver, clock, again):
+    def __init__(
+        self, follower, driver, clock, again, lease_seconds=0.0, reclaim_seconds=0.0
+    ):
         self.follower = follower
         self.driver = driver
         self.clock = clock
         self.again = again
+        self.lease_seconds = lease_seconds
+        self.reclaim_seconds = reclaim_seconds
         self.records = {}
         self.orders = {}
         self.strays = {}
@@ -117,9 +123,23 @@
                 run_seconds=spec.run_seconds,
                 lease_deadline=order.lease_deadline,
                 checkpoint=order.checkpoint,
+                renewed_until=self.renewed_until(order),
             ),
         )
 
+    def renewed_until(self, order):
+        """Return the deadline of a renewal at this time, 0 if none may be granted."""
+        # The deadline and the standing of the endpoint are of the same read.
+        known = self.state.endpoints.get(order.endpoint)
+        if known is None or known.lost or not self.lease_seconds:
+            return 0.0
+        return attempts.renewal_deadline(
+            self.clock.now(),
+            self.follower.log.confirmed_at,
+            self.lease_seconds,
+            self.reclaim_seconds,
+        )
+
     def stop_strays(self):
         """Stop attempts that a read of the log since their report does not know."""
         confirmed_at = self.follower.log.confirmed_at
@@ -173,6 +193,8 @@
             self.kernel.find("driver").driver,
             self.clock,
             self.settings.scheduler_tick_seconds,
+            self.settings.scheduler_lease_seconds,
+            self.settings.scheduler_reclaim_after_seconds,
         )
 
     async def stop(self):
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -57,7 +57,7 @@
         self.ended = None
         self.state = "running"
         self.reason = ""
-        self.deadline = order["lease_deadline"]
+        self.deadline = max(order["lease_deadline"], order.get("renewed_until", 0.0))
         self.progress = float(order.get("checkpoint") or 0.0)
         self.begun_with = self.progress
         self.saved = self.progress
