--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -78,9 +78,12 @@
     return job.untouched + sum(t.phase == Phase.WAITING for t in job.tasks.values())
 
 
-def surplus(state):
-    """Return (job, tasks that should move), urgent jobs first."""
-    if state.out:
+def surplus(state, leaving=False):
+    """Return (job, tasks that should move), urgent jobs first.
+
+    All should if the domain is out or its work is ``leaving`` for another reason.
+    """
+    if state.out or leaving:
         return [(job, waiting(job)) for job in planner.queue(state)]
     space = Space(state)
     found = []
@@ -95,10 +98,12 @@
 class Balancer:
     """One decision of what moves from ``state`` to ``targets``, states by domain."""
 
-    def __init__(self, state, targets, nonce, now):
+    def __init__(self, state, targets, nonce, now, leaving=False, by_room=True):
         self.state = state
+        self.leaving = leaving or state.out
         self.nonce = nonce
         self.now = now
+        self.by_room = by_room
         self.spaces = {
             name: space_for_new(target)
             for name, target in sorted(targets.items())
@@ -109,7 +114,7 @@
 
     def plan(self):
         """Return the `wire.Move` records."""
-        for job, number in surplus(self.state):
+        for job, number in surplus(self.state, self.leaving):
             if not self.spaces or len(self.records) >= MOVES_PER_DECISION:
                 break
             shares = self.shares(job.spec.size, number)
@@ -118,14 +123,18 @@
 
     def shares(self, size, number):
         """Return {domain: tasks} of ``number`` tasks of ``size``."""
-        part = 1.0 if self.state.out else REFILL_PART / self.sources
+        part = 1.0 if self.leaving else REFILL_PART / self.sources
+        if not self.by_room:
+            shares = dict.fromkeys(self.spaces, 0)
+            self.split_rest(shares, number if self.leaving else 0)
+            return shares
         shares = {}
         free = {name: s.count(size, number) for name, s in self.spaces.items()}
         for name in sorted(free, key=lambda name: -free[name]):
             most = min(number, math.ceil(free[name] * part))
             shares[name] = self.spaces[name].take(size, most) if most else 0
             number -= shares[name]
-        if self.state.out:
+        if self.leaving:
             self.split_rest(shares, number)
         return shares
 
@@ -157,6 +166,10 @@
         self.records.append(wire.Record(move=move))
 
 
-def move_records(state, targets, nonce, now):
-    """Return the moves that one decision makes."""
-    return Balancer(state, targets, nonce, now).plan()
+def move_records(state, targets, nonce, now, leaving=False, by_room=True):
+    """Return the moves that one decision makes; see `surplus`.
+
+    Without ``by_room``, only a domain that is out or ``leaving`` sends work away, in
+    equal parts.
+    """
+    return Balancer(state, targets, nonce, now, leaving, by_room).plan()
--- a/clementinebay/services/dispatcher.py
+++ b/clementinebay/services/dispatcher.py
@@ -177,7 +177,8 @@
             for key in attempts.missing(set(expected), reports):
                 if attempts.held_task(self.state, endpoint, key) is not None:
                     self.order(attempts.Order(Action.STOP, known, *key))
-        return not attempts.unrecorded(self.state, endpoint, reports)
+        newer = self.follower.log.confirmed_at > now
+        return not attempts.unrecorded(self.state, endpoint, reports, newer)
 
 
 class Dispatcher(Service):
