Deliver late bytes before the end of their connection, and lapse a lease by hand

Cause: the proxy passed the end of a connection right after its late bytes, and the stand-in's server dropped both; a lease's own time blocked the paused scheduler's write.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,5 +1,6 @@
 """A small system of real processes on loopback, for the demo, tests and the bench."""
 
+import base64
 import os
 import random
 import signal
@@ -372,6 +373,16 @@
                 self.proxy(f"peer:{other}>{domain}-*", cut=cut)
                 self.proxy(f"peer:{domain}>{other}-*", cut=cut)
 
+    def lapse_leader(self, domain):
+        """Have the lease of a domain's scheduler lapse while it believes to hold it."""
+        name = f"shard/{domain}/leader"
+        key, end = (
+            base64.b64encode(text.encode()).decode() for text in (name, name + "\0")
+        )
+        delete = {"request_delete_range": {"key": key, "range_end": end}}
+        body = {"compare": [], "success": [delete], "failure": []}
+        self.http.post(f"{self.platform_url}/v3/kv/txn", json=body).raise_for_status()
+
     def restart(self, daemon):
         """Start a daemon again that has ended, and wait until it is ready."""
         daemon.process.start()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -31,6 +31,8 @@
 STALL_SECONDS = 0.2
 #: Longest wait of an answer for the one that it is exchanged with, in seconds.
 SWAP_SECONDS = 2.0
+#: Time from the last bytes to the end of a connection, in seconds.
+CLOSE_SECONDS = 0.05
 CHUNK_BYTES = 65_536
 #: SO_LINGER of zero seconds: closing sends a reset.
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -137,6 +139,8 @@
             if self.is_over(direction, len(data)):
                 break
         await self.route.uncut(direction)
+        # Late bytes are still read by a server that has not seen the end with them.
+        await asyncio.sleep(CLOSE_SECONDS)
         writer.close()
 
     async def wait(self, direction):
