Draw the ports of test systems from an unseeded source

Two runs at a time drew the same ports, because test tools seed the shared source of random numbers: 'address already in use' at 127.0.0.1:23619. The tasks of test_scheduler_killed_during_a_move run 12 s, so that stops with late writes still find them running.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -21,6 +21,8 @@
 PORTS = (10_000, 32_000)
 #: Ports that were given out.
 GIVEN = set()
+#: Not seeded, so that two runs at a time do not draw the same ports.
+PICK = random.SystemRandom()
 
 SETTINGS = """\
 [daemon]
@@ -52,7 +54,7 @@
     connections, and none is given out twice.
     """
     while True:
-        first = random.randrange(*PORTS)
+        first = PICK.randrange(*PORTS)
         ports = range(first, first + count)
         if not GIVEN.intersection(ports) and all(map(is_free, ports)):
             GIVEN.update(ports)
--- a/tests/system/test_no_double_run.py
+++ b/tests/system/test_no_double_run.py
@@ -135,7 +135,7 @@
     source = leader(cluster, "a")
     killed = leader(cluster, victim)
     operator = next(d for d in cluster.daemons if d not in (source, killed))
-    helpers.submit(operator, name, 8, run_seconds=5)
+    helpers.submit(operator, name, 8, run_seconds=12)
     wait_for("runs", lambda: count(cluster, name, operator, "running") == 8)
     # Answers of the source's writes are late: it is killed with writes in flight.
     cluster.proxy(f"platform:{source.name}", delay=[0.0, 0.3])
@@ -144,5 +144,5 @@
     helpers.pause(0.3)
     killed.process.kill()
     cluster.heal()
-    helpers.wait_done(operator, name, 8)
+    helpers.wait_done(operator, name, 8, seconds=40)
     helpers.assert_each_done_once(cluster, name, 8)
