--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -18,6 +18,7 @@
     "mover": ("clementinebay.services.mover", "Mover"),
     "peers": ("clementinebay.services.peers", "Peers"),
     "platform": ("clementinebay.services.platform", "Platform"),
+    "reachability": ("clementinebay.services.reachability", "EndpointReachability"),
     "renewals": ("clementinebay.services.renewals", "Renewals"),
     "retention": ("clementinebay.services.retention", "Retention"),
     "router": ("clementinebay.services.router", "Router"),
