--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -27,24 +27,37 @@
             if endpoint.usable
         ]
         self.unfit = []
+        self.allowance = math.inf
+
+    def allow(self, part):
+        """Let only ``part`` of the free processors be taken from now on."""
+        self.allowance = part * sum(room.processors for room in self.rooms)
+
+    def allowed(self, size, most):
+        """Return how many of ``most`` tasks of ``size`` may still be taken."""
+        if self.allowance == math.inf or not size.processors_milli:
+            return most
+        return min(most, math.ceil(max(0.0, self.allowance) / size.processors_milli))
 
     def count(self, size, most):
         """Return how many tasks of ``size`` fit, ``most`` at the most."""
         return sum(n for _room, n in self.fitting(size, most))
 
     def take(self, size, most):
-        """Reserve ``size`` for as many tasks as fit; return how many."""
+        """Reserve ``size`` for as many tasks as fit and may; return how many."""
         total = 0
+        most = self.allowed(size, most)
         for room, number in list(self.fitting(size, most)):
             room.processors -= size.processors_milli * number
             room.memory -= size.memory_mb * number
             room.accelerators -= size.accelerators * number
             total += number
+        self.allowance -= size.processors_milli * total
         return total
 
     def fitting(self, size, most):
         """Yield (room, tasks of ``size`` that fit there)."""
-        if size in self.unfit:
+        if size in self.unfit or not most:
             return
         left = most
         for room in self.rooms:
@@ -105,7 +118,9 @@
             for name, target in sorted(targets.items())
             if not target.out
         }
-        self.sources = max(1, len(targets))
+        if not state.out:
+            for space in self.spaces.values():
+                space.allow(REFILL_PART / max(1, len(targets)))
         self.records = []
 
     def plan(self):
@@ -119,7 +134,6 @@
 
     def shares(self, size, number):
         """Return {domain: tasks} of ``number`` tasks of ``size``."""
-        part = 1.0 if self.state.out else REFILL_PART / self.sources
         if not self.by_room:
             shares = dict.fromkeys(self.spaces, 0)
             self.split_rest(shares, number if self.state.out else 0)
@@ -127,8 +141,7 @@
         shares = {}
         free = {name: s.count(size, number) for name, s in self.spaces.items()}
         for name in sorted(free, key=lambda name: -free[name]):
-            most = min(number, math.ceil(free[name] * part))
-            shares[name] = self.spaces[name].take(size, most) if most else 0
+            shares[name] = self.spaces[name].take(size, number)
             number -= shares[name]
         if self.state.out:
             self.split_rest(shares, number)
--- a/tests/policy/test_balance.py
+++ b/tests/policy/test_balance.py
@@ -39,6 +39,10 @@
     factory.submit(state, "minutes", 40)
     found = moves(state, {"b": factory.fleet(4), "c": State()})
     assert counts(found) == {"b": 4}
+    state = factory.fleet(1)
+    for number in range(20):
+        factory.submit(state, f"job-{number}", 5)
+    assert counts(moves(state, {"b": factory.fleet(4), "c": State()})) == {"b": 4}
     factory.submit(state, "more", 1)
     assert not moves(state, {"b": State(), "c": State()})
 
