Let a broken job's failure bar no endpoint on probation

Cause: any failure on an endpoint on probation barred it again, also that of a job that fails everywhere. Only failures of jobs that are not suspect count now; the test failed before.

--- a/clementinebay/policy/taskhealth.py
+++ b/clementinebay/policy/taskhealth.py
@@ -112,7 +112,8 @@
             self.failed_on.setdefault(origin, set()).add(task.endpoint)
             wait = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**task.failures)
             self.retry_at[key] = now + wait
-            self.weigh(task.endpoint, len(state.endpoints), now)
+            if not self.suspect(origin):
+                self.weigh(task.endpoint, len(state.endpoints), now)
             return
         self.succeeded[origin] = True
         self.failed_on.pop(origin, None)
--- a/tests/policy/test_taskhealth.py
+++ b/tests/policy/test_taskhealth.py
@@ -89,3 +89,16 @@
     simulation.run(30)
     recent = [e for at, e in simulation.starts if at > 130.0]
     assert recent.count("e-007") > 0.02 * len(recent)
+
+
+def test_failure_of_a_suspect_job_bars_no_endpoint_on_probation():
+    state = factory.fleet(count=4)
+    factory.submit(state, "broken", 1)
+    health = TaskHealth()
+    health.failed_on["broken"] = {"e-001", "e-002", "e-003"}
+    health.endpoints["e-000"] = taskhealth.EndpointHealth()
+    health.endpoints["e-000"].probation = True
+    state.apply(wire.Record(bind=wire.Bind("broken", 0, 1, "e-000", 1e9, 1.0)))
+    failed = wire.Finish("broken", 0, 1, wire.Outcome.FAILED, "fault", 2.0)
+    health.observe(state, failed, 2.0)
+    assert not health.barred("e-000", 2.0)
