--- a/clementinebay/services/colocation.py
+++ b/clementinebay/services/colocation.py
@@ -35,6 +35,7 @@
         self.reported_at = {}
         self.orders = set()
         self.decide_at = 0.0
+        self.forgotten_at = -1
         self.kernel.find("renewals").listeners.append(self.take_report)
 
     async def stop(self):
@@ -94,7 +95,9 @@
             return []
         self.decide_at = now + DECIDE_SECONDS
         state = self.shard.state
-        self.usage.forget(state)
+        if state.index != self.forgotten_at:
+            self.usage.forget(state)
+            self.forgotten_at = state.index
         for name, endpoint in state.endpoints.items():
             cores = self.mixes.get(state, endpoint, self.usage).cores
             self.history.note(name, cores, now)
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -52,6 +52,7 @@
         )
         self.health = TaskHealth()
         self.decided = None
+        self.compared = None
         self.look_again_at = 0.0
         self.background.spawn(self.run)
 
@@ -149,14 +150,20 @@
         """Return records of what changed on the live list."""
         if not self.livelist.confirmed_at:
             return []
-        settings = self.settings
+        state, settings = self.shard.state, self.settings
+        vms = self.reachability.trusted(self.livelist.endpoints(self.domain))
+        # A list that brought nothing new to this state will not do so later.
+        compared = (vms, state.index)
+        if compared == self.compared:
+            return []
         free_at = (
             now
             + settings.scheduler_reclaim_after_seconds
             + 2 * settings.scheduler_clock_skew_seconds
         )
-        vms = self.reachability.trusted(self.livelist.endpoints(self.domain))
-        return membership.endpoint_records(self.shard.state, vms, now, free_at)
+        records = membership.endpoint_records(state, vms, now, free_at)
+        self.compared = None if records else compared
+        return records
 
     def policy(self):
         """Return the placement policy that the settings name."""
