--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -381,7 +381,8 @@
         )
         delete = {"request_delete_range": {"key": key, "range_end": end}}
         body = {"compare": [], "success": [delete], "failure": []}
-        self.http.post(f"{self.platform_url}/v3/kv/txn", json=body).raise_for_status()
+        # The answer may be one that the platform was told to lose.
+        self.http.post(f"{self.platform_url}/v3/kv/txn", json=body)
 
     def restart(self, daemon):
         """Start a daemon again that has ended, and wait until it is ready."""
--- a/tests/system/test_domain_out.py
+++ b/tests/system/test_domain_out.py
@@ -22,12 +22,6 @@
     return [r["started"] for r in cluster.runs() if r["endpoint"].startswith(domain)]
 
 
-def keep_starting(cluster, operator, name):
-    """Submit more tasks than fit at once, so that starts go on for seconds."""
-    helpers.submit(operator, name, 600, run_seconds=0.5)
-    wait_for("starts", lambda: len(starts(cluster, "a")) > 20)
-
-
 def assert_no_late_start(cluster, out_at):
     late = [s - out_at for s in starts(cluster, "a") if s > out_at + BOUND_SECONDS]
     assert not late
@@ -36,10 +30,10 @@
 
 def test_domain_cut_off_from_the_platform_at_the_take_out(cluster):
     operator = next(d for d in cluster.daemons if d.domain == "b")
-    keep_starting(cluster, operator, "cut")
     # Start orders wait on their way, with nobody left who could take them back.
     cluster.proxy("endpoint:a-*", cut="up")
-    helpers.pause(0.4)
+    helpers.submit(operator, "cut", 32)
+    wait_for("bindings", lambda: helpers.standing(operator, "cut")["bound"] >= 16)
     cluster.cut_from_platform("a-*")
     cluster.cut_from_domains("a")
     helpers.set_domain(operator, "a", "out")
--- a/tests/system/test_no_over_commit.py
+++ b/tests/system/test_no_over_commit.py
@@ -27,6 +27,8 @@
     """
     paused = wait_for("a scheduler", lambda: cluster.leader("a"))
     other = next(daemon for daemon in cluster.daemons if daemon is not paused)
+    helpers.submit(other, "first", 1, run_seconds=0.1)
+    helpers.wait_done(other, "first", 1)
     cluster.cut_from_platform(paused.name, "up")
     helpers.submit(other, "late", 4, processors=1, run_seconds=5)
     helpers.pause(0.4)
@@ -34,13 +36,13 @@
     helpers.cancel(other, "late")
     cluster.lapse_leader("a")
     helpers.submit(other, "next", 4, processors=1, run_seconds=4)
-    wait_for("four runs", lambda: len(cluster.runs()) == 4)
+    wait_for("four runs", lambda: len(cluster.runs()) == 5)
     cluster.heal()
     paused.process.signal(signal.SIGCONT)
     wait_for("both to agree", lambda: agree(cluster))
     helpers.wait_done(other, "next", 4)
     helpers.assert_each_done_once(cluster, "next", 4)
-    assert {run["origin"] for run in cluster.runs()} == {"next"}
+    assert {run["origin"] for run in cluster.runs()} == {"first", "next"}
 
 
 def agree(cluster):
