Give requests lanes, limits, health and hedges; trace only what is sampled

Causes found by a profile of one daemon (cProfile, 8 connections): OpenTelemetry took a quarter of a request's time although 1 in 100 was sampled, since each span was made and then thrown away; the live list was walked for every replica of every request; every header was decoded. Requests over an endpoint's share polled every 50 ms.

Change: the decision to trace is made once, where a request enters. The connections of one daemon are a fixed share, so that a daemon that joins cannot push the sum over the endpoint's limit. Endpoints that fail far more than the others are ejected and probed. Repeatable requests are hedged within the retry budget.

Outcomes: an attempt that may have run is never followed by not-run; a peer's not-run stays not-run and is tried elsewhere; a message too large for the link is not-run; a deadline that passed before the endpoint is asked is not-run. A key is claimed where the client's request enters and only there, whatever the hops. A claim is given back if the request did not run, so that the client can use its key again.

Tickets are keys that a daemon issues and remembers itself; they cost the platform nothing.

--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -226,6 +226,12 @@
     code = "key-not-claimed"
 
 
+class AttemptNotRunError(NotRunError):
+    """One attempt did not run; another may be made elsewhere."""
+
+    code = "attempt-not-run"
+
+
 class OutcomeUnknownError(RequestError):
     """The request may have run; its answer was lost or did not fit."""
 
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -27,6 +27,11 @@
 REQUEST_SECONDS = Histogram(
     "clementine_request_seconds", "Time to answer a request.", buckets=LATENCY_BUCKETS
 )
+REFUSALS = Counter("clementine_refusals", "Requests without answer by code.", ["code"])
+QUEUE_LENGTH = Gauge("clementine_queue_length", "Requests that wait for a replica.")
+RETRIES = Counter("clementine_retries", "Further attempts after a failed one.")
+HEDGES = Counter("clementine_hedges", "Copies of requests that took long.")
+EJECTIONS = Counter("clementine_ejections", "Endpoints passed over as failing.")
 FORWARDS = Counter("clementine_forwards", "Requests forwarded to peers.")
 PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
 RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
--- a/clementinebay/peer/wire/ttypes.py
+++ b/clementinebay/peer/wire/ttypes.py
@@ -24,6 +24,7 @@
     SPANS = 4
     CONFIG = 5
     JOBS = 6
+    REDEEM = 8
 
     _VALUES_TO_NAMES = {
         0: "REPLY",
@@ -33,6 +34,7 @@
         4: "SPANS",
         5: "CONFIG",
         6: "JOBS",
+        8: "REDEEM",
     }
 
     _NAMES_TO_VALUES = {
@@ -43,6 +45,7 @@
         "SPANS": 4,
         "CONFIG": 5,
         "JOBS": 6,
+        "REDEEM": 8,
     }
 
 
@@ -1396,6 +1399,148 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Redeem(object):
+    """
+    Attributes:
+     - ticket
+     - request_id
+     - release
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'request_id',
+        'release',
+    )
+
+
+    def __init__(self, ticket=None, request_id=None, release=False,):
+        self.ticket = ticket
+        self.request_id = request_id
+        self.release = release
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.ticket = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.release = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Redeem')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.STRING, 1)
+            oprot.writeString(self.ticket.encode('utf-8') if sys.version_info[0] == 2 else self.ticket)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.release is not None:
+            oprot.writeFieldBegin('release', TType.BOOL, 3)
+            oprot.writeBool(self.release)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RedeemReply(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RedeemReply')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1495,5 +1640,15 @@
     None,  # 0
     (1, TType.LIST, 'jobs', (TType.STRUCT, [JobStanding, None], False), None, ),  # 1
 )
+all_structs.append(Redeem)
+Redeem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'ticket', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'release', None, False, ),  # 3
+)
+all_structs.append(RedeemReply)
+RedeemReply.thrift_spec = (
+)
 fix_spec(all_structs)
 del all_structs
--- a/clementinebay/policy/routing.py
+++ b/clementinebay/policy/routing.py
@@ -1,8 +1,15 @@
-"""Which replica a request goes to."""
+"""Which replica a request goes to: policies by name, each a pure decision."""
+
+from abc import ABC, abstractmethod
+
+#: Weight of the newest latency in the average.
+LATENCY_WEIGHT = 0.1
+#: Latency assumed at least, in seconds, so that in-flight counts stay decisive.
+LATENCY_FLOOR = 0.0005
 
 
 class Load:
-    """What this daemon knows of one endpoint: requests in flight and latency."""
+    """What this daemon knows of one target: requests in flight and mean latency."""
 
     __slots__ = ("in_flight", "latency")
 
@@ -10,20 +17,120 @@
         self.in_flight = 0
         self.latency = 0.0
 
+    def note(self, seconds):
+        """Take the latency of an answer into the average."""
+        if not self.latency:
+            self.latency = seconds
+        self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+
+    @property
+    def expected(self):
+        """Latency of one more request, in seconds, if it queues behind the others."""
+        return (self.in_flight + 1) * max(self.latency, LATENCY_FLOOR)
+
+
+class RoutingPolicy(ABC):
+    """Chooses among replicas that may take one more request."""
+
+    @abstractmethod
+    def choose(self, replicas, loads, rng):
+        """Return one of ``replicas``; ``loads`` maps an endpoint to its `Load`."""
+
+
+class RandomChoice(RoutingPolicy):
+    """Any replica."""
+
+    def choose(self, replicas, loads, rng):
+        """See `RoutingPolicy`."""
+        return rng.choice(replicas)
+
+
+class RoundRobin(RoutingPolicy):
+    """Each replica in turn, in order of their endpoints."""
+
+    def __init__(self):
+        self.last = ""
+
+    def choose(self, replicas, loads, rng):
+        """See `RoutingPolicy`."""
+        ordered = sorted(replicas, key=lambda replica: replica.endpoint)
+        later = [replica for replica in ordered if replica.endpoint > self.last]
+        choice = later[0] if later else ordered[0]
+        self.last = choice.endpoint
+        return choice
+
+
+class PowerOfTwo(RoutingPolicy):
+    """The one of two random replicas with fewer requests in flight."""
+
+    def choose(self, replicas, loads, rng):
+        """See `RoutingPolicy`."""
+        pair = rng.sample(replicas, min(2, len(replicas)))
+        return min(pair, key=lambda replica: loads[replica.endpoint].in_flight)
+
+
+class LeastExpected(RoutingPolicy):
+    """The replica with the least product of requests in flight and latency."""
+
+    def choose(self, replicas, loads, rng):
+        """See `RoutingPolicy`."""
+        return min(
+            replicas,
+            key=lambda replica: (loads[replica.endpoint].expected, rng.random()),
+        )
+
+
+class TwoExpected(RoutingPolicy):
+    """The one of two random replicas with the less expected latency."""
+
+    def choose(self, replicas, loads, rng):
+        """See `RoutingPolicy`."""
+        pair = rng.sample(replicas, min(2, len(replicas)))
+        return min(pair, key=lambda replica: loads[replica.endpoint].expected)
+
+
+class LeastInFlight(RoutingPolicy):
+    """The replica with the fewest requests in flight, the quicker one of equals."""
+
+    def choose(self, replicas, loads, rng):
+        """See `RoutingPolicy`."""
+
+        def rank(replica):
+            load = loads[replica.endpoint]
+            return load.in_flight, load.latency * rng.uniform(0.5, 1.5)
+
+        return min(replicas, key=rank)
+
+
+POLICIES = {
+    "random": RandomChoice,
+    "round-robin": RoundRobin,
+    "power-of-two": PowerOfTwo,
+    "least-expected": LeastExpected,
+    "two-expected": TwoExpected,
+    "least-in-flight": LeastInFlight,
+}
+
+
+def connection_share(connections, reserved, sharers, most_sharers):
+    """Return how many connections to an endpoint one daemon may have.
+
+    ``sharers`` daemons are seen, ``most_sharers`` is what operators allow for;
+    ``reserved`` connections of each daemon are for orders.  The share is the same
+    before and after a daemon joins, so no list that lags can make the sum too large.
+    """
+    return max(1, connections // max(sharers, most_sharers) - reserved)
+
+
+def slot_share(slots, sharers, overcommit_percent):
+    """Return how many requests one of ``sharers`` daemons keeps at an endpoint."""
+    return max(1, -(-slots * overcommit_percent // (100 * max(1, sharers))))
+
 
-def choose(replicas, loads, share, excluded, rng):
-    """Return the less loaded of two random replicas, or ``None`` if all are full.
+def spills(local_seconds, remote_seconds, cost_seconds):
+    """Return whether a request should leave its domain.
 
-    ``share`` maps a replica to the requests that this daemon may have in flight there;
-    endpoints in ``excluded`` are passed over.
+    The arguments are the expected latency here, the expected latency there, and what
+    the hop costs; a domain that serves in time keeps its requests.
     """
-    open_replicas = [
-        replica
-        for replica in replicas
-        if replica.endpoint not in excluded
-        and loads[replica.endpoint].in_flight < share(replica)
-    ]
-    if not open_replicas:
-        return None
-    pair = rng.sample(open_replicas, min(2, len(open_replicas)))
-    return min(pair, key=lambda replica: loads[replica.endpoint].in_flight)
+    return local_seconds > remote_seconds + cost_seconds
--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -4,9 +4,12 @@
 ``X-Deadline`` (seconds since the Unix epoch), ``Idempotency-Key`` for a request that
 runs at most once, ``X-Repeatable: true`` for one that may be sent again, and
 ``traceparent``.  The answer's ``X-Outcome`` is done, not-run or unknown.
+
+A POST to ``/v1/services/SERVICE/tickets`` answers with a once-only key that also works
+while the platform is down.
 """
 
-import uuid
+import secrets
 
 import msgspec
 
@@ -21,6 +24,22 @@
 )
 
 
+#: Request headers that are read.
+HEADERS = frozenset(
+    (b"x-client", b"x-deadline", b"idempotency-key", b"x-repeatable", b"traceparent")
+)
+OUTCOMES = {
+    name: metrics.REQUESTS.labels(name) for name in ("done", "not-run", "unknown")
+}
+
+
+class Ticket(msgspec.Struct):
+    """Body of the answer to a request for a ticket; the deadline in epoch seconds."""
+
+    key: str
+    deadline: float
+
+
 class Failure(msgspec.Struct):
     """Body of an answer that carries an error."""
 
@@ -46,43 +65,60 @@
     async def __call__(self, scope, receive, send):
         """Answer one request."""
         headers = {
-            k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]
+            name: value.decode("latin-1")
+            for name, value in scope["headers"]
+            if name in HEADERS
         }
-        request_id = uuid.uuid4().hex
+        request_id = secrets.token_hex(16)
         start = self.clock.now()
-        with self.tracer.span("client", headers.get("traceparent")):
+        with self.tracer.entry("client", headers.get(b"traceparent", "")):
             trace = tracing.traceparent()
             try:
-                request = await self.read(scope, receive, headers, request_id)
-                answer = await self.router.route(request)
-                status, body, outcome = answer.status, answer.body, "done"
+                status, body = await self.answer(scope, receive, headers, request_id)
+                outcome = "done"
             except errors.RequestError as error:
                 status, outcome = status_of(error), error.outcome
                 failure = Failure(outcome, error.code, str(error))
                 body = msgspec.json.encode(failure)
-        metrics.REQUESTS.labels(outcome).inc()
+                metrics.REFUSALS.labels(error.code).inc()
+        OUTCOMES[outcome].inc()
         metrics.REQUEST_SECONDS.observe(self.clock.now() - start)
         await respond(send, status, body, outcome, request_id, trace)
 
+    async def answer(self, scope, receive, headers, request_id):
+        """Return status and body of the answer or raise a `RequestError`."""
+        request = await self.read(scope, receive, headers, request_id)
+        if scope["path"].endswith("/tickets"):
+            return 200, self.ticket()
+        answer = await self.router.route(request)
+        return answer.status, answer.body
+
+    def ticket(self):
+        """Return a new once-only key in JSON."""
+        now = self.clock.now()
+        deadline = now + self.settings.router_ticket_seconds
+        key = self.router.tickets.issue(deadline, now)
+        return msgspec.json.encode(Ticket(key, deadline))
+
     async def read(self, scope, receive, headers, request_id):
         """Return the `model.Request`; raise `BadRequestError` if it is malformed."""
         body = await self.read_body(receive)
         now = self.clock.now()
         deadline = now + self.settings.router_default_deadline_seconds
-        if "x-deadline" in headers:
+        if b"x-deadline" in headers:
             try:
-                deadline = float(headers["x-deadline"])
+                deadline = float(headers[b"x-deadline"])
             except ValueError as error:
                 raise errors.BadRequestError("X-Deadline is not a number") from error
         if not deadline > now:
             raise errors.DeadlinePassedError("the deadline has passed")
         return model.Request(
             service=scope["path"].split("/")[3],
-            client=headers.get("x-client", ""),
+            client=headers.get(b"x-client", ""),
             id=request_id,
             deadline=deadline,
-            repeatable=headers.get("x-repeatable", "") == "true",
-            key=headers.get("idempotency-key", ""),
+            repeatable=headers.get(b"x-repeatable", "") == "true",
+            key=headers.get(b"idempotency-key", ""),
             body=body,
         )
 
--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -46,6 +46,8 @@
                 ws="none",
                 lifespan="off",
                 access_log=False,
+                server_header=False,
+                date_header=False,
                 log_config=None,
                 timeout_graceful_shutdown=int(settings.daemon_drain_seconds) + 1,
             )
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -3,6 +3,7 @@
 import configparser
 
 from clementinebay import errors, log
+from clementinebay.policy import routing
 
 REQUIRED = object()
 
@@ -91,7 +92,19 @@
         choices=("aiohttp", "httpx"),
     ),
     _count("router", "queue_limit", 512, "Requests that may wait."),
-    _count("router", "concurrency", 256, "Requests in progress at once."),
+    Option(
+        "router",
+        "policy",
+        "least-in-flight",
+        "How a replica is chosen.",
+        choices=tuple(routing.POLICIES),
+    ),
+    _count("router", "daemons_per_domain", 4, "Most daemons of a domain at once."),
+    _count("router", "slot_percent", 125, "Requests kept at endpoints per 100 slots."),
+    _count("router", "eject_percent", 25, "Endpoints ejected at most.", 0, 100),
+    _seconds("router", "spill_seconds", 0.02, "Cost of a hop to another domain.", 0.0),
+    _count("router", "ticket_limit", 20_000, "Once-only tickets open at once."),
+    _seconds("router", "ticket_seconds", 60.0, "A ticket can be used for so long."),
     _count("router", "retry_percent", 10, "Retries allowed per 100 requests.", 0, 100),
     _seconds(
         "router", "default_deadline_seconds", 10.0, "Deadline when none is given."
--- a/clementinebay/tracing.py
+++ b/clementinebay/tracing.py
@@ -1,16 +1,22 @@
 """Traces: a span for each hop, sampled, the recent ones kept in memory."""
 
+import contextlib
+import random
 from collections import OrderedDict
 
 import msgspec
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import SpanProcessor, TracerProvider
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 PROPAGATOR = TraceContextTextMapPropagator()
 NANOSECONDS = 1_000_000_000
+#: End of a traceparent whose sampled flag is set.
+SAMPLED = "-01"
+#: Stands for the span of a request that is not traced.
+UNTRACED = contextlib.nullcontext()
 
 
 class SpanImage(msgspec.Struct):
@@ -64,25 +70,52 @@
 
 
 class Tracer:
-    """Makes spans of one daemon."""
+    """Makes spans of one daemon.
+
+    Whether a request is traced is decided once, where it enters the system; a request
+    that is not costs nothing further on.
+    """
 
     def __init__(self, daemon, sample_percent, limit):
         self.spans = RecentSpans(daemon, limit)
-        sampler = ParentBased(TraceIdRatioBased(sample_percent / 100.0))
+        self.share = sample_percent / 100.0
+        self.rng = random.Random()
         self.provider = TracerProvider(
-            sampler=sampler, resource=Resource({"service.name": daemon})
+            sampler=ALWAYS_ON, resource=Resource({"service.name": daemon})
         )
         self.provider.add_span_processor(self.spans)
         self.tracer = self.provider.get_tracer("clementinebay")
 
-    def span(self, name, parent=None, **attributes):
-        """Return a context manager for span ``name``.
+    def entry(self, name, parent=""):
+        """Return a context manager for the span of a request that enters here.
+
+        ``parent`` is the client's W3C traceparent, whose sampled flag decides.
+        """
+        if parent and parent.endswith(SAMPLED):
+            return self.start(name, parent, {})
+        if parent or self.rng.random() >= self.share:
+            return UNTRACED
+        return self.start(name, "", {})
+
+    def remote(self, name, parent):
+        """Return a context manager for a span below one of another daemon.
 
-        ``parent`` is a W3C traceparent text, or ``None`` for the current span.
+        It does nothing if ``parent`` is empty.
         """
-        context = None
-        if parent:
-            context = PROPAGATOR.extract({"traceparent": parent})
+        return self.start(name, parent, {}) if parent else UNTRACED
+
+    def span(self, name, **attributes):
+        """Return a context manager for a span below the current one, if there is one.
+
+        Without a current span it does nothing.
+        """
+        if not trace.get_current_span().get_span_context().is_valid:
+            return UNTRACED
+        return self.start(name, "", attributes)
+
+    def start(self, name, parent, attributes):
+        """Return a context manager for a span below ``parent`` or the current one."""
+        context = PROPAGATOR.extract({"traceparent": parent}) if parent else None
         return self.tracer.start_as_current_span(
             name, context=context, attributes=attributes
         )
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,7 +1,7 @@
 // Messages between daemons.  Times are seconds since the Unix epoch.
 namespace py clementinebay.peer.wire
 
-enum Kind { REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6 }
+enum Kind { REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6, REDEEM = 8 }
 
 // One frame.  A reply or error carries the id of the message that it answers.
 struct Envelope {
@@ -51,3 +51,7 @@
   11: bool cancelled, 12: list<string> reasons, 13: string team, 14: bool is_service,
 }
 struct JobsReply { 1: list<JobStanding> jobs }
+
+// Uses a ticket of the peer for the request with this id, or gives the use back.
+struct Redeem { 1: string ticket, 2: string request_id, 3: bool release = 0 }
+struct RedeemReply {}
