--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -60,6 +60,12 @@
         )
 
 
+class UnknownDomainError(ConfigError):
+    """No such failure domain on the live list or in the document."""
+
+    code = "unknown-domain"
+
+
 # Platform
 
 
@@ -161,6 +167,18 @@
     code = "log-gap"
 
 
+class LogFormatError(ShardError):
+    """A batch or snapshot is of a newer format than this daemon knows."""
+
+    code = "log-format"
+
+
+class ValueTooLargeError(ShardError):
+    """A batch or snapshot exceeds what the platform holds under one key."""
+
+    code = "value-too-large"
+
+
 class InvariantBrokenError(ShardError):
     """An assertion inside the program found a promise broken."""
 
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -8,6 +8,16 @@
 REQUIRED = object()
 
 
+def addresses(text):
+    """Return the list of ``host:port`` in a comma-separated text."""
+    found = [part.strip() for part in text.split(",") if part.strip()]
+    for address in found:
+        host, _colon, port = address.rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError(address)
+    return found
+
+
 class Option:
     """One key of the settings file: its type, default and allowed values."""
 
@@ -37,6 +47,8 @@
             return "one of " + ", ".join(self.choices)
         if self.kind is str:
             return "a text that is not empty"
+        if self.kind is addresses:
+            return "addresses HOST:PORT separated by commas"
         noun = "a whole number" if self.kind is int else "a number"
         return f"{noun} from {self.low} to {self.high}"
 
@@ -48,7 +60,7 @@
         if self.kind is str:
             if not value:
                 raise ValueError(text)
-        elif not self.low <= value <= self.high:
+        elif self.low is not None and not self.low <= value <= self.high:
             raise ValueError(text)
         return value
 
@@ -76,6 +88,13 @@
     Option("peer", "address", "127.0.0.1", "IP address for peer daemons."),
     _port("peer"),
     _count("peer", "max_frame_bytes", 2_000_000, "Largest frame in bytes.", low=1024),
+    Option(
+        "peer",
+        "seeds",
+        (),
+        "Peers to ask for state while the platform is away.",
+        kind=addresses,
+    ),
     _seconds("peer", "gossip_seconds", 1.0, "Time between two gossip messages."),
     Option("platform", "store", "etcd-json", "Protocol of the key-value service."),
     Option("platform", "url", REQUIRED, "URL of the key-value service."),
@@ -120,6 +139,35 @@
     _seconds("scheduler", "leader_seconds", 4.0, "Lease of the shard's scheduler."),
     _seconds("scheduler", "retention_seconds", 120.0, "Truncated records are kept."),
     _count("scheduler", "snapshot_batches", 200, "Batches between two snapshots."),
+    _seconds("scheduler", "usage_lag_seconds", 2.0, "Age of reported usage.", 0.0),
+    Option(
+        "scheduler",
+        "placement",
+        "balanced",
+        "Policy that picks endpoints.",
+        choices=("balanced", "spread", "least-declared"),
+    ),
+    Option(
+        "scheduler",
+        "colocation",
+        "on",
+        "Whether interference is acted against.",
+        choices=("on", "off"),
+    ),
+    Option(
+        "scheduler",
+        "eviction",
+        "on",
+        "Whether urgent work evicts batch work.",
+        choices=("on", "off"),
+    ),
+    Option(
+        "scheduler",
+        "task_health",
+        "on",
+        "Whether endpoints that fail tasks are barred.",
+        choices=("on", "off"),
+    ),
     Option("log", "level", "info", "Lowest level to log.", choices=log.LEVELS),
     Option("trace", "sample_percent", 1.0, "Traces kept.", float, low=0.0, high=100.0),
     _count("trace", "spans", 20_000, "Recent spans kept in memory."),
@@ -208,3 +256,19 @@
             return parse(file.read(), path)
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError([f"{path}: {error}"]) from error
+
+
+def describe():
+    """Yield the lines of a settings file with every option, its default and help."""
+    section = None
+    for option in OPTIONS:
+        if option.section != section:
+            if section is not None:
+                yield ""
+            section = option.section
+            yield f"[{section}]"
+        yield f"# {option.help}  Allowed is {option.allowed}."
+        if option.default is REQUIRED:
+            yield f"{option.key} ="
+        else:
+            yield f"# {option.key} = {option.default or ''}"
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,7 +1,10 @@
 // Messages between daemons.  Times are seconds since the Unix epoch.
 namespace py clementinebay.peer.wire
 
-enum Kind { REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6, REDEEM = 8 }
+enum Kind {
+  REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6,
+  STATE = 7, REDEEM = 8,
+}
 
 // One frame.  A reply or error carries the id of the message that it answers.
 struct Envelope {
@@ -52,6 +55,11 @@
 }
 struct JobsReply { 1: list<JobStanding> jobs }
 
+// Asks for what a daemon needs to serve while the platform is away.
+struct StateQuery { 1: string domain }
+// The snapshot is empty if the peer is of another domain; vms is the live list in JSON.
+struct StateReply { 1: binary snapshot, 2: double confirmed_at = 0, 3: binary vms }
+
 // Uses a ticket of the peer for the request with this id, or gives the use back.
 struct Redeem { 1: string ticket, 2: string request_id, 3: bool release = 0 }
 struct RedeemReply {}
