--- a/clementinebay/policy/routing.py
+++ b/clementinebay/policy/routing.py
@@ -97,7 +97,8 @@
 
         def rank(replica):
             load = loads[replica.endpoint]
-            return load.in_flight, load.latency * rng.uniform(0.5, 1.5)
+            latency = max(load.latency, LATENCY_FLOOR)
+            return load.in_flight, latency * rng.uniform(0.5, 1.5)
 
         return min(replicas, key=rank)
 
--- /dev/null
+++ b/tests/policy/test_admission.py
@@ -0,0 +1,52 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinebay.policy import admission
+
+
+def fill(queue, *entries):
+    return [queue.push(admission.Waiting(client, at)) for client, at in entries]
+
+
+def test_clients_take_turns_and_the_earliest_deadline_goes_first():
+    queue = admission.FairQueue(10)
+    fill(queue, ("flood", 5.0), ("flood", 3.0), ("flood", 4.0), ("quiet", 9.0))
+    popped = [queue.pop() for _number in range(4)]
+    assert [(w.client, w.deadline) for w in popped] == [
+        ("flood", 3.0),
+        ("quiet", 9.0),
+        ("flood", 4.0),
+        ("flood", 5.0),
+    ]
+
+
+def test_full_queue_drops_the_last_of_the_client_with_most():
+    queue = admission.FairQueue(3)
+    dropped = fill(
+        queue, ("flood", 1.0), ("flood", 3.0), ("flood", 2.0), ("quiet", 9.0)
+    )
+    assert dropped[:3] == [None, None, None]
+    assert (dropped[3].client, dropped[3].deadline) == ("flood", 3.0)
+
+
+def test_turns_of_a_quiet_client_do_not_grow_with_a_flood():
+    queue = admission.FairQueue(1000)
+    fill(queue, *[("flood", float(n)) for n in range(500)])
+    assert queue.turns("quiet") == 1
+    assert queue.turns("flood") == 500
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from("abc"), st.floats(0, 10)), max_size=40),
+    st.floats(0, 10),
+)
+def test_each_request_leaves_once(entries, now):
+    queue = admission.FairQueue(20)
+    left = [w for w in fill(queue, *entries) if w is not None]
+    late = queue.expire(now)
+    assert all(w.deadline <= now for w in late)
+    while (waiting := queue.pop()) is not None:
+        assert waiting.deadline > now
+        left.append(waiting)
+    assert len({id(w) for w in left + late}) == len(entries)
+    assert len(queue) == 0
--- /dev/null
+++ b/tests/policy/test_health.py
@@ -0,0 +1,51 @@
+import random
+
+from clementinebay.policy import health
+
+NAMES = [f"e{number}" for number in range(24)]
+
+
+def run(ejector, broken, seconds, rate=200, start=0.0, seed=1):
+    """Send ``rate`` requests a second to what may take one; return who got them."""
+    rng = random.Random(seed)
+    got = []
+    for number in range(int(seconds * rate)):
+        now = start + number / rate
+        allowed = [name for name in NAMES if ejector.limit(name, now, 4)]
+        name = rng.choice(allowed)
+        got.append((now, name))
+        ejector.note(name, name not in broken, now)
+    return got
+
+
+def test_one_failing_endpoint_draws_few_requests():
+    got = run(health.Ejector(), {"e3"}, 20)
+    late = [name for at, name in got if at >= 5.0]
+    assert late.count("e3") < 0.02 * len(late)
+
+
+def test_a_fault_of_all_ejects_none():
+    ejector = health.Ejector()
+    run(ejector, set(NAMES), 10)
+    assert not ejector.troubled
+
+
+def test_ejections_are_bounded():
+    ejector = health.Ejector(most_percent=25)
+    run(ejector, set(NAMES[:11]), 10)
+    assert len(ejector.troubled) <= 6
+
+
+def test_a_mended_endpoint_comes_back():
+    ejector = health.Ejector()
+    run(ejector, {"e3"}, 5)
+    assert "e3" in ejector.troubled
+    run(ejector, set(), 30, start=5.0)
+    assert not ejector.troubled
+
+
+def test_a_fault_of_all_does_not_lengthen_an_ejection():
+    ejector = health.Ejector()
+    run(ejector, {"e3"}, 4)
+    run(ejector, set(NAMES), 30, start=4.0)
+    assert ejector.known["e3"].ejected_until < 34.0 + 2 * health.FIRST_SECONDS
--- /dev/null
+++ b/tests/services/fakes.py
@@ -0,0 +1,144 @@
+import asyncio
+
+from clementinebay import errors, model, settings, tracing
+from clementinebay.platform.base import Vm
+from clementinebay.services.router import Router
+
+
+class Driver:
+    """Answers by ``script``: (endpoint address) -> bytes or an error to raise."""
+
+    def __init__(self):
+        self.script = {}
+        self.asked = []
+        self.held = None
+        self.in_flight = {}
+        self.most = {}
+
+    async def request(self, address, service, request_id, body, deadline, traceparent):
+        self.asked.append(address)
+        self.in_flight[address] = self.in_flight.get(address, 0) + 1
+        self.most[address] = max(self.most.get(address, 0), self.in_flight[address])
+        try:
+            if self.held is not None:
+                await self.held.wait()
+            answer = self.script.get(address, body)
+            if callable(answer):
+                answer = await answer(body)
+            if isinstance(answer, Exception):
+                raise answer
+            return 200, answer
+        finally:
+            self.in_flight[address] -= 1
+
+
+class Shard:
+    def __init__(self, replicas):
+        self.table = replicas
+
+    def replicas(self, service):
+        return self.table if service == "call-in" else []
+
+
+class LiveList:
+    def __init__(self, daemons=()):
+        self.vms = {vm.id: vm for vm in daemons}
+
+    def daemons(self):
+        return list(self.vms.values())
+
+
+class Client:
+    """A peer whose answer is ``result``: a reply or an error to raise."""
+
+    def __init__(self, result):
+        self.result = result
+        self.calls = []
+
+    async def call(self, kind, message, reply_kind, deadline, traceparent=""):
+        self.calls.append(message)
+        if isinstance(self.result, Exception):
+            raise self.result
+        return self.result
+
+
+class Peers:
+    def __init__(self, clients):
+        self.clients = clients
+        self.handlers = {}
+        self.leaving = False
+
+    def handle(self, kind, message, handler):
+        self.handlers[kind] = handler
+
+    def client(self, vm):
+        return self.clients[vm.id]
+
+    def serving(self, service):
+        return [(Vm(name, "entry", "", "b"), 1) for name in self.clients]
+
+
+class Kernel:
+    def __init__(self, clock, store, replicas, clients, **options):
+        self.clock = clock
+        self.settings = settings.Settings(
+            daemon_name="a-0", daemon_failure_domain="a", **options
+        )
+        self.services = {
+            "shard": Shard(replicas),
+            "peers": Peers(clients),
+            "livelist": LiveList([Vm(n, "entry", "", "b") for n in clients]),
+            "driver": type("DriverService", (), {"driver": Driver()}),
+            "tracing": type("Tracing", (), {"tracer": tracing.Tracer("a-0", 0.0, 10)}),
+            "platform": type("Platform", (), {"store": store}),
+        }
+
+    def find(self, name):
+        return self.services[name]
+
+
+def replica(number):
+    return model.Replica(f"e{number}", f"e{number}", 8, 64)
+
+
+class Bed:
+    """A router among fakes; an asynchronous context manager."""
+
+    def __init__(self, clock, store, replicas=1, peers=None, **options):
+        self.clock = clock
+        table = [replica(number) for number in range(replicas)]
+        self.kernel = Kernel(clock, store, table, peers or {}, **options)
+        self.driver = self.kernel.find("driver").driver
+        self.router = Router(self.kernel)
+
+    async def __aenter__(self):
+        await self.router.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.router.__aexit__(*exc)
+
+    def request(self, **fields):
+        values = {
+            "service": "call-in",
+            "client": "c",
+            "id": "r1",
+            "deadline": self.clock.now() + 5.0,
+            "body": b"tank 7",
+            **fields,
+        }
+        return model.Request(**values)
+
+    async def outcome(self, **fields):
+        """Return the outcome of a request."""
+        try:
+            await self.router.route(self.request(**fields))
+        except errors.RequestError as error:
+            return error.outcome
+        return "done"
+
+
+async def settle():
+    """Let everything run that can."""
+    for _step in range(20):
+        await asyncio.sleep(0)
