--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -84,12 +84,12 @@
     async def request(self, call):
         """Answer a request by echoing its body."""
         service = call.path.rsplit("/", 1)[1]
-        not_run = [("X-Outcome", "not-run")]
+        request_id = call.headers.get("x-request-id", "")
+        not_run = [("X-Outcome", "not-run"), ("X-Request-Id", request_id)]
         if self.faults["fail_requests"]:
             return web.Reply(b"fault", 500, not_run)
         if not self.serves(service):
             return web.Reply(b"no replica", 503, not_run)
-        request_id = call.headers.get("x-request-id", "")
         async with self.slots:
             self.requests.append(request_id)
             await self.spend_service_time(service)
