Believe a refusal only if it names the request

A refusal was taken as not-run before its request id was looked at, so one meant for another request would have made not-run false. Endpoints must name the request in refusals too.

--- a/clementinebay/endpoint/aio.py
+++ b/clementinebay/endpoint/aio.py
@@ -83,13 +83,10 @@
         headers = response.headers
         if not request_id:
             return response.status, headers, await response.read()
-        if headers.get("X-Outcome") == "not-run":
-            text = await response.read()
-            raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
         try:
             http.check_head(headers, request_id)
             body = await response.read()
-            http.check_body(headers, body)
+            http.check_body(address, headers, body)
         except errors.AnswerMismatchError:
             response.drop()
             raise
--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -36,8 +36,13 @@
         raise errors.AnswerMismatchError(f"the answer has {length} bytes")
 
 
-def check_body(headers, body):
-    """Raise `AnswerMismatchError` unless ``body`` is what ``headers`` announce."""
+def check_body(address, headers, body):
+    """Raise `AnswerMismatchError` unless ``body`` is what ``headers`` announce.
+
+    Raises `EndpointRefusedError` if they say that the request was not run.
+    """
+    if headers.get("X-Outcome") == "not-run":
+        raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
     if len(body) != int(headers["Content-Length"]):
         raise errors.AnswerMismatchError("the answer was cut")
     if headers.get("X-Digest") != digest(body):
--- a/clementinebay/endpoint/httpx.py
+++ b/clementinebay/endpoint/httpx.py
@@ -47,13 +47,10 @@
         headers = response.headers
         if not request_id:
             return response.status_code, headers, await response.aread()
-        if headers.get("X-Outcome") == "not-run":
-            text = await response.aread()
-            raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
         # Leaving the stream before its end closes the connection.
         http.check_head(headers, request_id)
         body = await response.aread()
-        http.check_body(headers, body)
+        http.check_body(address, headers, body)
         return response.status_code, headers, body
 
     async def close(self):
