Read the peer link in one step and share writes

Cause: each frame woke a reader twice, each call of the client made a timer by wait_for, and each frame was a system call. Nagle's algorithm was ruled out: asyncio sets TCP_NODELAY.

Change: a protocol that splits what was received, one timer a call, and one write for the frames of one turn of the loop. A link over which too much waits refuses further messages as not sent. A break fails only the calls that were sent over that connection; before, one that was opened again at the same moment could fail calls of the new one. An answer too large for the link is reported as lost; it was reported as a frame that was not sent, from which the caller would now conclude not-run.

--- a/clementinebay/peer/frame.py
+++ b/clementinebay/peer/frame.py
@@ -1,6 +1,5 @@
 """Frames of the peer link: four bytes of length, one of version, one envelope."""
 
-import asyncio
 import struct
 
 from clementinebay import errors, thriftcodec
@@ -37,16 +36,35 @@
     return length
 
 
-async def read(reader, limit):
-    """Return the next envelope and its size, or ``None`` at the end of the stream.
+class Splitter:
+    """Splits the bytes of one connection into envelopes of at most ``limit`` bytes."""
 
-    Raises `FrameError` of the fitting type; the connection must then be closed.
-    """
-    try:
-        length = check_header(await reader.readexactly(HEADER.size), limit)
-        data = await reader.readexactly(length)
-    except asyncio.IncompleteReadError as error:
-        if not error.partial and error.expected == HEADER.size:
-            return None
-        raise errors.FrameTruncatedError("the stream ended inside a frame") from error
-    return decode(data), HEADER.size + length
+    __slots__ = ("limit", "buffer")
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.buffer = bytearray()
+
+    def feed(self, data):
+        """Yield each envelope that ``data`` completes.
+
+        Raises `FrameError` of the fitting type; the connection must then be closed.
+        """
+        buffer = self.buffer
+        buffer += data
+        start = 0
+        try:
+            while len(buffer) - start >= HEADER.size:
+                body = start + HEADER.size
+                end = body + check_header(buffer[start:body], self.limit)
+                if len(buffer) < end:
+                    return
+                start = end
+                yield decode(bytes(buffer[body:end]))
+        finally:
+            del buffer[:start]
+
+    def end(self):
+        """Raise `FrameTruncatedError` if the stream ended inside a frame."""
+        if self.buffer:
+            raise errors.FrameTruncatedError("the stream ended inside a frame")
--- a/clementinebay/peer/link.py
+++ b/clementinebay/peer/link.py
@@ -10,10 +10,91 @@
 
 #: Longest time to connect to a peer, in seconds.
 CONNECT_SECONDS = 1.0
+#: Bytes that may wait in one connection before further messages are refused.
+HIGH_WATER_BYTES = 4_000_000
+
+BYTES_IN = metrics.PEER_BYTES.labels("in")
+BYTES_OUT = metrics.PEER_BYTES.labels("out")
 
 log = Log("peer")
 
 
+class Connection(asyncio.Protocol):
+    """Frames over one TCP connection; the frames of one turn share a write."""
+
+    def __init__(self, limit, received, lost=None):
+        self.received = received
+        self.lost = lost
+        self.splitter = frame.Splitter(limit)
+        self.outgoing = []
+        self.is_full = False
+        self.transport = None
+
+    @property
+    def is_open(self):
+        """Whether frames can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+
+    def data_received(self, data):
+        """Hand on every envelope; a frame that breaks the protocol ends it all."""
+        BYTES_IN.inc(len(data))
+        try:
+            for envelope in self.splitter.feed(data):
+                self.received(envelope, self)
+        except errors.FrameError as error:
+            self.fail(error)
+
+    def eof_received(self):
+        """Check that the last frame was whole."""
+        try:
+            self.splitter.end()
+        except errors.FrameError as error:
+            self.fail(error)
+
+    def fail(self, error):
+        """Close the connection for ``error``."""
+        log.warning("Closed a connection: %s: %s.", error.code, error)
+        self.transport.abort()
+
+    def connection_lost(self, _error):
+        """Tell the owner."""
+        if self.lost is not None:
+            self.lost(self)
+
+    def pause_writing(self):
+        """Note that too much waits."""
+        self.is_full = True
+
+    def resume_writing(self):
+        """Note that there is room again."""
+        self.is_full = False
+
+    def send(self, data):
+        """Send a frame at the end of this turn of the loop."""
+        BYTES_OUT.inc(len(data))
+        if not self.outgoing:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self.outgoing.append(data)
+
+    def flush(self):
+        """Write the frames of this turn."""
+        data = b"".join(self.outgoing)
+        self.outgoing.clear()
+        if self.is_open:
+            self.transport.write(data)
+
+    def close(self):
+        """Write what is left and close."""
+        if self.transport is not None:
+            self.flush()
+            self.transport.close()
+
+
 class PeerServer:
     """Answers messages of peers; an asynchronous context manager.
 
@@ -27,10 +108,12 @@
         self.limit = limit
         self.handlers = handlers
         self.server = None
+        self.connections = set()
         self.tasks = set()
 
     async def __aenter__(self):
-        self.server = await asyncio.start_server(self.serve, self.address, self.port)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.connect, self.address, self.port)
         return self
 
     async def __aexit__(self, *exc):
@@ -38,29 +121,23 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-
-    async def serve(self, reader, writer):
-        """Read frames of one connection until it ends or breaks the protocol."""
-        self.adopt(asyncio.current_task())
-        try:
-            while (received := await frame.read(reader, self.limit)) is not None:
-                envelope, size = received
-                metrics.PEER_BYTES.labels("in").inc(size)
-                self.adopt(asyncio.create_task(self.answer(envelope, writer)))
-        except errors.FrameError as error:
-            log.warning("Closed a connection: %s: %s.", error.code, error)
-        except (OSError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    def adopt(self, task):
-        """Keep ``task`` until it is done."""
+        for connection in list(self.connections):
+            connection.close()
+
+    def connect(self):
+        """Return the protocol of a new connection."""
+        connection = Connection(self.limit, self.receive, self.connections.discard)
+        self.connections.add(connection)
+        return connection
+
+    def receive(self, envelope, connection):
+        """Begin to answer a message."""
+        task = asyncio.create_task(self.answer(envelope, connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def answer(self, envelope, writer):
-        """Handle one message and write its reply or error."""
+    async def answer(self, envelope, connection):
+        """Handle one message and send its reply or error."""
         try:
             kind, handler = self.handlers[envelope.kind]
             message = thriftcodec.decode(kind, envelope.payload)
@@ -74,11 +151,12 @@
             reply = self.failure(envelope, errors.PeerError("kind without handler"))
         try:
             data = frame.encode(reply, self.limit)
-        except errors.FrameTooLargeError as error:
-            data = frame.encode(self.failure(envelope, error), self.limit)
-        metrics.PEER_BYTES.labels("out").inc(len(data))
-        if not writer.is_closing():
-            writer.write(data)
+        except errors.FrameTooLargeError:
+            # The message was handled, so no error that says otherwise may be sent.
+            lost = errors.PeerAnswerLostError("the answer is too large for the link")
+            data = frame.encode(self.failure(envelope, lost), self.limit)
+        if connection.is_open:
+            connection.send(data)
 
     @staticmethod
     def failure(envelope, error):
@@ -96,80 +174,80 @@
         self.clock = clock
         self.ids = itertools.count(1)
         self.waiting = {}
-        self.writer = None
-        self.reading = None
+        self.connection = None
         self.lock = asyncio.Lock()
 
     async def call(self, kind, message, reply_kind, deadline, traceparent=""):
         """Send ``message`` and return the peer's reply of class ``reply_kind``.
 
-        Raises `PeerUnreachableError` when nothing was sent, `PeerAnswerLostError` when
-        no answer came by ``deadline``, and the error that the peer reported.
+        Raises `FrameTooLargeError` or `PeerUnreachableError` when nothing was sent,
+        `PeerAnswerLostError` when no answer came by ``deadline``, and the error that
+        the peer reported.
         """
         payload = thriftcodec.encode(message)
         number = next(self.ids)
         envelope = wire.Envelope(number, kind, deadline, traceparent, payload)
         data = frame.encode(envelope, self.limit)
-        await self.connect()
-        future = asyncio.get_running_loop().create_future()
-        self.waiting[number] = future
+        connection = self.connection
+        if connection is None or not connection.is_open:
+            connection = await self.connect()
+        remaining = deadline - self.clock.now()
+        if connection.is_full or not connection.is_open or remaining <= 0.0:
+            raise errors.PeerUnreachableError(f"{self.address}: not sent in time")
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self.waiting[number] = (future, connection)
+        timer = loop.call_later(remaining, self.give_up, future)
         try:
-            self.writer.write(data)
-            metrics.PEER_BYTES.labels("out").inc(len(data))
-            remaining = max(0.0, deadline - self.clock.now())
-            answer = await asyncio.wait_for(future, remaining)
-        except TimeoutError as error:
-            raise errors.PeerAnswerLostError("no answer by the deadline") from error
+            connection.send(data)
+            answer = await future
         finally:
-            self.waiting.pop(number, None)
+            timer.cancel()
+            del self.waiting[number]
         if answer.kind == wire.Kind.ERROR:
             failure = thriftcodec.decode(wire.Failure, answer.payload)
             raise errors.from_code(failure.code, failure.message)
         return thriftcodec.decode(reply_kind, answer.payload)
 
     async def connect(self):
-        """Open the connection if there is none."""
+        """Return the open connection, opened if there is none."""
         async with self.lock:
-            if self.writer is not None and not self.writer.is_closing():
-                return
+            if self.connection is not None and self.connection.is_open:
+                return self.connection
             host, _colon, port = self.address.rpartition(":")
+            loop = asyncio.get_running_loop()
             try:
                 async with asyncio.timeout(CONNECT_SECONDS):
-                    reader, self.writer = await asyncio.open_connection(host, int(port))
+                    _transport, self.connection = await loop.create_connection(
+                        lambda: Connection(self.limit, self.receive, self.lose),
+                        host,
+                        int(port),
+                    )
             except (OSError, TimeoutError, ValueError) as error:
                 raise errors.PeerUnreachableError(
                     f"{self.address}: {error!r}"
                 ) from error
-            self.reading = asyncio.create_task(self.read(reader, self.writer))
-
-    async def read(self, reader, writer):
-        """Hand replies to their callers until the connection ends."""
-        try:
-            while (received := await frame.read(reader, self.limit)) is not None:
-                envelope, size = received
-                metrics.PEER_BYTES.labels("in").inc(size)
-                future = self.waiting.get(envelope.id)
-                if future is not None and not future.done():
-                    future.set_result(envelope)
-        except errors.FrameError as error:
-            log.warning("%s: %s: %s.", self.address, error.code, error)
-        except OSError:
-            pass
-        finally:
-            writer.close()
-            if writer is self.writer:
-                self.fail_waiting()
-
-    def fail_waiting(self):
-        """Tell every waiting caller that its answer is lost."""
-        for future in self.waiting.values():
-            if not future.done():
+            return self.connection
+
+    def receive(self, envelope, _connection):
+        """Hand a reply to its caller."""
+        future, _sent_over = self.waiting.get(envelope.id, (None, None))
+        if future is not None and not future.done():
+            future.set_result(envelope)
+
+    def lose(self, connection):
+        """Tell the callers that wait at ``connection`` that their answer is lost."""
+        for future, sent_over in self.waiting.values():
+            if sent_over is connection and not future.done():
                 future.set_exception(errors.PeerAnswerLostError("the connection broke"))
 
+    @staticmethod
+    def give_up(future):
+        """End a wait at its deadline."""
+        if not future.done():
+            future.set_exception(errors.PeerAnswerLostError("no answer in time"))
+
     async def close(self):
         """Close the connection."""
-        if self.reading is not None:
-            self.reading.cancel()
-            await asyncio.gather(self.reading, return_exceptions=True)
-        if self.writer is not None:
-            self.writer.close()
+        if self.connection is not None:
+            self.connection.close()
--- a/tests/peer/test_frame.py
+++ b/tests/peer/test_frame.py
@@ -1,5 +1,3 @@
-import asyncio
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,21 +9,29 @@
 LIMIT = 10_000
 
 
-async def read(data):
-    reader = asyncio.StreamReader()
-    reader.feed_data(data)
-    reader.feed_eof()
-    return await frame.read(reader, LIMIT)
+def read(data, step=None):
+    """Return the envelopes in ``data``, which comes in pieces of ``step`` bytes."""
+    splitter = frame.Splitter(LIMIT)
+    step = step or max(1, len(data))
+    found = []
+    for start in range(0, len(data), step):
+        found += splitter.feed(data[start : start + step])
+    splitter.end()
+    return found
 
 
-async def test_frame_comes_back():
-    envelope = wire.Envelope(7, wire.Kind.GOSSIP, 1.5, "trace", b"payload")
-    data = frame.encode(envelope, LIMIT)
-    assert await read(data) == (envelope, len(data))
+@pytest.mark.parametrize("step", [None, 1, 7])
+def test_frames_come_back_however_they_are_cut(step):
+    envelopes = [
+        wire.Envelope(number, wire.Kind.GOSSIP, 1.5, "trace", b"payload")
+        for number in range(3)
+    ]
+    data = b"".join(frame.encode(envelope, LIMIT) for envelope in envelopes)
+    assert read(data, step) == envelopes
 
 
-async def test_end_between_frames_is_no_error():
-    assert await read(b"") is None
+def test_end_between_frames_is_no_error():
+    assert read(b"") == []
 
 
 @pytest.mark.parametrize(
@@ -38,9 +44,9 @@
         (b"\x00\x00\x00\x03\x01abc", errors.FrameMalformedError),
     ],
 )
-async def test_broken_frame_has_a_typed_error(data, error):
+def test_broken_frame_has_a_typed_error(data, error):
     with pytest.raises(error):
-        await read(data)
+        read(data)
 
 
 def test_too_large_frame_is_not_sent():
