--- a/clementinebay/policy/health.py
+++ b/clementinebay/policy/health.py
@@ -56,13 +56,23 @@
 
 
 class Ejector:
-    """Judges endpoints; ``most_percent`` of them are ejected at once, at least one."""
+    """Judges endpoints.
+
+    At most ``most_percent`` of them are ejected at once, at least one unless it is 0.
+    """
 
     def __init__(self, most_percent=25):
         self.most_percent = most_percent
         self.known = {}
         self.troubled = set()
 
+    @property
+    def most(self):
+        """How many endpoints may be ejected at once."""
+        if not self.most_percent:
+            return 0
+        return max(1, len(self.known) * self.most_percent // 100)
+
     def health(self, endpoint, now):
         """Return the `Health` of ``endpoint``."""
         found = self.known.get(endpoint)
@@ -84,7 +94,7 @@
             return False
         if not self.others_work(health, now):
             return False
-        if len(self.troubled) >= max(1, len(self.known) * self.most_percent // 100):
+        if len(self.troubled) >= self.most:
             return False
         self.eject(endpoint, now)
         return True
