Let a client that seldom waits go first, and queue at the daemon

Cause of a quiet client's wait beside one that floods: a turn behind each other client, and a queue at the endpoints, which is first come, first served, of the 25% of requests that were kept there over their slots. Ruled out: the load client's own delays (the flood now comes from a process of its own).

Change: a client with nothing in the queue goes first once, then takes turns, as flow queueing does; 100 requests are kept at endpoints per 100 slots instead of 125. What start-up made is left out of garbage collection.

--- a/clementinebay/policy/admission.py
+++ b/clementinebay/policy/admission.py
@@ -22,69 +22,76 @@
 
 
 class FairQueue:
-    """At most ``limit`` requests that wait, fair between clients."""
+    """At most ``limit`` requests that wait, fair between clients.
+
+    A client that had nothing here goes before those that have queued for longer, once;
+    after that it takes its turn among them, also if it had nothing left meanwhile.
+    """
 
     def __init__(self, limit):
         self.limit = limit
         self.size = 0
         self.numbers = itertools.count()
-        self.clients = OrderedDict()
+        self.fresh = OrderedDict()
+        self.queued = OrderedDict()
 
     def __len__(self):
         return self.size
 
+    def heap(self, client):
+        """Return the requests of ``client``, made fresh if it is not known."""
+        found = self.queued.get(client)
+        return self.fresh.setdefault(client, []) if found is None else found
+
+    def heaps(self):
+        """Return every client's requests."""
+        return [*self.fresh.values(), *self.queued.values()]
+
     def push(self, waiting):
         """Add ``waiting``; return the one that had to leave for it, or ``None``.
 
         That may be ``waiting`` itself.
         """
-        heap = self.clients.setdefault(waiting.client, [])
-        heapq.heappush(heap, (waiting.deadline, next(self.numbers), waiting))
+        entry = (waiting.deadline, next(self.numbers), waiting)
+        heapq.heappush(self.heap(waiting.client), entry)
         self.size += 1
         return self.drop() if self.size > self.limit else None
 
     def drop(self):
         """Remove and return the last request of the client with most of them."""
-        client = max(self.clients, key=lambda name: len(self.clients[name]))
-        heap = self.clients[client]
+        heap = max(self.heaps(), key=len)
         last = max(heap)
         heap.remove(last)
         heapq.heapify(heap)
-        self.shrink(client)
+        self.size -= 1
         return last[2]
 
     def pop(self):
         """Remove and return the next request, ``None`` if nobody waits."""
-        if not self.clients:
-            return None
-        client = next(iter(self.clients))
-        self.clients.move_to_end(client)
-        _deadline, _number, waiting = heapq.heappop(self.clients[client])
-        self.shrink(client)
-        return waiting
-
-    def shrink(self, client):
-        """Note that one request of ``client`` has left."""
-        self.size -= 1
-        if not self.clients[client]:
-            del self.clients[client]
+        while self.fresh or self.queued:
+            table = self.fresh or self.queued
+            client, heap = table.popitem(last=False)
+            if heap:
+                self.queued[client] = heap
+                self.size -= 1
+                return heapq.heappop(heap)[2]
+        return None
 
     def expire(self, now):
         """Remove and return the requests whose deadline is not after ``now``."""
         late = []
-        for client in list(self.clients):
-            heap = self.clients[client]
+        for heap in self.heaps():
             while heap and heap[0][0] <= now:
                 late.append(heapq.heappop(heap)[2])
-                self.size -= 1
-            if not heap:
-                del self.clients[client]
+        self.size -= len(late)
         return late
 
     def turns(self, client):
         """Return how many requests go before a new one of ``client``, at most."""
-        own = len(self.clients.get(client, ()))
-        return sum(min(len(heap), own + 1) for heap in self.clients.values())
+        if client not in self.queued:
+            return sum(map(bool, self.fresh.values())) + len(self.fresh.get(client, ()))
+        own = len(self.queued[client])
+        return sum(min(len(heap), own + 1) for heap in self.heaps())
 
 
 def expected_wait(turns, latency, capacity):
--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import uvicorn
 
@@ -57,6 +58,9 @@
             await asyncio.sleep(0.01)
         if self.serving.done():
             await self.serving
+        # What start-up made stays; looking through it again stalls requests.
+        gc.collect()
+        gc.freeze()
         log.info("Listening on %s:%d.", settings.front_address, settings.front_port)
 
     async def stop(self):
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -119,7 +119,7 @@
         choices=tuple(routing.POLICIES),
     ),
     _count("router", "daemons_per_domain", 4, "Most daemons of a domain at once."),
-    _count("router", "slot_percent", 125, "Requests kept at endpoints per 100 slots."),
+    _count("router", "slot_percent", 100, "Requests kept at endpoints per 100 slots."),
     _count("router", "eject_percent", 25, "Endpoints ejected at most.", 0, 100),
     _seconds("router", "spill_seconds", 0.02, "Cost of a hop to another domain.", 0.0),
     _count("router", "ticket_limit", 20_000, "Once-only tickets open at once."),
