--- a/bench/requests.py
+++ b/bench/requests.py
@@ -1,9 +1,8 @@
 """Policies for requests beside their baseline, under the same arrivals.
 
-Run as ``python -m bench.requests SCENARIO...`` with scenarios routing, flood, outage,
-bad-endpoint and once-only; prints a table and writes out/requests-SCENARIO.csv.  The baseline is
-round robin without limits of its own, ejection or budget: each failed attempt is
-retried.
+Run as ``python -m bench.requests SCENARIO...``; prints a table for each scenario and
+writes out/requests-SCENARIO.csv.  The baseline is round robin without limits of its
+own, ejection or budget: each failed attempt is retried.
 """
 
 import argparse
