--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,28 +10,27 @@
 import json
 import os
 import platform
+import signal
 import subprocess
 import sys
 import time
 
 import numpy
 
+from bench.slopes_daemon import DAEMON_PARTS
 from bench.slopes_parts import PARTS
+from bench.slopes_pure import PURE
 from standins.cluster import ROOT
 
-#: What is fitted: column, unit.
-MEASURES = (
-    ("cpu_ms", "ms of processor a second"),
-    ("sent", "bytes sent a second"),
-    ("received", "bytes received a second"),
-    ("rss_mb", "MB resident"),
-)
+ALL = {part.name: part for part in (*PARTS, *PURE, *DAEMON_PARTS)}
 #: Longest run of one point, in seconds.
 POINT_SECONDS = 60.0
 
 
 def run_point(part, size, options):
     """Return the row that one fresh process measures, while this one drives it."""
+    if part.whole:
+        return part.point(size, options.seconds)
     with part.stand_ins(size) as arguments:
         child = subprocess.Popen(
             [sys.executable, "-m", "bench.slopes", "--child", part.name]
@@ -72,48 +71,49 @@
     """Run all points of ``part``, write them and print the fits."""
     rows = []
     for run in range(options.runs):
-        for size in part.sizes:
+        for size in options.sizes or part.sizes:
             rows.append({"run": run, **run_point(part, size, options)})
     os.makedirs(options.out, exist_ok=True)
     with open(os.path.join(options.out, f"slopes-{part.name}.csv"), "w") as file:
         writer = csv.DictWriter(file, list(rows[0]))
         writer.writeheader()
         writer.writerows(rows)
-    print(f"{part.name}: {part.what}; sizes {part.sizes}, {options.runs} runs")
-    for column, unit in MEASURES:
+    print(
+        f"{part.name}: {part.what}; sizes {options.sizes or part.sizes}, "
+        f"{options.runs} runs"
+    )
+    for column in rows[0]:
+        if column in ("run", "size"):
+            continue
         slope, intercept, residual, spread = fit(rows, column)
         print(
-            f"  {unit:28} {slope:10.4f} each + {intercept:9.3f}"
+            f"  {column:28} {slope:10.4f} each + {intercept:9.3f}"
             f"  residual {residual:.3f}  spread {spread:.3f}"
         )
-    for column in rows[0]:
-        if column not in ("run", "size", *(name for name, _unit in MEASURES)):
-            slope, intercept, residual, spread = fit(rows, column)
-            print(
-                f"  {column:28} {slope:10.4f} each + {intercept:9.3f}"
-                f"  residual {residual:.3f}  spread {spread:.3f}"
-            )
 
 
 def main():
     """Measure the parts that are named, or all."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("parts", nargs="*", help=f"of {', '.join(PARTS)}")
+    parser.add_argument("parts", nargs="*", help=f"of {', '.join(ALL)}")
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--sizes", type=int, nargs="*", help="instead of the part's")
     parser.add_argument("--out", default="out")
     parser.add_argument("--child", help=argparse.SUPPRESS)
     parser.add_argument("--size", type=int, help=argparse.SUPPRESS)
     parser.add_argument("--arguments", type=json.loads, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.child:
-        part = PARTS[options.child]
+        part = ALL[options.child]
         part.run_child(options.size, options.seconds, options.arguments)
         return
+    # What was started ends with the context that started it.
+    signal.signal(signal.SIGTERM, lambda *_a: sys.exit(1))
     print(f"{platform.machine()}, {os.cpu_count()} processors, ", end="")
     print(f"Python {platform.python_version()}, no random input")
-    for name in options.parts or PARTS:
-        measure(PARTS[name], options)
+    for name in options.parts or ALL:
+        measure(ALL[name], options)
 
 
 if __name__ == "__main__":
--- a/clementinebay/claims.py
+++ b/clementinebay/claims.py
@@ -2,7 +2,7 @@
 
 A claim lies under its day.  Creating it compares the days before and after as well, so
 clocks that differ around midnight cannot claim a key twice.  A key is remembered for
-one day at least.  Claims that are made while a write is in progress share the next one.
+one day at least.
 """
 
 import asyncio
@@ -25,9 +25,9 @@
 
 
 class Claim:
-    """One claim; ``version`` is that of its entry once it is made."""
+    """One claim; ``version`` is set once it is made, ``error`` if it is not."""
 
-    __slots__ = ("day", "key", "value", "deadline", "version", "made")
+    __slots__ = ("day", "key", "value", "deadline", "version", "error")
 
     def __init__(self, day, key, claimant, deadline):
         self.day = day
@@ -35,7 +35,7 @@
         self.value = claimant.encode()
         self.deadline = deadline
         self.version = 0
-        self.made = asyncio.get_running_loop().create_future()
+        self.error = None
 
     @property
     def path(self):
@@ -48,24 +48,31 @@
         days = (self.day - 1, self.day, self.day + 1)
         return [(claim_key(day, self.key), 0) for day in days]
 
-    def settle(self, error=None):
-        """Tell the claimant the result."""
-        if self.made.done():
-            return
-        if error is None:
-            self.made.set_result(self)
+    def settle(self, entry):
+        """Take in that the key exists: an earlier write of this claim, or another's."""
+        if entry is not None and entry.value == self.value:
+            self.version = entry.version
         else:
-            self.made.set_exception(error)
+            self.error = errors.DuplicateKeyError(f"key {self.key} was used before")
+
+    def result(self):
+        """Return the claim, or raise why it was not made."""
+        if self.error is not None:
+            raise self.error
+        return self
 
 
 class Claims:
-    """Claims keys through a `KeyValueStore`."""
+    """Claims keys through a `KeyValueStore`, one key a write."""
 
     def __init__(self, store, clock):
         self.store = store
         self.clock = clock
-        self.waiting = []
-        self.writing = None
+
+    def new(self, key, claimant, deadline):
+        """Return a `Claim` that is not made yet."""
+        day = int(self.clock.now() // DAY_SECONDS)
+        return Claim(day, key, claimant, deadline)
 
     async def claim(self, key, claimant, deadline):
         """Claim ``key`` for ``claimant``, unique for each attempt; return the `Claim`.
@@ -73,33 +80,12 @@
         Raises `DuplicateKeyError` if it was claimed before, `KeyNotClaimedError` if the
         platform does not say so by ``deadline``.
         """
-        day = int(self.clock.now() // DAY_SECONDS)
-        claim = Claim(day, key, claimant, deadline)
-        self.waiting.append(claim)
-        if self.writing is None or self.writing.done():
-            self.writing = asyncio.create_task(self.write_all())
-        return await claim.made
-
-    async def write_all(self):
-        """Write claims until none waits."""
-        while self.waiting:
-            batch = []
-            while self.waiting and len(batch) < BATCH:
-                claim = self.waiting.pop(0)
-                if any(claim.key == other.key for other in batch):
-                    claim.settle(errors.DuplicateKeyError("the key is used twice"))
-                else:
-                    batch.append(claim)
-            try:
-                await self.write(batch)
-            except Exception as error:
-                for claim in batch:
-                    claim.settle(errors.KeyNotClaimedError(repr(error)))
-                if not isinstance(error, errors.PlatformError):
-                    raise
+        claim = self.new(key, claimant, deadline)
+        await self.write([claim])
+        return claim.result()
 
     async def write(self, batch):
-        """Write one batch; leave out the claims that cannot be made."""
+        """Make the claims of ``batch``, whose keys differ; each gets its result."""
         while batch:
             compares = [compare for claim in batch for compare in claim.compares]
             puts = [Put(claim.path, claim.value) for claim in batch]
@@ -109,30 +95,26 @@
                 found = [c for c in batch if (failure.key, 0) in c.compares]
                 batch = [claim for claim in batch if claim not in found]
                 for claim in found:
-                    self.settle(claim, failure.entry)
+                    claim.settle(failure.entry)
             except errors.PlatformOutcomeUnknownError as lost:
                 batch = self.in_time(batch, lost)
-                await asyncio.sleep(RETRY_SECONDS)
+                if batch:
+                    await self.clock.sleep(RETRY_SECONDS)
+            except errors.PlatformError as error:
+                for claim in batch:
+                    claim.error = errors.KeyNotClaimedError(str(error))
+                return
             else:
                 for claim in batch:
                     claim.version = version
-                    claim.settle()
                 return
 
-    def settle(self, claim, entry):
-        """Settle a claim whose key exists: an earlier write, or another's claim."""
-        if entry is not None and entry.value == claim.value:
-            claim.version = entry.version
-            claim.settle()
-        else:
-            claim.settle(errors.DuplicateKeyError(f"key {claim.key} was used before"))
-
     def in_time(self, batch, lost):
         """Return the claims that may be written again; settle the others."""
         limit = self.clock.now() + RETRY_SECONDS
         for claim in batch:
             if claim.deadline < limit:
-                claim.settle(errors.KeyNotClaimedError(str(lost)))
+                claim.error = errors.KeyNotClaimedError(str(lost))
         return [claim for claim in batch if claim.deadline >= limit]
 
     async def release(self, claim):
@@ -150,3 +132,49 @@
         """Delete the claims of days that are no longer compared."""
         day = int(self.clock.now() // DAY_SECONDS)
         await self.store.commit([], [], [("claim/", f"claim/{day - 1:06d}/")])
+
+
+class SharedClaims(Claims):
+    """Claims that are made while a write is in progress share the next one."""
+
+    def __init__(self, store, clock):
+        super().__init__(store, clock)
+        self.waiting = []
+        self.writing = None
+
+    async def claim(self, key, claimant, deadline):
+        """See `Claims`."""
+        claim = self.new(key, claimant, deadline)
+        written = asyncio.get_running_loop().create_future()
+        self.waiting.append((claim, written))
+        if self.writing is None or self.writing.done():
+            self.writing = asyncio.create_task(self.write_waiting())
+        await written
+        return claim.result()
+
+    async def write_waiting(self):
+        """Write until nothing waits."""
+        while self.waiting:
+            batch = self.take_batch()
+            try:
+                await self.write([claim for claim, _written in batch])
+            except Exception as error:
+                for claim, _written in batch:
+                    claim.error = errors.KeyNotClaimedError(repr(error))
+                raise
+            finally:
+                for _claim, written in batch:
+                    if not written.done():
+                        written.set_result(None)
+
+    def take_batch(self):
+        """Take claims of different keys from those that wait."""
+        batch, rest, keys = [], [], set()
+        for claim, written in self.waiting:
+            if claim.key in keys or len(batch) == BATCH:
+                rest.append((claim, written))
+            else:
+                keys.add(claim.key)
+                batch.append((claim, written))
+        self.waiting = rest
+        return batch
--- a/clementinebay/endpoint/aio.py
+++ b/clementinebay/endpoint/aio.py
@@ -84,9 +84,13 @@
         if not request_id:
             return response.status, headers, await response.read()
         try:
-            http.check_head(headers, request_id)
+            http.check_owner(headers, request_id)
+            if headers.get("X-Outcome") == "not-run":
+                text = await response.read()
+                raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
+            http.check_head(headers)
             body = await response.read()
-            http.check_body(address, headers, body)
+            http.check_body(headers, body)
         except errors.AnswerMismatchError:
             response.drop()
             raise
--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -25,10 +25,14 @@
     return hashlib.blake2b(body, digest_size=8).hexdigest()
 
 
-def check_head(headers, request_id):
-    """Raise `AnswerMismatchError` unless an answer's ``headers`` fit the request."""
+def check_owner(headers, request_id):
+    """Raise `AnswerMismatchError` unless an answer or refusal is the request's own."""
     if headers.get("X-Request-Id") != request_id:
         raise errors.AnswerMismatchError("the answer is another request's")
+
+
+def check_head(headers):
+    """Raise `AnswerMismatchError` unless an answer tells a length that is allowed."""
     length = headers.get("Content-Length", "")
     if not length.isdecimal():
         raise errors.AnswerMismatchError("the answer does not tell its length")
@@ -36,13 +40,8 @@
         raise errors.AnswerMismatchError(f"the answer has {length} bytes")
 
 
-def check_body(address, headers, body):
-    """Raise `AnswerMismatchError` unless ``body`` is what ``headers`` announce.
-
-    Raises `EndpointRefusedError` if they say that the request was not run.
-    """
-    if headers.get("X-Outcome") == "not-run":
-        raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
+def check_body(headers, body):
+    """Raise `AnswerMismatchError` unless ``body`` is what ``headers`` announce."""
     if len(body) != int(headers["Content-Length"]):
         raise errors.AnswerMismatchError("the answer was cut")
     if headers.get("X-Digest") != digest(body):
@@ -80,11 +79,11 @@
         )
         return status, answer
 
-    async def order(self, address, path, message, kind):
-        """POST an order and return the decoded answer."""
+    async def order(self, address, path, message, kind, wait_seconds=0.0):
+        """POST an order and return the decoded answer, kept for ``wait_seconds``."""
         content = msgspec.json.encode(message)
         status, _headers, body = await self.send(
-            address, path, content, {}, ORDER_SECONDS, ""
+            address, path, content, {}, ORDER_SECONDS + wait_seconds, ""
         )
         if status == 409:
             raise errors.EndpointRefusedError(f"{address}: {body[:200]!r}")
@@ -110,4 +109,6 @@
 
     async def renew(self, address, renewal):
         """See `EndpointDriver`."""
-        return await self.order(address, "/v1/renew", renewal, Report)
+        return await self.order(
+            address, "/v1/renew", renewal, Report, renewal.wait_seconds
+        )
--- a/clementinebay/endpoint/httpx.py
+++ b/clementinebay/endpoint/httpx.py
@@ -48,9 +48,13 @@
         if not request_id:
             return response.status_code, headers, await response.aread()
         # Leaving the stream before its end closes the connection.
-        http.check_head(headers, request_id)
+        http.check_owner(headers, request_id)
+        if headers.get("X-Outcome") == "not-run":
+            text = await response.aread()
+            raise errors.EndpointRefusedError(f"{address}: {text[:200]!r}")
+        http.check_head(headers)
         body = await response.aread()
-        http.check_body(address, headers, body)
+        http.check_body(headers, body)
         return response.status_code, headers, body
 
     async def close(self):
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -22,6 +22,17 @@
 PLATFORM_CALLS = Counter(
     "clementine_platform_calls", "Calls to the platform.", ["kind"]
 )
+PLATFORM_REFUSED = Counter(
+    "clementine_platform_refused", "Calls over this daemon's share.", ["kind"]
+)
+PLATFORM_SHARE = Gauge(
+    "clementine_platform_share", "Calls a second that are this daemon's.", ["kind"]
+)
+BACKGROUND_FAILURES = Counter(
+    "clementine_background_failures",
+    "Loops that failed and were begun again.",
+    ["service", "loop", "error"],
+)
 PLATFORM_WATCHES = Gauge("clementine_platform_watches", "Watches that wait.")
 REQUESTS = Counter("clementine_requests", "Client requests by outcome.", ["outcome"])
 REQUEST_SECONDS = Histogram(
@@ -35,11 +46,19 @@
 FORWARDS = Counter("clementine_forwards", "Requests forwarded to peers.")
 PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
 RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
+INVARIANTS_BROKEN = Counter(
+    "clementine_invariants_broken", "Assertions about the shard that did not hold."
+)
 REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
 PARKED = Counter("clementine_parked", "Tasks parked.", ["reason"])
 THROTTLED = Gauge("clementine_throttled", "Tasks that are throttled.")
+INTERFERENCE = Gauge(
+    "clementine_interference",
+    "Learned slowdown of a service's kind by one core of a neighbour's kind.",
+    ["kind", "neighbour"],
+)
 BARRED = Gauge("clementine_barred", "Endpoints that take no tasks for failures.")
 DECISION_SECONDS = Histogram(
     "clementine_decision_seconds", "Time to decide.", buckets=LATENCY_BUCKETS
--- a/clementinebay/policy/attempts.py
+++ b/clementinebay/policy/attempts.py
@@ -53,7 +53,7 @@
     for endpoint in state.endpoints.values():
         if endpoint.lost:
             continue
-        for name, index in endpoint.held:
+        for name, index in sorted(endpoint.held):
             job = state.jobs[name]
             task = job.tasks[index]
             action = wanted(task, now)
@@ -131,15 +131,33 @@
     return expected - {(r.job, r.index, r.attempt) for r in reports}
 
 
-def unrecorded(state, endpoint, reports):
+def unrecorded(state, endpoint, reports, newer=False):
     """Return whether the end of a reported attempt is not in the state yet.
 
     Until it is, the report must not be acknowledged: the worker may forget what is.
+    An attempt that the state has not heard of may be news from a later one, unless the
+    state was read after the report, as ``newer`` tells.
     """
-    return any(
-        report.state != "running"
-        and held_task(state, endpoint, (report.job, report.index, report.attempt))
-        for report in reports
+    for report in reports:
+        key = (report.job, report.index, report.attempt)
+        if report.state != "running" and (
+            held_task(state, endpoint, key) or not (newer or is_over(state, key))
+        ):
+            return True
+    return False
+
+
+def is_over(state, key):
+    """Return whether the state has heard of attempt ``key`` and of its end."""
+    name, index, attempt = key
+    job = state.jobs.get(name)
+    if job is None:
+        return False
+    task = job.tasks.get(index)
+    if task is None:
+        return index < job.next_index
+    return attempt < task.attempt or (
+        attempt == task.attempt and task.phase not in HOLDING
     )
 
 
--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -9,6 +9,7 @@
 while the platform is down.
 """
 
+import math
 import secrets
 
 import msgspec
@@ -110,6 +111,8 @@
                 deadline = float(headers[b"x-deadline"])
             except ValueError as error:
                 raise errors.BadRequestError("X-Deadline is not a number") from error
+        if math.isinf(deadline):
+            raise errors.BadRequestError("X-Deadline is not finite")
         if not deadline > now:
             raise errors.DeadlinePassedError("the deadline has passed")
         return model.Request(
--- a/clementinebay/services/lane.py
+++ b/clementinebay/services/lane.py
@@ -24,7 +24,9 @@
         table = self.router.shard.replicas(self.service)
         vms = self.router.livelist.vms
         if table is not self.table or vms is not self.vms:
-            self.limits = [(r, self.router.share(r)) for r in table]
+            leaving = self.router.livelist.leaving
+            staying = [r for r in table if r.endpoint not in leaving]
+            self.limits = [(r, self.router.share(r)) for r in staying]
             self.table, self.vms = table, vms
         ejector = self.router.ejector
         if not ejector.troubled:
--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -30,7 +30,9 @@
         self.livelist = self.kernel.find("livelist")
         self.driver = self.kernel.find("driver").driver
         self.tracer = self.kernel.find("tracing").tracer
-        self.claims = claims.Claims(self.kernel.find("platform").store, self.clock)
+        self.claims = claims.SharedClaims(
+            self.kernel.find("platform").store, self.clock
+        )
         self.tickets = tickets.TicketOffice(
             settings.daemon_name, settings.router_ticket_limit
         )
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -5,7 +5,8 @@
 look for runs of one task that overlap.  Faults are set by ``POST /control/faults``:
 ``service_seconds`` (mean time of a request), ``fail_tasks`` (kinds whose tasks fail, or
 ``["*"]``), ``fail_requests`` (refuse every request at once), ``cross_answers`` (give
-each answer to another request), ``run_factor`` (real over declared run time),
+each answer to another request), ``answer_factor`` (the answer repeats the body so many
+times), ``run_factor`` (real over declared run time),
 ``wrong_factor`` (bound of the factor by which real sizes and run times are wrong),
 ``lag_seconds`` (age of measured usage), ``checkpoint_seconds`` (time between two
 checkpoints; 0 makes one at any time), ``interference`` (weights of pairs of kinds).
@@ -43,11 +44,13 @@
         self.violations = []
         self.requests = []
         self.crossed = None
+        self.ended = asyncio.Event()
         self.faults = {
             "service_seconds": 0.0,
             "fail_tasks": [],
             "fail_requests": False,
             "cross_answers": False,
+            "answer_factor": 1,
             "run_factor": 1.0,
             "wrong_factor": 1.0,
             "lag_seconds": 2.0,
@@ -93,7 +96,7 @@
         async with self.slots:
             self.requests.append(request_id)
             await self.spend_service_time(service)
-        answer = (request_id, call.body)
+        answer = (request_id, call.body * self.faults["answer_factor"])
         if self.faults["cross_answers"]:
             answer, self.crossed = self.crossed or answer, answer
         request_id, body = answer
@@ -192,11 +195,22 @@
         body = call.json()
         for run in self.running():
             run.deadline = max(run.deadline, body["lease_deadline"])
+        await self.wait_for_end(body["since"], body.get("wait_seconds", 0.0))
         tasks = [r.report() for r in self.runs.values() if r.version > body["since"]]
         services = self.meter.take(self.clock.now() - self.faults["lag_seconds"])
         report = {"version": self.version, "tasks": tasks, "services": services}
         return web.Reply(report)
 
+    async def wait_for_end(self, since, seconds):
+        """Wait until an attempt ends, for ``seconds`` at most."""
+        if any(run.version > since and run.ended for run in self.runs.values()):
+            return
+        try:
+            async with asyncio.timeout(seconds):
+                await self.ended.wait()
+        except TimeoutError:
+            pass
+
     def touch(self, run):
         """Note that an attempt changed."""
         self.version += 1
@@ -208,6 +222,8 @@
         run.reason = reason
         run.ended = self.clock.now()
         self.touch(run)
+        self.ended.set()
+        self.ended = asyncio.Event()
 
     async def work(self):
         """Advance running tasks and end those whose lease has run out."""
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -11,6 +11,7 @@
 @pytest.fixture
 def state():
     state = State()
+    state.index = 1
     for record in (factory.endpoint(), factory.submit(), factory.bind()):
         state.apply(record)
     return state
@@ -36,6 +37,10 @@
     assert attempts.unrecorded(state, "e-0", ended)
     state.apply(attempts.record(state, "e-0", ended[0], 1.0))
     assert not attempts.unrecorded(state, "e-0", ended)
+    # An attempt that began after this state may have ended already.
+    later = [report(word="done", index=1)]
+    assert attempts.unrecorded(state, "e-0", later)
+    assert not attempts.unrecorded(state, "e-0", later, newer=True)
 
 
 def test_running_attempt_that_holds_nothing_is_a_stray(state):
--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -4,7 +4,7 @@
 
 from clementinebay import errors
 from clementinebay.peer.wire import ttypes as wire
-from tests.services.fakes import Bed, Client, settle
+from tests.services.requestfakes import Bed, Client, settle
 
 REFUSED = errors.EndpointRefusedError("no")
 UNREACHABLE = errors.EndpointUnreachableError("no")
--- /dev/null
+++ b/tests/shard/test_scenarios.py
@@ -0,0 +1,131 @@
+"""Sequences that random runs seldom find, scripted call by call."""
+
+import pytest
+
+from clementinebay.shard.wire import ttypes as wire
+from tests.shard import factory
+from tests.shard.world import World
+
+
+@pytest.fixture
+def world():
+    world = World()
+    for daemon in world.daemons:
+        daemon.look()
+        do(daemon, daemon.read())
+    return world
+
+
+def do(daemon, operation):
+    daemon.begin(operation)
+    daemon.finish()
+
+
+def live(daemon, shift=0):
+    daemon.look()
+    do(daemon, daemon.read())
+    do(daemon, daemon.tick(shift))
+    daemon.orders.reconcile()
+    deliver(daemon.world)
+
+
+def deliver(world):
+    messages, world.network = world.network, []
+    for message in messages:
+        world.deliver(message)
+
+
+def start_job(world, **fields):
+    one = world.daemons[0]
+    do(one, one.submit(factory.spec("job", 1, max_attempts=9, **fields)))
+    for _round in range(3):
+        live(one)
+    return next(e for e in world.endpoints.values() if e.running())
+
+
+def test_bar_that_took_effect_late_does_not_let_a_renewed_task_run_twice(world):
+    endpoint = start_job(world)
+    one, two = world.daemons[:2]
+    world.hidden.add(endpoint.name)
+    one.look()
+    one.begin(one.tick())
+    one.step("late")
+    # The bar is under way; for long, the other daemon knows nothing of it.
+    for _second in range(60):
+        world.advance(1.0)
+        do(two, two.read())
+        two.renew(endpoint.name)
+        deliver(world)
+    world.late.pop()()
+    one.finish()
+    for shift in range(5):
+        live(one, shift)
+    assert endpoint.running()
+    world.advance(32.5)
+    for shift in range(5):
+        live(one, shift)
+    # Now the task runs at the other endpoint.
+    assert not endpoint.running()
+    assert any(other.running() for other in world.endpoints.values())
+
+
+def test_replica_that_ran_on_while_cut_off_is_stopped_before_its_place_is_used(world):
+    endpoint = start_job(world, workload=wire.Workload.SERVICE)
+    one = world.daemons[0]
+    world.hidden.add(endpoint.name)
+    for _round in range(3):
+        live(one)
+        world.advance(32.5)
+    world.hidden.clear()
+    do(one, one.submit(factory.spec("other", 4, max_attempts=9)))
+    for shift in range(4):
+        one.look()
+        do(one, one.read())
+        do(one, one.tick(shift))
+        one.orders.reconcile()
+        # Starts arrive before stops.
+        world.network.sort(key=lambda message: message.call.__code__.co_firstlineno)
+        deliver(world)
+    assert len(endpoint.running()) <= 2
+
+
+def test_finished_task_is_not_lost_when_its_record_is(world):
+    endpoint = start_job(world)
+    one = world.daemons[0]
+    one.renew(endpoint.name)
+    deliver(world)
+    endpoint.end(endpoint.running()[0], "done")
+    one.renew(endpoint.name)
+    deliver(world)
+    # The report was taken; the write of its record fails.
+    one.begin(one.tick())
+    one.step("refuse")
+    for _round in range(3):
+        one.renew(endpoint.name)
+        deliver(world)
+        live(one)
+    job = world.observers["a"].state.jobs["job"]
+    assert (job.done, job.tasks) == (1, {})
+
+
+@pytest.mark.parametrize("calls", range(6))
+def test_writer_that_slept_does_not_deliver_a_part_again(world, calls):
+    one, sleeper, three = world.daemons[:3]
+    do(one, one.submit(factory.spec("job", 1)))
+    world.change_domain("a", True)
+    live(one)
+    live(one)
+    do(sleeper, sleeper.read())
+    sleeper.begin(sleeper.deliver())
+    for _call in range(calls):
+        sleeper.step("do")
+    # Meanwhile another writer delivers the part, which ends and is forgotten.
+    do(one, one.deliver())
+    do(three, three.read())
+    for part in world.observers["b"].submitted:
+        cancel = wire.Record(cancel=wire.Cancel(part, 1.0))
+        do(three, three.log.append([cancel]))
+    do(three, three.forget())
+    assert not world.observers["b"].state.jobs
+    sleeper.finish()
+    assert not world.observers["b"].state.jobs
--- a/tests/shard/test_state.py
+++ b/tests/shard/test_state.py
@@ -11,6 +11,7 @@
 @pytest.fixture
 def state():
     state = State()
+    state.index = 1
     for record in (factory.endpoint(), factory.submit()):
         state.apply(record)
     return state
@@ -191,8 +192,8 @@
 
 def test_batch_of_a_newer_format_is_not_passed(state):
     with pytest.raises(errors.LogFormatError):
-        state.apply_batch(1, wire.Batch("w", "n", 0.0, [], 2))
-    assert state.index == 0
+        state.apply_batch(2, wire.Batch("w", "n", 0.0, [], 2))
+    assert state.index == 1
 
 
 def test_endpoint_in_use_is_not_forgotten(state):
@@ -204,3 +205,11 @@
     state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
     state.apply(forget)
     assert not state.endpoints
+
+
+def test_part_of_the_untouched_tasks_may_move(state):
+    move = wire.Move("minutes", 0, 2, "b", "minutes~0~x")
+    state.apply(wire.Record(move=move))
+    assert (state.jobs["minutes"].next_index, state.jobs["minutes"].untouched) == (2, 1)
+    with pytest.raises(errors.StaleAttemptError):
+        state.apply(wire.Record(move=wire.Move("minutes", 2, 2, "b", "other")))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -22,7 +22,7 @@
 
 
 async def test_a_key_is_claimed_once_by_any_daemon(store, clock):
-    one, other = claims.Claims(store, clock), claims.Claims(store, clock)
+    one, other = claims.SharedClaims(store, clock), claims.SharedClaims(store, clock)
     results = await asyncio.gather(
         one.claim("crew", "r1", clock.now() + 9),
         other.claim("crew", "r2", clock.now() + 9),
@@ -34,7 +34,7 @@
 
 
 async def test_claims_share_writes(store, clock):
-    keys = claims.Claims(counted(store), clock)
+    keys = claims.SharedClaims(counted(store), clock)
     await asyncio.gather(
         *(keys.claim(f"k{n}", f"r{n}", clock.now() + 9) for n in range(30))
     )
@@ -42,7 +42,7 @@
 
 
 async def test_one_used_key_does_not_refuse_the_others(store, clock):
-    keys = claims.Claims(store, clock)
+    keys = claims.SharedClaims(store, clock)
     await keys.claim("k1", "old", clock.now() + 9)
     results = await asyncio.gather(
         *(keys.claim(f"k{n}", f"r{n}", clock.now() + 9) for n in range(3)),
@@ -64,7 +64,7 @@
         return version
 
     store.commit = losing
-    keys = claims.Claims(store, clock)
+    keys = claims.SharedClaims(store, clock)
     claim = await keys.claim("crew", "r1", clock.now() + 9)
     assert claim.version == lost[0]
     with pytest.raises(errors.DuplicateKeyError):
@@ -72,7 +72,7 @@
 
 
 async def test_a_released_key_can_be_claimed_again(store, clock):
-    keys = claims.Claims(store, clock)
+    keys = claims.SharedClaims(store, clock)
     claim = await keys.claim("crew", "r1", clock.now() + 9)
     await keys.release(claim)
     again = await keys.claim("crew", "r2", clock.now() + 9)
@@ -83,7 +83,7 @@
 
 
 async def test_midnight_does_not_claim_a_key_twice(store, clock):
-    keys = claims.Claims(store, clock)
+    keys = claims.SharedClaims(store, clock)
     await keys.claim("crew", "r1", clock.now() + 9)
     clock.advance(DAY)
     with pytest.raises(errors.DuplicateKeyError):
