Heed a service's share of hedges and its own default deadline

Both keys of a service's section were accepted and had no effect. A share of 0 now switches retries or hedges off at once; the first ones were free. The use of a ticket whose issuer is gone is not given back again and again.

--- a/clementinebay/policy/retry.py
+++ b/clementinebay/policy/retry.py
@@ -13,7 +13,7 @@
     def __init__(self, percent, burst=10.0):
         self.percent = percent
         self.burst = burst
-        self.tokens = burst
+        self.tokens = burst if percent else 0.0
 
     def earn(self):
         """Note a first attempt."""
--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -59,6 +59,7 @@
 
     def __init__(self, kernel):
         self.router = kernel.find("router")
+        self.config = kernel.find("config")
         self.tracer = kernel.find("tracing").tracer
         self.clock = kernel.clock
         self.settings = kernel.settings
@@ -105,7 +106,8 @@
         """Return the `model.Request`; raise `BadRequestError` if it is malformed."""
         body = await self.read_body(receive)
         now = self.clock.now()
-        deadline = now + self.settings.router_default_deadline_seconds
+        service = scope["path"].split("/")[3]
+        deadline = now + self.default_seconds(service)
         if b"x-deadline" in headers:
             try:
                 deadline = float(headers[b"x-deadline"])
@@ -116,7 +118,7 @@
         if not deadline > now:
             raise errors.DeadlinePassedError("the deadline has passed")
         return model.Request(
-            service=scope["path"].split("/")[3],
+            service=service,
             client=headers.get(b"x-client", ""),
             id=request_id,
             deadline=deadline,
@@ -125,6 +127,13 @@
             body=body,
         )
 
+    def default_seconds(self, service):
+        """Return the time of a request that gives no deadline, in seconds."""
+        section = self.config.document.values.get(f"service:{service}")
+        if section is None:
+            return self.settings.router_default_deadline_seconds
+        return section["deadline_seconds"]
+
     async def read_body(self, receive):
         """Return the whole body; raise `BadRequestError` if it is too large or cut."""
         parts = []
--- a/clementinebay/services/lane.py
+++ b/clementinebay/services/lane.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from clementinebay import errors, metrics
-from clementinebay.policy import admission, routing
+from clementinebay.policy import admission, retry, routing
 
 
 class Lane:
@@ -15,6 +15,7 @@
         self.clock = router.clock
         self.queue = admission.FairQueue(router.settings.router_queue_limit)
         self.load = routing.Load()
+        self.hedges = retry.RetryBudget(0.0, burst=2.0)
         self.table = None
         self.vms = None
         self.limits = []
--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -20,7 +20,7 @@
     """Routes requests; ``in_progress`` counts those that are not answered yet."""
 
     name = "router"
-    requires = ("peers", "shard", "driver", "tracing", "livelist", "platform")
+    requires = ("config", "peers", "shard", "driver", "tracing", "livelist", "platform")
 
     async def start(self):
         """Begin to take requests."""
@@ -28,6 +28,7 @@
         self.shard = self.kernel.find("shard")
         self.peers = self.kernel.find("peers")
         self.livelist = self.kernel.find("livelist")
+        self.config = self.kernel.find("config")
         self.driver = self.kernel.find("driver").driver
         self.tracer = self.kernel.find("tracing").tracer
         self.claims = claims.SharedClaims(
@@ -116,6 +117,8 @@
             return
         vm = next((vm for vm in self.livelist.daemons() if vm.id == issuer), None)
         if vm is None:
+            if release:
+                return
             raise errors.KeyNotClaimedError(f"the ticket's issuer {issuer} is gone")
         try:
             await self.peers.client(vm).call(
@@ -223,12 +226,15 @@
         delay = self.hedges[request.service].seconds
         if delay is None or len(lane.usable()) < 2:
             return await self.send(request, replica, lane)
+        section = f"service:{request.service}"
+        lane.hedges.percent = self.config.document.get(section, "hedge_percent")
+        lane.hedges.earn()
         tasks = {asyncio.create_task(self.send(request, replica, lane))}
         try:
             await asyncio.wait(tasks, timeout=delay)
             if not next(iter(tasks)).done():
                 second = lane.choose(lane.usable(), excluded)
-                if second is not None and not lane.queue and self.budget.spend():
+                if second is not None and self.may_hedge(lane):
                     metrics.HEDGES.inc()
                     lane.take(second)
                     excluded.add(second.endpoint)
@@ -238,6 +244,10 @@
             for task in tasks:
                 task.cancel()
 
+    def may_hedge(self, lane):
+        """Take a copy from the budgets of the service and of the daemon."""
+        return not lane.queue and lane.hedges.spend() and self.budget.spend()
+
     # Other domains
 
     def remote(self, request, lane, usable, excluded):
--- a/tests/services/requestfakes.py
+++ b/tests/services/requestfakes.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from clementinebay import errors, model, settings, tracing
+from clementinebay import config, errors, model, settings, tracing
 from clementinebay.platform.base import Vm
 from clementinebay.services.router import Router
 
@@ -87,6 +87,9 @@
             daemon_name="a-0", daemon_failure_domain="a", **options
         )
         self.services = {
+            "config": type(
+                "Config", (), {"document": config.Document(config.Head(), {})}
+            ),
             "shard": Shard(replicas),
             "peers": Peers(clients),
             "livelist": LiveList([Vm(n, "entry", "", "b") for n in clients]),
