--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -115,7 +115,7 @@
     Option(
         "router",
         "policy",
-        "least-in-flight",
+        "two-expected",
         "How a replica is chosen.",
         choices=tuple(routing.POLICIES),
     ),
