--- /dev/null
+++ b/clementinebay/policy/admission.py
@@ -0,0 +1,107 @@
+"""Which requests wait, in which order, and which are refused at once.
+
+Clients take turns; within one client the earliest deadline goes first.  A full queue
+drops from the client that has most in it, so one that floods pays for itself.
+"""
+
+import heapq
+import itertools
+from collections import OrderedDict
+
+
+class Waiting:
+    """One request that waits; ``item`` and ``excluded`` are the caller's."""
+
+    __slots__ = ("client", "deadline", "item", "excluded")
+
+    def __init__(self, client, deadline, item=None, excluded=()):
+        self.client = client
+        self.deadline = deadline
+        self.item = item
+        self.excluded = excluded
+
+
+class FairQueue:
+    """At most ``limit`` requests that wait, fair between clients.
+
+    A client that had nothing here goes before those that have queued for longer, once;
+    after that it takes its turn among them, also if it had nothing left meanwhile.
+    """
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.size = 0
+        self.numbers = itertools.count()
+        self.fresh = OrderedDict()
+        self.queued = OrderedDict()
+
+    def __len__(self):
+        return self.size
+
+    def heap(self, client):
+        """Return the requests of ``client``, made fresh if it is not known."""
+        found = self.queued.get(client)
+        return self.fresh.setdefault(client, []) if found is None else found
+
+    def heaps(self):
+        """Return every client's requests."""
+        return [*self.fresh.values(), *self.queued.values()]
+
+    def push(self, waiting):
+        """Add ``waiting``; return the one that had to leave for it, or ``None``.
+
+        That may be ``waiting`` itself.
+        """
+        entry = (waiting.deadline, next(self.numbers), waiting)
+        heapq.heappush(self.heap(waiting.client), entry)
+        self.size += 1
+        return self.drop() if self.size > self.limit else None
+
+    def drop(self):
+        """Remove and return the last request of the client with most of them."""
+        heap = max(self.heaps(), key=len)
+        last = max(heap)
+        heap.remove(last)
+        heapq.heapify(heap)
+        self.size -= 1
+        return last[2]
+
+    def pop(self):
+        """Remove and return the next request, ``None`` if nobody waits."""
+        while self.fresh or self.queued:
+            table = self.fresh or self.queued
+            client, heap = table.popitem(last=False)
+            if heap:
+                self.queued[client] = heap
+                self.size -= 1
+                return heapq.heappop(heap)[2]
+        return None
+
+    def expire(self, now):
+        """Remove and return the requests whose deadline is not after ``now``."""
+        late = []
+        for heap in self.heaps():
+            while heap and heap[0][0] <= now:
+                late.append(heapq.heappop(heap)[2])
+        self.size -= len(late)
+        return late
+
+    def turns(self, client):
+        """Return how many requests go before a new one of ``client``, at most."""
+        if client not in self.queued:
+            return sum(map(bool, self.fresh.values())) + len(self.fresh.get(client, ()))
+        own = len(self.queued[client])
+        return sum(min(len(heap), own + 1) for heap in self.heaps())
+
+
+def expected_wait(turns, latency, capacity):
+    """Return the seconds until a request is sent that has ``turns`` before it.
+
+    ``capacity`` requests are served at once, each in ``latency`` seconds.
+    """
+    return (turns + 1) * latency / max(1, capacity)
+
+
+def meets(deadline, now, wait, latency):
+    """Return whether a request that waits ``wait`` seconds can end by ``deadline``."""
+    return now + wait + latency <= deadline
--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -90,6 +91,8 @@
                 lifespan="off",
                 interface="asgi3",
                 access_log=False,
+                server_header=False,
+                date_header=False,
                 log_config=None,
                 timeout_graceful_shutdown=int(settings.daemon_drain_seconds) + 1,
             )
@@ -99,6 +102,9 @@
             await asyncio.sleep(0.01)
         if self.serving.done():
             await self.serving
+        # What start-up made stays; looking through it again stalls requests.
+        gc.collect()
+        gc.freeze()
         log.info("Listening on %s:%d.", settings.front_address, settings.front_port)
 
     async def answer(self, scope, receive, send):
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -4,7 +4,7 @@
 enum Kind {
   REPLY = 0, ERROR = 1, FORWARD = 2, GOSSIP = 3, SPANS = 4, CONFIG = 5, JOBS = 6,
   STATE = 7, REPORTS = 8,
-  LOOK = 10,
+  REDEEM = 9, LOOK = 10,
 }
 
 // One frame.  A reply or error carries the id of the message that it answers.
@@ -77,3 +77,7 @@
 struct StateQuery { 1: string domain }
 // The snapshot is empty if the peer is of another domain; vms is the live list in JSON.
 struct StateReply { 1: binary snapshot, 2: double confirmed_at = 0, 3: binary vms }
+
+// Uses a ticket of the peer for the request with this id, or gives the use back.
+struct Redeem { 1: string ticket, 2: string request_id, 3: bool release = 0 }
+struct RedeemReply {}
