Fill a domain that has come back by its size, not by what is free

Ruled out: the targets' own waiting work, of which there was none. Change: half of the target's processors a second at most. The pure test of a domain that fills failed with the old bound, and with a quarter of the size; the figures in two tests of the bound follow the constant.

--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -1,8 +1,8 @@
 """Which waiting tasks move to another domain, and how many at a time.
 
 A domain that is out sends everything away, urgent work first.  One that is in sends
-only what finds no room, and only a part of what a target has free, so that a domain
-which has come back fills slowly and no target is overloaded by several sources.
+only what finds no room, at a rate bounded by the target's size, so that a domain which
+has come back fills slowly and no target is overloaded by several sources.
 """
 
 import math
@@ -13,8 +13,8 @@
 
 #: Most moves that one decision makes.
 MOVES_PER_DECISION = 100
-#: Part of what a target has free that all sources together fill in one decision.
-REFILL_PART = 0.25
+#: Part of a target's processors that all sources together fill in one decision.
+REFILL_PART = 0.5
 
 
 class Space:
@@ -30,8 +30,9 @@
         self.allowance = math.inf
 
     def allow(self, part):
-        """Let only ``part`` of the free processors be taken from now on."""
-        self.allowance = part * sum(room.processors for room in self.rooms)
+        """Let only ``part`` of all processors be taken from now on."""
+        total = sum(room.size.processors_milli for room in self.rooms)
+        self.allowance = part * total
 
     def allowed(self, size, most):
         """Return how many of ``most`` tasks of ``size`` may still be taken."""
