Wait in the tests of double runs until every daemon knows a domain is in

Cause: a daemon of the other domain split the next job while its document was up to a second old, so all tasks went to domain b and none was there to stop in a ('waited 20.0 s for stops', all 8 runs at b-0 and b-1). The fixture looked only at whether a daemon's own domain was out.

--- a/tests/system/test_no_double_run.py
+++ b/tests/system/test_no_double_run.py
@@ -19,13 +19,17 @@
     for daemon in system.daemons:
         if daemon.process.child.poll() is not None:
             system.restart(daemon)
-    helpers.set_domain(system.daemons[0], "a", "in")
-    wait_for("the domain in", lambda: not is_out(system))
+    revision = helpers.set_domain(system.daemons[0], "a", "in")
+    wait_for("the domain in", lambda: is_in(system, revision))
     system.list_vms([system.endpoint_vm(name) for name in system.endpoints])
 
 
-def is_out(cluster):
-    return any(cluster.status(d)["domain_out"] for d in cluster.daemons)
+def is_in(cluster, revision):
+    """Return whether every daemon knows that all domains are in."""
+    standings = [cluster.status(d) for d in cluster.daemons]
+    return all(
+        s["config_revision"] >= revision and not s["domain_out"] for s in standings
+    )
 
 
 def leader(cluster, domain):
