--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -3,6 +3,7 @@
 import base64
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -189,11 +190,12 @@
             self.list_vms([self.endpoint_vm(name) for name in self.endpoints])
             self.start_daemons()
         except BaseException:
-            self.__exit__(None, None, None)
+            self.__exit__(*sys.exc_info())
             raise
         return self
 
-    def __exit__(self, *exc):
+    def __exit__(self, kind, error, trace):
+        """End every process; the logs stay only after a failure."""
         for process in reversed(self.processes):
             if process.child.poll() is None:
                 process.child.send_signal(signal.SIGCONT)
@@ -204,6 +206,8 @@
             except subprocess.TimeoutExpired:
                 pass
         self.http.close()
+        if kind is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def spawn(self, name, *arguments):
         """Start a process that ends with the cluster."""
