Give the call to the platform a span on a once-only request

Cause: a trace has to show each hop, and the claim of a key, a call to the platform, was left out when spans were moved to the sampled entry. Change: a span around the claim. Requests without a key make no such call.

--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -106,7 +106,8 @@
         if issuer:
             await self.redeem(issuer, request)
             return lambda: self.redeem(issuer, request, release=True)
-        made = await self.claims.claim(request.key, request.id, request.deadline)
+        with self.tracer.span("platform"):
+            made = await self.claims.claim(request.key, request.id, request.deadline)
         return lambda: self.claims.release(made)
 
     async def redeem(self, issuer, request, release=False):
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -38,6 +38,13 @@
     assert outcomes == ["done", "not-run"]
 
 
+def test_once_only_request_has_a_span_for_each_hop(cluster):
+    answer = post(cluster.daemons[0], {"Idempotency-Key": "traced-crew"})
+    trace = answer.headers["traceparent"].split("-")[1]
+    spans = demo.tool(cluster.daemons[0], "trace", trace)
+    assert {"client", "platform", "endpoint"} <= {span["name"] for span in spans}
+
+
 def test_unknown_service_is_not_run(cluster):
     answer = post(cluster.daemons[0], service="nothing")
     assert answer.status_code == 503
