--- a/tests/shard/test_log.py
+++ b/tests/shard/test_log.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from clementinebay import errors
@@ -110,3 +112,56 @@
     await reader.load()
     assert set(reader.state.jobs) == set(writer.state.jobs)
     await reader.append([factory.submit("last")])
+
+
+async def test_append_that_was_cancelled_in_mid_write_is_settled_by_the_next(
+    space, clock
+):
+    class PausingStore(MemoryStore):
+        async def commit(self, compares, puts=(), deletes=()):
+            revision = await super().commit(compares, puts, deletes)
+            written.set()
+            await answered.wait()
+            return revision
+
+    written, answered = asyncio.Event(), asyncio.Event()
+    log = open_log(PausingStore(space), clock)
+    append = asyncio.create_task(log.append([factory.submit("first")]))
+    await written.wait()
+    append.cancel()
+    await asyncio.gather(append, return_exceptions=True)
+    answered.set()
+    assert log.state.index == 0
+    with pytest.raises(errors.LogConflictError):
+        await log.append([factory.submit("second")])
+    assert (log.state.index, set(log.state.jobs)) == (1, {"first"})
+    assert await log.append([factory.submit("second")]) == [None]
+    assert set(log.state.jobs) == {"first", "second"}
+
+
+async def test_log_is_truncated_again_while_a_late_reader_reads_the_snapshot(
+    space, clock
+):
+    writer = open_log(MemoryStore(space), clock)
+
+    class TruncatingStore(MemoryStore):
+        async def get(self, key):
+            entry = await super().get(key)
+            if writer.state.index < 9:
+                await go_on()
+            return entry
+
+    async def go_on():
+        for _batch in range(2):
+            number = writer.state.index
+            await writer.append([factory.submit(f"job-{number}")])
+        await writer.write_snapshot()
+        await writer.truncate(clock.now() + 1)
+
+    reader = open_log(TruncatingStore(space), clock, "r")
+    await writer.append([factory.submit("first")])
+    await go_on()
+    reader.confirmed_at = clock.now()
+    await reader.catch_up()
+    assert reader.state.index == writer.state.index == 9
+    assert set(reader.state.jobs) == set(writer.state.jobs)
