Give checked values, the tool's client and its output modules of their own

Change: checked.CheckedValue holds kind, bounds and choices for both; the tool's client with its exit codes is operatorclient.py, what it prints is display.py. No behaviour is changed; the error of a command is named CommandError.

--- a/clementinebay/cmdline.py
+++ b/clementinebay/cmdline.py
@@ -8,22 +8,21 @@
 import signal
 import sys
 
-import httpx
-
-from clementinebay import __version__, config, errors, log, settings
+from clementinebay import (
+    __version__,
+    config,
+    display,
+    errors,
+    log,
+    operatorclient,
+    settings,
+)
 from clementinebay.kernel import Kernel
+from clementinebay.operatorclient import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from clementinebay.services import DAEMON
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_CONFLICT = 3
-EXIT_UNREACHABLE = 4
-
 #: Daemon that is asked when neither --daemon nor the environment names one.
 DEFAULT_DAEMON = "http://127.0.0.1:7000"
-#: Longest wait for an answer of the daemon, in seconds.
-TIMEOUT_SECONDS = 30.0
 
 #: Begin of the first line of a document as ``config show`` prints it.
 REVISION_LINE = "# revision "
@@ -101,57 +100,12 @@
 # The tool
 
 
-class Client:
-    """Talks to one daemon; raises `ToolError` with an exit code."""
-
-    def __init__(self, url):
-        self.http = httpx.Client(base_url=url, timeout=TIMEOUT_SECONDS)
-
-    def call(self, method, path, body=None):
-        """Return the decoded answer."""
-        try:
-            response = self.http.request(method, path, json=body)
-        except httpx.HTTPError as error:
-            raise ToolError(
-                EXIT_UNREACHABLE, f"{self.http.base_url}: {error}"
-            ) from error
-        if domains := response.headers.get("X-Unanswered-Domains"):
-            print(f"clementinectl: partial: no answer from {domains}", file=sys.stderr)
-        if response.is_success:
-            return response.json()
-        code = {409: EXIT_CONFLICT, 422: EXIT_USAGE}.get(
-            response.status_code, EXIT_FAILED
-        )
-        if response.status_code in (503, 504):
-            code = EXIT_UNREACHABLE
-        raise ToolError(code, failure_text(response))
-
-
-def failure_text(response):
-    """Return what a failed answer says, one problem a line."""
-    try:
-        body = response.json()
-        return f"{body['code']}: {body['message']}"
-    except (ValueError, KeyError, TypeError):
-        return f"status {response.status_code}: {response.text}"
-
-
-class ToolError(errors.ClementineError):
-    """A command failed with an exit code."""
-
-    code = "tool"
-
-    def __init__(self, exit_code, message):
-        self.exit_code = exit_code
-        super().__init__(message)
-
-
 def main(argv=None):
     """Run one command of the tool; return its exit code."""
     arguments = build_parser().parse_args(argv)
     try:
-        result = arguments.run(arguments, Client(arguments.daemon))
-    except ToolError as error:
+        result = arguments.run(arguments, operatorclient.Client(arguments.daemon))
+    except operatorclient.CommandError as error:
         print(f"clementinectl: {error}", file=sys.stderr)
         return error.exit_code
     except errors.ConfigInvalidError as error:
@@ -163,7 +117,7 @@
     if arguments.json:
         print(json.dumps(result, indent=2))
     else:
-        show(result)
+        display.show(result)
     return EXIT_OK
 
 
@@ -322,7 +276,9 @@
     sections = document["sections"]
     if arguments.section is not None:
         if arguments.section not in sections:
-            raise ToolError(EXIT_FAILED, f"there is no section [{arguments.section}]")
+            raise operatorclient.CommandError(
+                EXIT_FAILED, f"there is no section [{arguments.section}]"
+            )
         sections = {arguments.section: sections[arguments.section]}
     if arguments.json:
         return {"revision": document["revision"], "sections": sections}
@@ -410,50 +366,7 @@
     spans = client.call("GET", f"/v1/traces/{arguments.id}")
     if arguments.json or not spans:
         return spans
-    return "\n".join(span_lines(spans))
-
-
-def span_lines(spans):
-    """Yield one line a span, indented below its parent."""
-    known = {span["span_id"] for span in spans}
-    children = {}
-    for span in spans:
-        parent = span["parent_id"] if span["parent_id"] in known else ""
-        children.setdefault(parent, []).append(span)
-    start = min(span["start"] for span in spans)
-
-    def walk(parent, depth):
-        for span in children.get(parent, ()):
-            name = "  " * depth + span["name"]
-            offset = (span["start"] - start) * 1000
-            took = span["seconds"] * 1000
-            yield f"{name:24} {span['daemon']:16} +{offset:8.2f} ms {took:8.2f} ms"
-            yield from walk(span["span_id"], depth + 1)
-
-    return walk("", 0)
-
-
-def show(result):
-    """Print a result for people: texts as they are, lists as tables."""
-    if isinstance(result, str):
-        print(result)
-    elif isinstance(result, dict):
-        for key, value in result.items():
-            print(f"{key:24} {value}")
-    elif not result:
-        print("nothing")
-    else:
-        print("\n".join(table(result)))
-
-
-def table(rows):
-    """Yield the lines of a table of dictionaries with the same keys."""
-    cells = [list(rows[0])] + [[str(value) for value in row.values()] for row in rows]
-    widths = [max(len(row[i]) for row in cells) for i in range(len(cells[0]))]
-    for row in cells:
-        yield "  ".join(
-            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
-        ).rstrip()
+    return "\n".join(display.span_lines(spans))
 
 
 if __name__ == "__main__":
--- a/clementinebay/config.py
+++ b/clementinebay/config.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from clementinebay import errors
+from clementinebay import checked, errors
 
 #: Largest section, in bytes.
 MAX_SECTION_BYTES = 100_000
@@ -21,38 +21,14 @@
 SECTION_NAME = re.compile(r"[a-z]+:[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 
 
-class Key:
+class Key(checked.CheckedValue):
     """One key that sections of a kind may have."""
 
-    __slots__ = ("name", "kind", "default", "low", "high", "choices", "help")
+    __slots__ = ("name",)
 
     def __init__(self, name, kind, default, help, low=None, high=None, choices=None):
+        super().__init__(default, help, kind, low, high, choices)
         self.name = name
-        self.kind = kind
-        self.default = default
-        self.help = help
-        self.low = low
-        self.high = high
-        self.choices = choices
-
-    @property
-    def allowed(self):
-        """What the value may be, in words."""
-        if self.choices:
-            return "one of " + ", ".join(self.choices)
-        if self.kind is str:
-            return "any text"
-        noun = "a whole number" if self.kind is int else "a number"
-        return f"{noun} from {self.low} to {self.high}"
-
-    def parse(self, text):
-        """Return the value of ``text``; raise `ValueError` if it is not allowed."""
-        value = self.kind(text)
-        if self.choices and value not in self.choices:
-            raise ValueError(text)
-        if self.low is not None and not self.low <= value <= self.high:
-            raise ValueError(text)
-        return value
 
 
 #: Kinds of section and their keys.
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -2,7 +2,7 @@
 
 import configparser
 
-from clementinebay import errors, log
+from clementinebay import checked, errors, log
 from clementinebay.policy import routing
 
 REQUIRED = object()
@@ -18,22 +18,19 @@
     return found
 
 
-class Option:
+class Option(checked.CheckedValue):
     """One key of the settings file: its type, default and allowed values."""
 
-    __slots__ = ("section", "key", "default", "kind", "low", "high", "choices", "help")
+    __slots__ = ("section", "key")
+
+    text_allowed = "a text that is not empty"
 
     def __init__(
         self, section, key, default, help, kind=str, low=None, high=None, choices=None
     ):
+        super().__init__(default, help, kind, low, high, choices)
         self.section = section
         self.key = key
-        self.default = default
-        self.help = help
-        self.kind = kind
-        self.low = low
-        self.high = high
-        self.choices = choices
 
     @property
     def attribute(self):
@@ -43,26 +40,13 @@
     @property
     def allowed(self):
         """What the value may be, in words."""
-        if self.choices:
-            return "one of " + ", ".join(self.choices)
-        if self.kind is str:
-            return "a text that is not empty"
         if self.kind is addresses:
             return "addresses HOST:PORT separated by commas"
-        noun = "a whole number" if self.kind is int else "a number"
-        return f"{noun} from {self.low} to {self.high}"
-
-    def parse(self, text):
-        """Return the value that ``text`` stands for; raise `ValueError` if none."""
-        value = self.kind(text)
-        if self.choices and value not in self.choices:
-            raise ValueError(text)
-        if self.kind is str:
-            if not value:
-                raise ValueError(text)
-        elif self.low is not None and not self.low <= value <= self.high:
-            raise ValueError(text)
-        return value
+        return super().allowed
+
+    def fits(self, value):
+        """Return whether ``value`` is within the bounds and no empty text."""
+        return value != "" and super().fits(value)
 
 
 def _port(section):
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -113,20 +113,3 @@
     path.write_text("[front]\nport = none\n")
     assert cmdline.daemon_main(["--settings", str(path)]) == 2
     assert "[front] port = 'none'" in capsys.readouterr().err
-
-
-def test_spans_are_shown_as_a_tree():
-    def span(name, number, parent):
-        return {
-            "name": name,
-            "span_id": number,
-            "parent_id": parent,
-            "daemon": "d",
-            "start": 1.0,
-            "seconds": 0.001,
-        }
-
-    spans = [span("client", "1", "0"), span("endpoint", "2", "1")]
-    lines = list(cmdline.span_lines(spans))
-    assert lines[0].startswith("client")
-    assert lines[1].startswith("  endpoint")
