Take a newer configuration also from a peer that calls first

Only the daemon that begins an exchange of gossip looked at the revision in the answer; the one that is called learned of a newer revision and did nothing. Both sides count an exchange as a heartbeat, so the one whose tick comes first after three seconds begins every time. A daemon whose ticks come after those of all its peers never begins, and, cut off from the platform, never takes a change.

Ruled out: the proxy's cut (the daemon saw its peers), the peers' own revision (the operator's daemon had it), lost messages.

Change: a daemon that is called fetches the document if the caller's revision is newer.

--- a/clementinebay/services/peers.py
+++ b/clementinebay/services/peers.py
@@ -139,7 +139,7 @@
             reply = await self.query(vm, wire.Kind.GOSSIP, news, wire.Gossip)
             self.learn(reply)
             self.told[vm.id] = standing
-            if reply.config_revision > self.kernel.find("config").document.revision:
+            if self.lags(reply):
                 await self.fetch_config(vm)
         except errors.PeerError as error:
             log.debug("%s: %s.", vm.id, error)
@@ -181,6 +181,10 @@
         self.learn(message)
         self.refresh()
         self.told[message.daemon] = self.standing()
+        if self.lags(message):
+            for vm in self.kernel.find("livelist").daemons():
+                if vm.id == message.daemon:
+                    self.background.spawn(self.catch_up, vm)
         return self.news(message.daemon)
 
     async def forget(self, vms):
@@ -244,6 +248,17 @@
 
     # Configuration from peers
 
+    def lags(self, gossip):
+        """Return whether a peer's ``gossip`` names a newer configuration."""
+        return gossip.config_revision > self.kernel.find("config").document.revision
+
+    async def catch_up(self, vm):
+        """Take the document of a peer that told of a newer one."""
+        try:
+            await self.fetch_config(vm)
+        except errors.PeerError as error:
+            log.debug("%s: %s.", vm.id, error)
+
     async def fetch_config(self, vm):
         """Take a newer document from the peer on ``vm``."""
         watcher = self.kernel.find("config")
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -120,3 +120,16 @@
     one.leading = True
     await until(lambda: two.scheduler() is not None)
     hung.set()
+
+
+async def test_newer_configuration_is_taken_also_if_the_peer_always_calls_first(pair):
+    one, two, other = pair
+    await until(lambda: one.companions() and one.serving("feed"))
+    one.is_due = lambda _vm: False
+    adopted = []
+    one.kernel.find("config").adopt = adopted.append
+    newer = config.Document(config.Head(2), {})
+    for peer in (two, other):
+        peer.kernel.find("config").document = newer
+    await until(lambda: adopted)
+    assert adopted[0].revision == 2
