--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -168,7 +168,7 @@
 
         bed.router.hedges["call-in"].seconds = 0.01
         bed.router.lane("call-in").hedges.tokens = 1.0
-        bed.router.loads["e1"].note(9.0)
+        bed.router.loads["e1"].note(9.0, clock.now())
         bed.driver.script = {"e0": hang}
         assert await bed.outcome(repeatable=True) == "done"
         await settle()
