Let the changes of the configuration at one daemon take turns

Cause: test_fifty_racing_changes_with_lost_answers failed in 1 of 16 runs on a busy machine: a change was refused with call-budget-spent. Each change that a daemon was asked for read the head, wrote, lost the race against the others at the same daemon and began anew, so 50 changes cost 1,275 writes of a share of some tens a second; the budget refuses a call that would wait longer than a second.

Ruled out: lost answers (they cost two calls each, five in fifty), the share itself (renewals and the log went on as usual).

Change: ConfigStore holds a lock over a change. Who waits longer than 10 s is told to try again, which is true: nothing was written.

--- a/clementinebay/configstore.py
+++ b/clementinebay/configstore.py
@@ -1,6 +1,7 @@
 """The configuration document in the platform: read by revision, changed by swap."""
 
 import asyncio
+import contextlib
 import uuid
 
 import msgspec
@@ -24,6 +25,8 @@
 SCAN_LIMIT = 100
 #: Attempts to merge a change with those of others.
 MERGE_ATTEMPTS = 100
+#: Longest wait for the changes that this process was asked for earlier, in seconds.
+TURN_SECONDS = 10.0
 #: Wait before a change whose answer was lost is tried again, in seconds.
 RETRY_SECONDS = 0.2
 #: Longest time in which a write whose answer was lost is settled, in seconds.
@@ -46,6 +49,7 @@
     def __init__(self, store, clock):
         self.store = store
         self.clock = clock
+        self.turn = asyncio.Lock()
 
     async def revision(self):
         """Return the newest revision, a small read."""
@@ -144,6 +148,27 @@
         `ConfigOutcomeUnknownError`.  ``known`` is a `Document` that saves reads.
         """
         changes = _clean(changes)
+        async with self.wait_for_turn():
+            return await self.merge(changes, base, author, known)
+
+    @contextlib.asynccontextmanager
+    async def wait_for_turn(self):
+        """Hold the only write of this process, so that its changes do not race.
+
+        Raises `ConfigError` if those before take too long.
+        """
+        try:
+            async with asyncio.timeout(TURN_SECONDS):
+                await self.turn.acquire()
+        except TimeoutError as error:
+            raise errors.ConfigError("earlier changes take long; try again") from error
+        try:
+            yield
+        finally:
+            self.turn.release()
+
+    async def merge(self, changes, base, author, known):
+        """Write ``changes`` on the newest revision, again after each lost race."""
         nonce = uuid.uuid4().hex
         for _attempt in range(MERGE_ATTEMPTS):
             head, version = await self.head()
