Give child processes and ports of the stand-ins modules of their own

Change: process.py (a child with its log, waiting) and ports.py are split off; whoever needs only these imports them from there. No behaviour is changed.

Tests: tests/platform, services, peer, tests/system/test_path.py and test_leaving.py pass.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,7 +9,8 @@
 
 import httpx
 
-from standins.cluster import ROOT, Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import ROOT, wait_for
 
 SERVICE = "call-in"
 JOB = "route-plans"
--- a/bench/load.py
+++ b/bench/load.py
@@ -13,7 +13,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from standins.cluster import ROOT
+from standins.process import ROOT
 
 #: Range and precision of histograms, in microseconds and digits.
 HISTOGRAM = (1, 60_000_000, 3)
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -10,7 +10,8 @@
 import time
 
 from bench.colocated import Arrivals, metric, print_table, submit, work_done, write_csv
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 ENDPOINTS = 6
 PROCESSORS = 8
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -14,7 +14,8 @@
 
 import httpx
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 #: Limits of the platform over all daemons, in calls a second.
 WRITES_LIMIT, READS_LIMIT = 300, 2_000
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -17,7 +17,8 @@
 import aiohttp
 
 from bench import demo
-from standins.cluster import ROOT, Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import ROOT, wait_for
 
 SERVICE = "call-in"
 SEED = 1
--- a/bench/roundtrip.py
+++ b/bench/roundtrip.py
@@ -8,7 +8,8 @@
 import os
 
 from bench import demo, load
-from standins.cluster import ROOT, Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import ROOT, wait_for
 
 SERVICE = "call-in"
 CONNECTIONS = (1, 8, 32)
@@ -16,7 +17,7 @@
 
 
 def processor_seconds(process):
-    """Return the processor time that a `standins.cluster.Process` has used."""
+    """Return the processor time that a `standins.process.Process` has used."""
     with open(f"/proc/{process.child.pid}/stat", encoding="ascii") as file:
         fields = file.read().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,7 +20,7 @@
 from bench.slopes_daemon import DAEMON_PARTS
 from bench.slopes_parts import PARTS
 from bench.slopes_pure import PURE
-from standins.cluster import ROOT
+from standins.process import ROOT
 
 ALL = {part.name: part for part in (*PARTS, *PURE, *DAEMON_PARTS)}
 #: Longest run of one point, in seconds.
--- a/bench/slopes_daemon.py
+++ b/bench/slopes_daemon.py
@@ -7,7 +7,8 @@
 import httpx
 
 from bench.slopes_parts import Part
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 #: Tasks a worker at the target: 2,500 of services and 5,200 of batch on 730.
 SERVICE_TASKS = 3.4
--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -10,7 +10,8 @@
 
 from bench import slopes_fakes as fakes
 from clementinebay.endpoint import open_driver
-from standins.cluster import Process, free_ports, free_range, wait_for
+from standins.ports import free_ports, free_range
+from standins.process import Process, wait_for
 
 #: Services of a domain at the target size.
 SERVICES = 60
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -15,7 +15,8 @@
 
 import httpx
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 SERVICE = "call-in"
 #: Short times, so that leases run out often.
--- a/bench/urgent.py
+++ b/bench/urgent.py
@@ -9,7 +9,8 @@
 import time
 
 from bench.colocated import metric, print_table, quantile, submit, write_csv
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 ENDPOINTS = 6
 PROCESSORS = 8
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,28 +2,17 @@
 
 import base64
 import os
-import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import time
 
 import httpx
 
 from standins import platform, proxy
-
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-#: Longest wait for a process to answer or to end, in seconds.
-WAIT_SECONDS = 20.0
-#: Ports to choose from: from, and before.
-PORTS = (10_000, 32_000)
-#: Ports that were given out.
-GIVEN = set()
-#: Not seeded, so that two runs at a time do not draw the same ports.
-PICK = random.SystemRandom()
+from standins.ports import free_ports, free_range
+from standins.process import Process, wait_for
 
 SETTINGS = """\
 [daemon]
@@ -43,92 +32,6 @@
 """
 
 
-def free_ports(count):
-    """Return ports of loopback that are free now."""
-    return [free_range(1) for _number in range(count)]
-
-
-def free_range(count):
-    """Return the first of ``count`` consecutive free ports.
-
-    They lie below the range from which the kernel takes the ports of outgoing
-    connections, and none is given out twice.
-    """
-    while True:
-        first = PICK.randrange(*PORTS)
-        ports = range(first, first + count)
-        if not GIVEN.intersection(ports) and all(map(is_free, ports)):
-            GIVEN.update(ports)
-            return first
-
-
-def is_free(port):
-    """Return whether nothing listens at ``port``."""
-    with socket.socket() as opened:
-        try:
-            opened.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
-
-
-def wait_for(what, condition, seconds=WAIT_SECONDS):
-    """Return ``condition()`` once it is true; raise `TimeoutError` naming ``what``."""
-    limit = time.monotonic() + seconds
-    while True:
-        try:
-            if found := condition():
-                return found
-        except httpx.HTTPError:
-            pass
-        if time.monotonic() > limit:
-            raise TimeoutError(f"waited {seconds} s for {what}")
-        time.sleep(0.05)
-
-
-class Process:
-    """A child process with its log file."""
-
-    def __init__(self, name, arguments, folder):
-        self.name = name
-        self.arguments = arguments
-        self.path = os.path.join(folder, f"{name}.log")
-        self.child = None
-        self.start()
-
-    def start(self):
-        """Start the process, again after it ended."""
-        with open(self.path, "ab") as output:
-            self.child = subprocess.Popen(
-                [sys.executable, "-m", *self.arguments],
-                cwd=ROOT,
-                stdout=output,
-                stderr=output,
-                stdin=subprocess.DEVNULL,
-            )
-
-    def signal(self, number):
-        """Send a signal."""
-        self.child.send_signal(number)
-
-    def stop(self, seconds=WAIT_SECONDS):
-        """Ask the process to end and return its exit code."""
-        if self.child.poll() is None:
-            self.child.send_signal(signal.SIGCONT)
-            self.child.terminate()
-        try:
-            return self.child.wait(seconds)
-        except subprocess.TimeoutExpired:
-            self.child.kill()
-            self.child.wait()
-            raise
-
-    def kill(self):
-        """End the process at once."""
-        self.child.kill()
-        self.child.wait()
-
-
 class Daemon:
     """A daemon process with its addresses."""
 
--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -7,7 +7,7 @@
 from clementinebay.clock import SystemClock
 from clementinebay.peer.link import PeerClient, PeerServer
 from clementinebay.peer.wire import ttypes as wire
-from standins.cluster import free_ports
+from standins.ports import free_ports
 
 LIMIT = 10_000
 
--- a/tests/platform/test_etcd.py
+++ b/tests/platform/test_etcd.py
@@ -8,7 +8,8 @@
 from clementinebay.platform.base import Put
 from clementinebay.platform.etcd import EtcdStore
 from clementinebay.platform.livelist import HttpLiveList
-from standins.cluster import Process, free_ports, wait_for
+from standins.ports import free_ports
+from standins.process import Process, wait_for
 
 NO_FAULTS = {
     "down": False,
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -8,7 +8,7 @@
 from clementinebay.peer.wire import ttypes as wire
 from clementinebay.platform.base import Vm
 from clementinebay.services.peers import Peers
-from standins.cluster import free_ports
+from standins.ports import free_ports
 from tests.services.fakes import Fake, FakeKernel
 
 
--- a/tests/system/helpers.py
+++ b/tests/system/helpers.py
@@ -5,7 +5,7 @@
 
 import httpx
 
-from standins.cluster import wait_for
+from standins.process import wait_for
 from standins.proxy import NO_FAULTS as NO_FAULTS
 
 #: Short times, so that leases run out within a test.
--- a/tests/system/test_adoption.py
+++ b/tests/system/test_adoption.py
@@ -1,6 +1,7 @@
 """A failure domain loses all its entry VMs while its endpoints run on."""
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 SETTINGS = "[scheduler]\nadopt_after_seconds = 1\n"
--- a/tests/system/test_bootstrap.py
+++ b/tests/system/test_bootstrap.py
@@ -1,7 +1,8 @@
 """A daemon that is replaced while the platform is away."""
 
 from bench import demo
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system.test_path import post
 
 
--- a/tests/system/test_domain_out.py
+++ b/tests/system/test_domain_out.py
@@ -3,7 +3,8 @@
 
 import pytest
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 #: scheduler_start_grace_seconds and scheduler_clock_skew_seconds of the short settings.
--- a/tests/system/test_graceful_shutdown.py
+++ b/tests/system/test_graceful_shutdown.py
@@ -4,7 +4,8 @@
 import httpx
 import pytest
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 CLIENTS = 4
--- a/tests/system/test_hostile_input.py
+++ b/tests/system/test_hostile_input.py
@@ -7,7 +7,8 @@
 from clementinebay import thriftcodec
 from clementinebay.peer import frame
 from clementinebay.peer.wire import ttypes as wire
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 LIMIT = 2_000_000
--- a/tests/system/test_idle.py
+++ b/tests/system/test_idle.py
@@ -1,7 +1,8 @@
 import time
 
 from bench.colocated import metric, submit
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 IDLE_SECONDS = 2.5
 #: Decisions of an unchanged shard: one a second, and one for a late change.
--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -1,6 +1,7 @@
 import pytest
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 #: Settings of a read of the list, a tick, and a write to the log, with room.
--- a/tests/system/test_not_run.py
+++ b/tests/system/test_not_run.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 FAULTS = {
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -2,7 +2,8 @@
 import pytest
 
 from bench import demo
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 
 @pytest.fixture(scope="module")
--- a/tests/system/test_urgent.py
+++ b/tests/system/test_urgent.py
@@ -1,7 +1,8 @@
 import time
 
 from bench.colocated import submit
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 #: Longest time until urgent work starts.
 START_SECONDS = 2.4
