Share the sending threads and short settings of soak and system tests

Cause: bench/soak.py and two system tests wrote the same start and end of threads and the same settings.

Change: standins/senders.py has the threads, standins/cluster.py the settings.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,28 +9,25 @@
 import random
 import signal
 import sys
-import threading
 import time
 import uuid
 
 import httpx
 
-from standins.cluster import Cluster
+from standins.cluster import SHORT_TIMES, Cluster
 from standins.process import wait_for
+from standins.senders import Senders
 
 SERVICE = "call-in"
 #: Short times, so that leases run out often.
-SETTINGS = """\
-[scheduler]
-poll_seconds = 0.2
-start_grace_seconds = 2
-lease_seconds = 2
-reclaim_after_seconds = 3
-clock_skew_seconds = 0.2
-leader_seconds = 2
+SETTINGS = (
+    SHORT_TIMES
+    + """\
 snapshot_batches = 50
 retention_seconds = 5
 """
+)
+CLIENTS = 4
 #: Time between two checks, in seconds.
 CHECK_SECONDS = 5.0
 #: Longest time in which all work ends after the last fault, in seconds.
@@ -42,28 +39,17 @@
     """A promise does not hold."""
 
 
-class Clients:
+class Clients(Senders):
     """Threads that send requests and keep what came back."""
 
     def __init__(self, cluster, seed):
+        super().__init__(CLIENTS)
         self.cluster = cluster
         self.rng = random.Random(seed)
-        self.stopping = threading.Event()
         self.outcomes = {}
         self.keys = {}
-        self.threads = [threading.Thread(target=self.run) for _number in range(4)]
 
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *exc):
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
-
-    def run(self):
+    def run(self, _number):
         """Send requests until told to stop; every third has a key, sent twice."""
         with httpx.Client(timeout=10.0) as client:
             number = 0
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -31,6 +31,17 @@
 {extra}
 """
 
+#: Settings with short times, so that leases run out within a test.
+SHORT_TIMES = """\
+[scheduler]
+poll_seconds = 0.2
+start_grace_seconds = 2
+lease_seconds = 2
+reclaim_after_seconds = 3
+clock_skew_seconds = 0.2
+leader_seconds = 2
+"""
+
 
 class Daemon:
     """A daemon process with its addresses."""
--- a/tests/system/helpers.py
+++ b/tests/system/helpers.py
@@ -5,20 +5,11 @@
 
 import httpx
 
+from standins.cluster import SHORT_TIMES
 from standins.process import wait_for
 from standins.proxy import NO_FAULTS as NO_FAULTS
 
-#: Short times, so that leases run out within a test.
-SHORT = """\
-[scheduler]
-poll_seconds = 0.2
-start_grace_seconds = 2
-lease_seconds = 2
-reclaim_after_seconds = 3
-clock_skew_seconds = 0.2
-leader_seconds = 2
-"""
-
+SHORT = SHORT_TIMES
 CLIENT = httpx.Client(timeout=20, limits=httpx.Limits(max_connections=200))
 
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -1,10 +1,9 @@
-import threading
-
 import httpx
 import pytest
 
 from standins.cluster import Cluster
 from standins.process import wait_for
+from standins.senders import Senders
 from tests.system import helpers
 
 #: Within this time an accepted change is in force everywhere that can be reached.
@@ -30,7 +29,7 @@
     assert not watch.reverted
 
 
-class Watch:
+class Watch(Senders):
     """Reads the revision in force at every daemon and notes any that goes back.
 
     A daemon that starts again knows none at first; what it then takes is not older than
@@ -38,21 +37,12 @@
     """
 
     def __init__(self, cluster):
+        super().__init__(1)
         self.cluster = cluster
-        self.stopping = threading.Event()
         self.reverted = []
         self.seen = {}
-        self.thread = threading.Thread(target=self.run)
-
-    def __enter__(self):
-        self.thread.start()
-        return self
-
-    def __exit__(self, *exc):
-        self.stopping.set()
-        self.thread.join()
 
-    def run(self):
+    def run(self, _number):
         with httpx.Client(timeout=5.0) as client:
             while not self.stopping.wait(0.05):
                 for daemon in self.cluster.daemons:
--- a/tests/system/test_graceful_shutdown.py
+++ b/tests/system/test_graceful_shutdown.py
@@ -1,11 +1,11 @@
 import signal
-import threading
 
 import httpx
 import pytest
 
 from standins.cluster import Cluster
 from standins.process import wait_for
+from standins.senders import Senders
 from tests.system import helpers
 
 CLIENTS = 4
@@ -20,30 +20,17 @@
         yield cluster
 
 
-class Load:
+class Load(Senders):
     """Clients that keep connections and send until they are told to stop."""
 
     def __init__(self, daemon):
+        super().__init__(CLIENTS)
         self.daemon = daemon
-        self.stopping = threading.Event()
         self.outcomes = []
         self.cut = []
         self.left = 0
-        self.threads = [
-            threading.Thread(target=self.send, args=(n,)) for n in range(CLIENTS)
-        ]
 
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *exc):
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
-
-    def send(self, number):
+    def run(self, number):
         body = f"booking {number} ".encode() * 500
         with httpx.Client(timeout=20) as client:
             while not self.stopping.is_set():
