Kill the scheduler of either side at each step of a move

Cause: the one test of a kill during a move was timed from outside, so it was not known which step it hit. Change: the platform's stand-in stops the first write of a named kind of record to a named log, before or after it takes effect, until it is told to go on. The test kills a scheduler while a write is stopped: before the move, between move and submission, between submission and confirmation, between confirmation and start; each for source and target. The stopped write arrives late, after others have done the job. Ruled out: stopping the nth write, as the number of writes before a move varies.

No trial was made for the cases before-move.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -353,6 +353,15 @@
         """Set faults of the platform."""
         self.http.post(f"{self.platform_url}/control/faults", json=faults)
 
+    def hold_write(self, domain, record, effect=False):
+        """Stop the next write of a ``record`` to a domain's log; see the platform."""
+        hold = {"domain": domain, "record": record, "effect": effect}
+        self.platform_faults(hold=hold)
+
+    def write_held(self):
+        """Return whether the write that `hold_write` waits for has come."""
+        return self.http.get(f"{self.platform_url}/control/held").json() > 0
+
     def endpoint_faults(self, name, **faults):
         """Set faults of an endpoint."""
         address = self.endpoints[name]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,11 @@
 service's timeout), ``watch_lag`` (seconds), ``list_lag`` (seconds), ``store_down``
 (refuse all calls but reads of the list), ``old`` (answer reads with the values that
 were there at the last ``POST /control/mark``).
+
+``hold`` stops one write of a shard's log: {"domain": d, "record": kind, "effect": e}
+names the domain and a kind of record; the first write that has it takes effect at once
+if ``effect`` is true, otherwise only when the fault is ended, and is not answered
+before.  ``GET /control/held`` tells how many writes are held.
 """
 
 import argparse
@@ -20,6 +25,8 @@
 from clementinebay.clock import SystemClock
 from clementinebay.platform.base import Put
 from clementinebay.platform.keyspace import KeySpace
+from clementinebay.shard import codec
+from clementinebay.shard.wire import ttypes as wire
 from standins import web
 
 NO_FAULTS = {
@@ -31,6 +38,7 @@
     "list_lag": 0.0,
     "store_down": False,
     "old": False,
+    "hold": None,
 }
 
 
@@ -60,6 +68,8 @@
         self.counts = {"read": 0, "write": 0, "watch": 0}
         self.faults = dict(NO_FAULTS)
         self.marked = {}
+        self.held = 0
+        self.released = asyncio.Event()
 
     def header(self):
         """Return the header of every answer."""
@@ -83,16 +93,36 @@
         }[call.path]
         writing = call.path != "/v3/kv/range"
         self.counts["write" if writing else "read"] += 1
+        held = writing and self.take_hold(call)
+        if held and not held["effect"]:
+            await self.released.wait()
         try:
             answer = action(call.json())
         except errors.LeaseGoneError:
             return failure(404, 5, "etcdserver: requested lease not found")
+        if held and held["effect"]:
+            await self.released.wait()
         if writing and self.rng.random() < self.faults["lose"]:
             return None
         if writing and self.rng.random() < self.faults["time_out"]:
             return failure(503, 14, "etcdserver: request timed out")
         return web.Reply({"header": self.header(), **answer})
 
+    def take_hold(self, call):
+        """Return the fault ``hold`` if it stops this write; it stops one only."""
+        hold = self.faults["hold"]
+        if not hold or self.held or call.path != "/v3/kv/txn":
+            return None
+        prefix = f"shard/{hold['domain']}/log/"
+        puts = [o["request_put"] for o in call.json()["success"] if "request_put" in o]
+        for put in puts:
+            if decode(put["key"]).decode().startswith(prefix):
+                batch = codec.unpack(wire.Batch, decode(put["value"]))
+                if any(getattr(r, hold["record"]) is not None for r in batch.records):
+                    self.held += 1
+                    return hold
+        return None
+
     def item(self, entry):
         """Return an entry as the gateway writes it."""
         item = {
@@ -193,8 +223,16 @@
     async def control_faults(self, call):
         """Set faults."""
         self.faults.update(call.json())
+        if not self.faults["hold"]:
+            self.held = 0
+            self.released.set()
+            self.released = asyncio.Event()
         return web.Reply(self.faults)
 
+    async def control_held(self, _call):
+        """Return how many writes are held."""
+        return web.Reply(self.held)
+
     async def control_mark(self, _call):
         """Keep the present values, for the fault ``old``."""
         self.marked = dict(self.space.entries)
@@ -291,6 +329,7 @@
             "/vms": platform.vm_list,
             "/control/vms": platform.control_vms,
             "/control/faults": platform.control_faults,
+            "/control/held": platform.control_held,
             "/control/mark": platform.control_mark,
             "/control/counts": platform.control_counts,
         }
--- /dev/null
+++ b/tests/system/test_moves.py
@@ -0,0 +1,94 @@
+"""Moves between domains with the scheduler of either side killed at each step."""
+
+import pytest
+
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+TASKS = 4
+#: A successor that would hand over again does so within this time, in seconds.
+REPEAT_SECONDS = 1.0
+#: Step of a move -> the write that is stopped: log, kind of record, whether it counts.
+STEPS = {
+    "before-move": ("a", "move", False),
+    "move-to-submission": ("b", "submit", False),
+    "submission-to-confirmation": ("a", "moved", False),
+    "confirmation-to-start": ("a", "moved", True),
+}
+
+
+@pytest.fixture(scope="module")
+def system():
+    with Cluster(
+        ("a", "b"), daemons=2, endpoints=1, extra=helpers.SHORT, proxied=True
+    ) as cluster:
+        yield cluster
+
+
+@pytest.fixture
+def cluster(system):
+    """Domain a is in and takes the work; b is out until the move begins."""
+    operator = system.daemons[0]
+    set_domains(system, operator, a="in", b="out")
+    yield system
+    system.heal()
+    for daemon in system.daemons:
+        if daemon.process.child.poll() is not None:
+            system.restart(daemon)
+
+
+def set_domains(cluster, operator, **states):
+    for domain, state in states.items():
+        revision = helpers.set_domain(operator, domain, state)
+    wait_for("it everywhere", lambda: all_know(cluster, revision))
+
+
+def all_know(cluster, revision):
+    standings = [cluster.status(daemon) for daemon in cluster.daemons]
+    return all(standing["config_revision"] >= revision for standing in standings)
+
+
+def leader(cluster, domain):
+    return wait_for(f"the scheduler of {domain}", lambda: cluster.leader(domain))
+
+
+@pytest.mark.parametrize("victim", ["a", "b"])
+@pytest.mark.parametrize("step", STEPS)
+def test_scheduler_killed_at_each_step(cluster, step, victim):
+    """The stopped write takes effect, if it can, after the job is done."""
+    name = f"{step}-{victim}"
+    killed = leader(cluster, victim)
+    operator = next(d for d in cluster.daemons if d.domain == "b" and d is not killed)
+    leader(cluster, "a")
+    helpers.submit(operator, name, TASKS, run_seconds=3)
+    wait_for("runs", lambda: helpers.standing(operator, name)["running"] == TASKS)
+    set_domains(cluster, operator, b="in")
+    domain, record, effect = STEPS[step]
+    if step == "confirmation-to-start":
+        cluster.proxy("endpoint:b-0", cut="up")
+    cluster.hold_write(domain, record, effect)
+    helpers.set_domain(operator, "a", "out")
+    wait_for(f"the write of {record}", cluster.write_held)
+    killed.process.kill()
+    cluster.proxy("endpoint:b-0", cut="")
+    helpers.wait_done(operator, name, TASKS, seconds=40)
+    leader(cluster, victim)
+    helpers.pause(REPEAT_SECONDS)
+    cluster.platform_faults(hold=None)
+    helpers.pause(REPEAT_SECONDS)
+    helpers.assert_each_done_once(cluster, name, TASKS)
+    check_moved_and_resumed(cluster, name)
+
+
+def check_moved_and_resumed(cluster, name):
+    """Each task began in a, ended in b, and did no part of its work twice.
+
+    A run after the one that was done would be a second hand-over.
+    """
+    for (origin, _index), runs in helpers.by_task(cluster.runs()).items():
+        if origin == name:
+            first, last = runs[0], runs[-1]
+            assert (first["endpoint"], last["endpoint"]) == ("a-0", "b-0")
+            assert last["state"] == "done", runs
+            assert last["begun_with"] > 0.0, "it began anew"
+            assert last["begun_with"] <= first["progress"] + 0.01
