Bound the time in which the body of a request comes

Cause: only the size of a body was bounded. A client that sent a byte now and then held its connection and a task of the daemon for as long as it liked. Change: [front] body_seconds, 10 s by default. A request whose body is not whole by then is answered 408 slow-body, not-run, and its connection closed; one that was answered already only loses its connection. A request that waits behind another of the same connection begins to count when that one is answered. The time of a head is bounded for each request of a connection now, not for the first one alone (not tested: it is 10 s). Ruled out: a limit in RequestApi, which would leave out operators' calls and calls whose body nobody reads.

Conclusion: slow bodies end at the limit, and other clients are not affected.

--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -220,6 +220,12 @@
     code = "bad-request"
 
 
+class SlowBodyError(BadRequestError):
+    """The body of the request did not come in time."""
+
+    code = "slow-body"
+
+
 class OverloadedError(NotRunError):
     """Admission refused the request: its queue is full or its wait too long."""
 
--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -18,6 +18,7 @@
 
 #: Status of an answer that carries an error, by error class, most special first.
 STATUSES = (
+    (errors.SlowBodyError, 408),
     (errors.BadRequestError, 400),
     (errors.DuplicateKeyError, 409),
     (errors.NotRunError, 503),
@@ -150,6 +151,19 @@
                 return b"".join(parts)
 
 
+def slow_body_answer():
+    """Return the bytes of the answer to a request whose body comes too slowly."""
+    error = errors.SlowBodyError("the body comes too slowly")
+    metrics.REFUSALS.labels(error.code).inc()
+    body = msgspec.json.encode(Failure(error.outcome, error.code, str(error)))
+    head = (
+        f"HTTP/1.1 {status_of(error)} Request Timeout\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        f"X-Outcome: {error.outcome}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 async def respond(send, status, body, outcome, request_id, trace):
     """Send the answer."""
     headers = [
--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -13,9 +13,11 @@
 
 #: New requests are still taken for so long after /ready says no, in seconds.
 NOTICE_SECONDS = 0.5
-#: Largest head of a request, in bytes, and longest time of the first one, in seconds.
+#: Largest head of a request, in bytes, and longest time of one, in seconds.
 MAX_HEAD_BYTES = 65_536
 HEAD_SECONDS = 10.0
+#: A request that is whole: nothing of it is waited for.
+WHOLE = (0.0, None)
 
 log = Log("front")
 
@@ -29,14 +31,29 @@
         yield
 
 
+class BoundedConfig(uvicorn.Config):
+    """A configuration that bounds the time of bodies, in seconds."""
+
+    def __init__(self, app, body_seconds, **options):
+        super().__init__(app, **options)
+        self.body_seconds = body_seconds
+
+
 class BoundedProtocol(HttpToolsProtocol):
-    """Refuses the head of a request that is too large or comes too slowly."""
+    """Refuses heads that are too large, and heads and bodies that come too slowly.
+
+    ``part`` is what is waited for: (longest time in seconds, what ends the wait); a new
+    pair for each part of each request.  ``timed`` is the part that the timer is for.
+    """
 
     def connection_made(self, transport):
         """Begin to wait for the head of the first request."""
         super().connection_made(transport)
         self.head_bytes = 0
-        self.head_timer = self.loop.call_later(HEAD_SECONDS, self.refuse_head)
+        self.timer = None
+        self.timed = WHOLE
+        self.part = (HEAD_SECONDS, self.refuse_head)
+        self.time_part()
 
     def data_received(self, data):
         """Parse ``data`` and count it if the head is not complete."""
@@ -45,11 +62,49 @@
         self.head_bytes = self.head_bytes + len(data) if self.in_head else 0
         if self.head_bytes > MAX_HEAD_BYTES:
             self.refuse_head()
+        if self.part is not self.timed:
+            self.time_part()
+
+    def time_part(self):
+        """Bound the time of the part that is waited for from now on."""
+        self.stop_timer()
+        self.timed = self.part
+        seconds, refuse = self.part
+        if refuse is not None and not self.transport.is_closing():
+            self.timer = self.loop.call_later(seconds, self.end_wait)
+
+    def stop_timer(self):
+        """Stop waiting."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def end_wait(self):
+        """Refuse the request, once those before it on the connection are answered."""
+        if self.transport.is_closing():
+            return
+        _seconds, refuse = self.part
+        if self.is_behind(refuse):
+            self.time_part()
+        else:
+            refuse()
+
+    def is_behind(self, refuse):
+        """Return whether an earlier request of the connection is in progress."""
+        if refuse == self.refuse_body:
+            return bool(self.pipeline)
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def on_message_begin(self):
+        """Note that a head has begun."""
+        if self.part is WHOLE:
+            self.part = (HEAD_SECONDS, self.refuse_head)
+        super().on_message_begin()
 
     def on_headers_complete(self):
         """Note that the head is complete."""
         self.in_head = False
-        self.head_timer.cancel()
+        self.part = (self.config.body_seconds, self.refuse_body)
         super().on_headers_complete()
 
     def on_body(self, body):
@@ -57,9 +112,14 @@
         self.in_head = False
         super().on_body(body)
 
+    def on_message_complete(self):
+        """Note that the request is whole."""
+        self.part = WHOLE
+        super().on_message_complete()
+
     def connection_lost(self, exc):
         """Stop waiting."""
-        self.head_timer.cancel()
+        self.stop_timer()
         super().connection_lost(exc)
 
     def refuse_head(self):
@@ -67,6 +127,12 @@
         if not self.transport.is_closing():
             self.send_400_response("The head is too large or too slow.")
 
+    def refuse_body(self):
+        """Answer 408, unless there is an answer already, and close."""
+        if not self.cycle.response_started:
+            self.transport.write(requestapi.slow_body_answer())
+        self.transport.close()
+
 
 class Front(Service):
     """Owns the HTTP server; ``ready`` is what /ready answers."""
@@ -81,8 +147,9 @@
         self.requests = requestapi.RequestApi(self.kernel)
         self.app = operatorapi.build(self.kernel, self, self.requests)
         self.server = QuietServer(
-            uvicorn.Config(
+            BoundedConfig(
                 self.answer,
+                settings.front_body_seconds,
                 host=settings.front_address,
                 port=settings.front_port,
                 loop="asyncio",
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -85,6 +85,7 @@
     Option("front", "address", "127.0.0.1", "IP address for clients and operators."),
     _port("front"),
     _count("front", "max_body_bytes", 1_000_000, "Largest request body in bytes."),
+    _seconds("front", "body_seconds", 10.0, "Longest time in which a body comes."),
     Option("peer", "address", "127.0.0.1", "IP address for peer daemons."),
     _port("peer"),
     _count("peer", "max_frame_bytes", 4_500_000, "Largest frame in bytes.", low=1024),
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -31,6 +31,7 @@
 failure_domain = {domain}
 [front]
 port = {front}
+body_seconds = {body}
 [peer]
 port = {peer}
 seeds = {seeds}
@@ -161,10 +162,12 @@
         extra="",
         proxied=False,
         sample=100.0,
+        body_seconds=10.0,
         **size,
     ):
         self.domains = domains
         self.sample = sample
+        self.body_seconds = body_seconds
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -319,6 +322,7 @@
                     name=daemon.name,
                     domain=daemon.domain,
                     front=daemon.front,
+                    body=self.body_seconds,
                     peer=daemon.peer,
                     seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
--- a/tests/system/test_hostile_input.py
+++ b/tests/system/test_hostile_input.py
@@ -1,7 +1,10 @@
 import socket
 import struct
 import threading
+import time
 
+import httpx
+import msgspec
 import pytest
 
 from clementinebay import thriftcodec
@@ -11,6 +14,7 @@
 from tests.system import helpers
 
 LIMIT = 2_000_000
+BODY_SECONDS = 1.0
 
 
 def envelope(kind, payload):
@@ -46,7 +50,13 @@
 
 @pytest.fixture(scope="module")
 def system():
-    with Cluster(("a", "b"), daemons=1, endpoints=1, extra=helpers.SHORT) as cluster:
+    with Cluster(
+        ("a", "b"),
+        daemons=1,
+        endpoints=1,
+        extra=helpers.SHORT,
+        body_seconds=BODY_SECONDS,
+    ) as cluster:
         helpers.start_service(cluster, cluster.daemons[0], 2)
         yield cluster
 
@@ -145,6 +155,77 @@
         opened.close()
 
 
+def trickle(port, head, seconds, chunked=False):
+    """Send ``head`` and bytes of a body until closed; return (what came, closed)."""
+    received = b""
+    limit = time.monotonic() + seconds
+    with socket.create_connection(("127.0.0.1", port), timeout=0.1) as opened:
+        opened.sendall(head)
+        while time.monotonic() < limit:
+            try:
+                chunk = opened.recv(65536)
+                received += chunk
+                if not chunk:
+                    return received, True
+            except ConnectionError:
+                return received, True
+            except TimeoutError:
+                pass
+            try:
+                opened.sendall(b"1\r\nx\r\n" if chunked else b"x")
+            except ConnectionError:
+                pass
+    return received, False
+
+
+REQUEST = b"POST /v1/services/call-in/requests HTTP/1.1\r\nHost: a\r\n"
+SLOW_BODIES = {
+    "request": REQUEST + b"Content-Length: 900\r\n\r\n",
+    "chunked": REQUEST + b"Transfer-Encoding: chunked\r\n\r\n",
+    "second": b"GET /health HTTP/1.1\r\nHost: a\r\n\r\n"
+    + REQUEST
+    + b"Content-Length: 900\r\n\r\n",
+    "operator": b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\n"
+    b"Content-Type: application/json\r\nContent-Length: 900\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", SLOW_BODIES)
+def test_slow_body_is_refused_and_only_its_connection_closed(daemon, name):
+    with httpx.Client() as other:
+        other.get(f"{daemon.url}/health")
+        received, closed = trickle(
+            daemon.front, SLOW_BODIES[name], BODY_SECONDS + 5.0, name == "chunked"
+        )
+        assert other.get(f"{daemon.url}/health").status_code == 200
+    head, _end, body = received.rpartition(b"\r\n\r\n")
+    assert closed
+    assert b"HTTP/1.1 408 " in head
+    assert b"X-Outcome: not-run" in head
+    assert msgspec.json.decode(body)["code"] == "slow-body"
+
+
+def test_slow_body_that_nobody_reads_is_closed(daemon):
+    head = b"GET /health HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n"
+    received, closed = trickle(daemon.front, head, BODY_SECONDS + 5.0)
+    assert closed
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"408" not in received
+
+
+def test_body_that_comes_in_time_is_taken(daemon):
+    with socket.create_connection(("127.0.0.1", daemon.front), timeout=5.0) as opened:
+        opened.sendall(REQUEST + b"Connection: close\r\nContent-Length: 4\r\n\r\n")
+        for byte in b"tank":
+            opened.sendall(bytes([byte]))
+            helpers.pause(BODY_SECONDS / 10)
+        received = b""
+        while chunk := opened.recv(65536):
+            received += chunk
+    assert received.startswith(b"HTTP/1.1 200")
+    assert received.endswith(b"tank")
+
+
 BROKEN_SECTIONS = {
     "unknown-kind": {"planet:mars": "state = out"},
     "unknown-key": {"domain:a": "colour = red"},
