--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -20,6 +20,7 @@
 failure_domain = {domain}
 [front]
 port = {front}
+body_seconds = {body}
 [peer]
 port = {peer}
 seeds = {seeds}
@@ -75,10 +76,12 @@
         extra="",
         proxied=False,
         sample=100.0,
+        body_seconds=10.0,
         **size,
     ):
         self.domains = domains
         self.sample = sample
+        self.body_seconds = body_seconds
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -233,6 +236,7 @@
                     name=daemon.name,
                     domain=daemon.domain,
                     front=daemon.front,
+                    body=self.body_seconds,
                     peer=daemon.peer,
                     seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
@@ -267,6 +271,15 @@
         """Set faults of the platform."""
         self.http.post(f"{self.platform_url}/control/faults", json=faults)
 
+    def hold_write(self, domain, record, effect=False):
+        """Stop the next write of a ``record`` to a domain's log; see the platform."""
+        hold = {"domain": domain, "record": record, "effect": effect}
+        self.platform_faults(hold=hold)
+
+    def write_held(self):
+        """Return whether the write that `hold_write` waits for has come."""
+        return self.http.get(f"{self.platform_url}/control/held").json() > 0
+
     def endpoint_faults(self, name, **faults):
         """Set faults of an endpoint."""
         address = self.endpoints[name]
