--- a/clementinebay/endpoint/http.py
+++ b/clementinebay/endpoint/http.py
@@ -48,6 +48,16 @@
         raise errors.AnswerMismatchError("the answer's digest does not fit")
 
 
+def assert_whole(headers, body, request_id):
+    """Raise `InvariantBrokenError` for an answer that no driver may hand on."""
+    try:
+        check_owner(headers, request_id)
+        check_head(headers)
+        check_body(headers, body)
+    except errors.AnswerMismatchError as error:
+        raise errors.InvariantBrokenError(f"{request_id}: {error}") from error
+
+
 class HttpDriver(EndpointDriver):
     """What drivers over HTTP share; a driver adds ``send``."""
 
@@ -74,9 +84,10 @@
         if seconds <= 0.0:
             raise errors.EndpointUnreachableError(f"{address}: the deadline has passed")
         path = f"/v1/requests/{service}"
-        status, _headers, answer = await self.send(
+        status, found, answer = await self.send(
             address, path, body, headers, seconds, request_id
         )
+        assert_whole(found, answer, request_id)
         return status, answer
 
     async def order(self, address, path, message, kind, wait_seconds=0.0):
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -47,7 +47,7 @@
 PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
 RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
 INVARIANTS_BROKEN = Counter(
-    "clementine_invariants_broken", "Assertions about the shard that did not hold."
+    "clementine_invariants_broken", "Assertions inside the program that did not hold."
 )
 REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
--- a/clementinebay/model.py
+++ b/clementinebay/model.py
@@ -1,11 +1,14 @@
 """Plain data that several parts share."""
 
+from clementinebay import errors
+
 
 class Request:
     """A client's request to a service; ``deadline`` in seconds since the Unix epoch.
 
     A request with ``key`` runs at most once; a ``repeatable`` one may be sent again.
-    ``hops`` counts the peers that it may still be forwarded to.
+    ``hops`` counts the peers that it may still be forwarded to.  ``claimed`` is set
+    once the key is, ``may_have_run`` while an attempt may have run.
     """
 
     __slots__ = (
@@ -17,6 +20,8 @@
         "key",
         "body",
         "hops",
+        "claimed",
+        "may_have_run",
     )
 
     def __init__(
@@ -30,6 +35,23 @@
         self.key = key
         self.body = body
         self.hops = hops
+        self.claimed = False
+        self.may_have_run = False
+
+    def begin_attempt(self):
+        """Note that the request is sent now.
+
+        Raises `InvariantBrokenError` if its key could run twice by that.
+        """
+        if self.key and not self.claimed:
+            raise errors.InvariantBrokenError(f"{self.id} is sent without its key")
+        if self.key and self.may_have_run:
+            raise errors.InvariantBrokenError(f"{self.id} may have run and is sent")
+        self.may_have_run = True
+
+    def note_not_run(self):
+        """Note that the attempt did not run."""
+        self.may_have_run = False
 
 
 class Answer:
--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -2,8 +2,9 @@
 
 The path is ``/v1/services/SERVICE/requests``.  Request headers: ``X-Client``,
 ``X-Deadline`` (seconds since the Unix epoch), ``Idempotency-Key`` for a request that
-runs at most once, ``X-Repeatable: true`` for one that may be sent again, and
-``traceparent``.  The answer's ``X-Outcome`` is done, not-run or unknown.
+runs at most once, ``X-Repeatable: true`` for one that may be sent again (a key
+outweighs it), and ``traceparent``.  The answer's ``X-Outcome`` is done, not-run or
+unknown.
 
 A POST to ``/v1/services/SERVICE/tickets`` answers with a once-only key that also works
 while the platform is down.
@@ -118,13 +119,15 @@
             raise errors.BadRequestError("X-Deadline is not finite")
         if not deadline > now:
             raise errors.DeadlinePassedError("the deadline has passed")
+        key = headers.get(b"idempotency-key", "")
         return model.Request(
             service=service,
             client=headers.get(b"x-client", ""),
             id=request_id,
             deadline=deadline,
-            repeatable=headers.get(b"x-repeatable", "") == "true",
-            key=headers.get(b"idempotency-key", ""),
+            # The promise of a key outweighs the leave to send again.
+            repeatable=not key and headers.get(b"x-repeatable", "") == "true",
+            key=key,
             body=body,
         )
 
--- a/clementinebay/services/front.py
+++ b/clementinebay/services/front.py
@@ -7,7 +7,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from clementinebay import operatorapi, requestapi
+from clementinebay import errors, operatorapi, requestapi
 from clementinebay.log import Log
 from clementinebay.service import Service
 
@@ -134,6 +134,34 @@
         self.transport.close()
 
 
+class OpenCalls:
+    """Counts calls in progress and calls that were cut off; a context manager."""
+
+    __slots__ = ("open", "cut")
+
+    def __init__(self):
+        self.open = 0
+        self.cut = 0
+
+    def __enter__(self):
+        self.open += 1
+
+    def __exit__(self, kind, *exc):
+        self.open -= 1
+        self.cut += kind is asyncio.CancelledError
+
+    def check(self, forwarded):
+        """Raise `InvariantBrokenError` if a planned stop cut anything off.
+
+        ``forwarded`` counts the requests that the router still has in progress.
+        """
+        if self.open or self.cut or forwarded:
+            raise errors.InvariantBrokenError(
+                f"stopped with {self.open} calls and {forwarded} requests in progress, "
+                f"{self.cut} calls cut off"
+            )
+
+
 class Front(Service):
     """Owns the HTTP server; ``ready`` is what /ready answers."""
 
@@ -144,6 +172,7 @@
         """Open the server."""
         settings = self.settings
         self.ready = True
+        self.calls = OpenCalls()
         self.requests = requestapi.RequestApi(self.kernel)
         self.app = operatorapi.build(self.kernel, self, self.requests)
         self.server = QuietServer(
@@ -182,7 +211,8 @@
                 message["headers"] = [*message["headers"], (b"connection", b"close")]
             await send(message)
 
-        await self.app(scope, receive, send_last)
+        with self.calls:
+            await self.app(scope, receive, send_last)
 
     async def stop(self):
         """Say not ready, finish what is in progress, close."""
@@ -190,7 +220,9 @@
         peers = self.kernel.find("peers")
         await asyncio.gather(peers.leave(), asyncio.sleep(NOTICE_SECONDS))
         deadline = self.clock.now() + self.settings.daemon_drain_seconds
-        await self.kernel.find("router").drain(deadline)
+        router = self.kernel.find("router")
+        await router.drain(deadline)
         self.server.should_exit = True
         await self.serving
+        self.calls.check(router.in_progress)
         log.info("Closed.")
--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 
 from clementinebay import claims, errors, metrics, model, tickets, tracing
+from clementinebay.log import Log
 from clementinebay.peer.wire import ttypes as wire
 from clementinebay.policy import health, hedge, retry, routing
 from clementinebay.service import Service
@@ -16,6 +17,9 @@
 ORDER_CONNECTIONS = 2
 
 
+log = Log("router")
+
+
 class Router(Service):
     """Routes requests; ``in_progress`` counts those that are not answered yet."""
 
@@ -60,6 +64,7 @@
             return await self.serve(request)
         self.check(request)
         release = await self.claim(request)
+        request.claimed = True
         try:
             return await self.serve(request)
         except errors.NotRunError:
@@ -78,6 +83,7 @@
             message.body,
             message.hops,
         )
+        request.claimed = True
         with self.tracer.remote("forwarded", envelope.traceparent):
             answer = await self.serve(request)
         return wire.ForwardReply(answer.status, answer.body)
@@ -88,6 +94,10 @@
         self.in_progress += 1
         try:
             return await self.attempts(request)
+        except errors.InvariantBrokenError as error:
+            metrics.INVARIANTS_BROKEN.inc()
+            log.error("An invariant is broken: %s.", error)
+            raise errors.OutcomeUnknownError(str(error)) from error
         finally:
             self.in_progress -= 1
 
@@ -187,6 +197,7 @@
         start = self.clock.now()
         worked = False
         try:
+            request.begin_attempt()
             with self.tracer.span("endpoint", endpoint=replica.endpoint):
                 status, body = await self.driver.request(
                     replica.address,
@@ -202,6 +213,7 @@
             errors.EndpointUnreachableError,
             errors.EndpointRefusedError,
         ) as error:
+            request.note_not_run()
             raise errors.AttemptNotRunError(str(error)) from error
         except errors.EndpointAnswerLostError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
@@ -283,6 +295,7 @@
             request.hops - 1,
         )
         metrics.FORWARDS.inc()
+        request.begin_attempt()
         load = self.loads[vm.id]
         load.in_flight += 1
         start = self.clock.now()
@@ -296,8 +309,10 @@
                     tracing.traceparent(),
                 )
         except (errors.PeerUnreachableError, errors.FrameTooLargeError) as error:
+            request.note_not_run()
             raise errors.AttemptNotRunError(f"{vm.id}: {error}") from error
         except errors.NotRunError as error:
+            request.note_not_run()
             text = f"{vm.id}: {error.code}: {error}"
             raise errors.AttemptNotRunError(text) from error
         except errors.ClementineError as error:
--- a/tests/endpoint/test_drivers.py
+++ b/tests/endpoint/test_drivers.py
@@ -176,3 +176,40 @@
     async with worker(writes(refusal)) as made:
         with pytest.raises(errors.EndpointRefusedError):
             await ask(driver, made.address)
+
+
+class Careless(http.HttpDriver):
+    """A driver that hands on what comes."""
+
+    def __init__(self, headers, body):
+        super().__init__(SystemClock())
+        self.result = (200, headers, body)
+
+    async def send(self, address, path, content, headers, seconds, request_id):
+        return self.result
+
+
+HEADERS = {
+    "X-Request-Id": "r1",
+    "Content-Length": str(len(BODY)),
+    "X-Digest": http.digest(BODY),
+}
+
+
+async def test_an_answer_that_fits_is_handed_on():
+    assert await ask(Careless(HEADERS, BODY), "e0") == (200, BODY)
+
+
+@pytest.mark.parametrize(
+    ("changed", "body"),
+    [
+        ({"X-Request-Id": "another"}, BODY),
+        ({"X-Digest": "0" * 16}, BODY),
+        ({}, BODY[:-1]),
+        ({"Content-Length": "many"}, BODY),
+    ],
+    ids=["crossed", "digest", "cut", "no length"],
+)
+async def test_a_driver_without_checks_breaks_the_promise(changed, body):
+    with pytest.raises(errors.InvariantBrokenError):
+        await ask(Careless({**HEADERS, **changed}, body), "e0")
--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from clementinebay import errors
+from clementinebay import errors, metrics
 from clementinebay.peer.wire import ttypes as wire
 from tests.services.requestfakes import Bed, Client, settle
 
@@ -114,6 +114,15 @@
         assert await bed.outcome(key="crew", id="r2") == "not-run"
 
 
+async def test_a_key_is_not_sent_again_even_if_repeatable(clock, store):
+    before = metrics.INVARIANTS_BROKEN._value.get()
+    async with Bed(clock, store, replicas=2) as bed:
+        bed.driver.script = {"e0": LOST, "e1": LOST}
+        assert await bed.outcome(key="crew", repeatable=True) == "unknown"
+        assert len(bed.driver.asked) == 1
+    assert metrics.INVARIANTS_BROKEN._value.get() == before + 1
+
+
 async def test_a_ticket_works_without_the_platform(clock, store):
     async def down(*_args):
         raise errors.PlatformUnavailableError("down")
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -110,3 +110,22 @@
     )
     done = helpers.outcome(answers[1]) == "done"
     assert len(cluster.requests_run()) - before == done
+
+
+def test_key_of_a_repeatable_request_whose_answers_are_lost(cluster):
+    """The promise of the key outweighs the leave to send again."""
+    daemon = cluster.daemons[0]
+    cluster.proxy("endpoint:*", reset="after", sever=True)
+    wait_for("a request sent twice", lambda: runs_twice(cluster, daemon))
+    for key in new_keys(4):
+        before = len(cluster.requests_run())
+        answer = helpers.request(daemon, Idempotency_Key=key, X_Repeatable="true")
+        assert helpers.outcome(answer) == "unknown"
+        assert len(cluster.requests_run()) - before <= 1
+
+
+def runs_twice(cluster, daemon):
+    """Return whether a repeatable request without key is sent a second time."""
+    before = len(cluster.requests_run())
+    helpers.request(daemon, X_Repeatable="true")
+    return len(cluster.requests_run()) - before == 2
