Park work that is larger than any endpoint or than its team's quota

Cause: the planner passes over a size that found no room, whether the room is taken or does not exist, so such a job waited for ever without a word, and the mover read the other domains' logs on its behalf.

Ruled out: a record in the log, which needs a write to undo it and lets one daemon that knows little park for all; deciding from the live list alone, which drops a domain that is cut off.

`job show` counts such tasks as parked; the mover passes them over.

A daemon that has just started may park for show what fits only an endpoint that it never saw, until it sees it.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -53,6 +53,9 @@
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
 PARKED = Counter("clementine_parked", "Tasks parked.", ["reason"])
+HOPELESS = Gauge(
+    "clementine_hopeless_jobs", "Jobs here whose waiting tasks fit nowhere."
+)
 THROTTLED = Gauge("clementine_throttled", "Tasks that are throttled.")
 INTERFERENCE = Gauge(
     "clementine_interference",
--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -92,16 +92,19 @@
     return job.untouched + sum(t.phase == Phase.WAITING for t in job.tasks.values())
 
 
-def surplus(state, leaving=False):
+def surplus(state, leaving=False, hopeless=()):
     """Return (job, tasks that should move), urgent jobs first.
 
     All should if the domain is out or its work is ``leaving`` for another reason.
+    Otherwise the jobs whose ids are in ``hopeless`` stay, as they fit nowhere.
     """
     if state.out or leaving:
         return [(job, waiting(job)) for job in planner.queue(state)]
     space = Space(state)
     found = []
     for job in planner.queue(state):
+        if job.spec.id in hopeless:
+            continue
         wanted = waiting(job)
         left = wanted - space.take(job.spec.size, wanted)
         if left:
@@ -112,12 +115,15 @@
 class Balancer:
     """One decision of what moves from ``state`` to ``targets``, states by domain."""
 
-    def __init__(self, state, targets, nonce, now, leaving=False, by_room=True):
+    def __init__(
+        self, state, targets, nonce, now, leaving=False, by_room=True, hopeless=()
+    ):
         self.state = state
         self.leaving = leaving or state.out
         self.nonce = nonce
         self.now = now
         self.by_room = by_room
+        self.hopeless = hopeless
         self.spaces = {
             name: space_for_new(target)
             for name, target in sorted(targets.items())
@@ -130,7 +136,7 @@
 
     def plan(self):
         """Return the `wire.Move` records."""
-        for job, number in surplus(self.state, self.leaving):
+        for job, number in surplus(self.state, self.leaving, self.hopeless):
             if not self.spaces or len(self.records) >= MOVES_PER_DECISION:
                 break
             shares = self.shares(job.spec.size, number)
@@ -180,10 +186,10 @@
         self.records.append(wire.Record(move=move))
 
 
-def move_records(state, targets, nonce, now, leaving=False, by_room=True):
+def move_records(state, targets, nonce, now, leaving=False, by_room=True, hopeless=()):
     """Return the moves that one decision makes; see `surplus`.
 
     Without ``by_room``, only a domain that is out or ``leaving`` sends work away, in
     equal parts.
     """
-    return Balancer(state, targets, nonce, now, leaving, by_room).plan()
+    return Balancer(state, targets, nonce, now, leaving, by_room, hopeless).plan()
--- a/clementinebay/policy/quota.py
+++ b/clementinebay/policy/quota.py
@@ -21,21 +21,27 @@
     return quota * (rank + 1) // len(order) - quota * rank // len(order)
 
 
-def limits(document, domain, domains):
-    """Return {team: amounts} of the teams with a quota; ``None`` is no limit.
-
-    ``domains`` are those that are in; the quota is split equally over them.
-    """
+def totals(document):
+    """Return {team: amounts} of the teams with a quota; ``None`` is no limit."""
     found = {}
     for team in document.named("team"):
         quota = [document.get(f"team:{team}", key) for key in KEYS]
         quota[0] = round(quota[0] * 1000)
-        found[team] = tuple(
-            share(amount, domain, domains) if amount else None for amount in quota
-        )
+        found[team] = tuple(amount or None for amount in quota)
     return found
 
 
+def limits(document, domain, domains):
+    """Return {team: amounts} of what ``domain`` may use; ``None`` is no limit.
+
+    ``domains`` are those that are in; the quota is split equally over them.
+    """
+    return {
+        team: tuple(amount and share(amount, domain, domains) for amount in quota)
+        for team, quota in totals(document).items()
+    }
+
+
 class Ledger:
     """What each team holds while one decision is made, against its limits."""
 
--- a/clementinebay/policy/taskhealth.py
+++ b/clementinebay/policy/taskhealth.py
@@ -43,6 +43,8 @@
 
     FAILS_EVERYWHERE = "fails-everywhere"
     FAILS_ON_ONE_ENDPOINT = "fails-on-one-endpoint"
+    LARGER_THAN_ANY_ENDPOINT = "larger-than-any-endpoint"
+    LARGER_THAN_QUOTA = "larger-than-quota"
 
 
 class EndpointHealth:
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -12,6 +12,7 @@
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
+    "fleet": ("clementinebay.services.fleet", "FleetWatcher"),
     "front": ("clementinebay.services.front", "Front"),
     "jobs": ("clementinebay.services.jobs", "Jobs"),
     "livelist": ("clementinebay.services.livelist", "LiveListWatcher"),
--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -20,12 +20,13 @@
     """Serves operators; any daemon may."""
 
     name = "jobs"
-    requires = ("shard", "platform", "peers", "livelist", "config")
+    requires = ("shard", "platform", "peers", "livelist", "config", "fleet")
 
     async def start(self):
         """Begin to answer peers."""
         self.shard = self.kernel.find("shard")
         self.peers = self.kernel.find("peers")
+        self.fleet = self.kernel.find("fleet")
         self.registry = registry.JobRegistry(self.kernel.find("platform").store)
         self.peers.handle(peer_wire.Kind.JOBS, peer_wire.JobsQuery, self.on_jobs_query)
 
@@ -122,12 +123,20 @@
         except (errors.PlatformError, errors.ShardError) as error:
             log.debug("%s: %s.", domain, error)
             return None
-        return standings_of(shard_log.state, domain, query.names)
+        return await self.standings_of(shard_log.state, domain, query.names)
 
     async def on_jobs_query(self, message, _envelope):
         """Answer with the standing of this domain's parts."""
         domain = self.settings.daemon_failure_domain
-        return standings_of(self.shard.state, domain, message.names)
+        return await self.standings_of(self.shard.state, domain, message.names)
+
+    async def standings_of(self, state, domain, names):
+        """Return the `JobsReply` of the parts in ``state``, all without names."""
+        jobs = [j for j in state.jobs.values() if not names or j.origin in names]
+        hopeless = await self.fleet.judge(jobs)
+        return peer_wire.JobsReply(
+            [standing(job, domain, hopeless.get(job.spec.id)) for job in jobs]
+        )
 
 
 def raise_first(refusals):
@@ -137,31 +146,28 @@
             raise refusal
 
 
-def standings_of(state, domain, names):
-    """Return the `JobsReply` of the parts in ``state``, all if there are no names."""
-    return peer_wire.JobsReply(
-        [
-            standing(job, domain)
-            for job in state.jobs.values()
-            if not names or job.origin in names
-        ]
-    )
-
+def standing(job, domain, hopeless=None):
+    """Return the `JobStanding` of one part.
 
-def standing(job, domain):
-    """Return the `JobStanding` of one part."""
+    What waits of it is parked if there is a `ParkReason` by which it is ``hopeless``.
+    """
     counts = dict.fromkeys(Phase, 0)
     reasons = set()
     for task in job.tasks.values():
         counts[task.phase] += 1
         if task.reason:
             reasons.add(task.reason)
+    waiting = counts[Phase.WAITING] + job.untouched
+    if hopeless:
+        counts[Phase.PARKED] += waiting
+        waiting = 0
+        reasons.add(str(hopeless))
     return peer_wire.JobStanding(
         name=job.spec.id,
         origin=job.spec.origin or job.spec.id,
         domain=domain,
         count=job.spec.count,
-        waiting=counts[Phase.WAITING] + job.untouched,
+        waiting=waiting,
         bound=counts[Phase.BOUND],
         running=counts[Phase.RUNNING],
         stopping=counts[Phase.STOPPING],
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -7,9 +7,9 @@
 import asyncio
 import uuid
 
-from clementinebay import errors
+from clementinebay import errors, metrics
 from clementinebay.log import Log
-from clementinebay.policy import balance
+from clementinebay.policy import balance, planner
 from clementinebay.service import Service
 from clementinebay.shard import transfer
 
@@ -24,13 +24,15 @@
     """Works while this daemon's scheduler holds the leader lease."""
 
     name = "mover"
-    requires = ("scheduler", "shard", "config", "livelist")
+    requires = ("scheduler", "shard", "config", "livelist", "fleet")
 
     async def start(self):
         """Begin to move."""
         self.shard = self.kernel.find("shard")
         self.scheduler = self.kernel.find("scheduler")
+        self.fleet = self.kernel.find("fleet")
         self.balance_at = 0.0
+        self.hopeless = {}
         self.background.spawn(self.run)
 
     async def run(self):
@@ -54,7 +56,9 @@
         if state.outbox or (not state.out and now < self.balance_at):
             return
         self.balance_at = now + BALANCE_SECONDS
-        if not balance.surplus(state):
+        hopeless = await self.fleet.judge(planner.queue(state))
+        self.note_hopeless(hopeless)
+        if not balance.surplus(state, hopeless=hopeless):
             return
         targets = {}
         for name in self.targets():
@@ -64,13 +68,20 @@
         nonce = uuid.uuid4().hex[:8]
         by_room = self.settings.scheduler_balance == "on"
         records = balance.move_records(
-            self.shard.state, targets, nonce, now, by_room=by_room
+            self.shard.state, targets, nonce, now, by_room=by_room, hopeless=hopeless
         )
         if records:
             await self.shard.append(records)
         else:
             self.balance_at = now + NO_ROOM_SECONDS
 
+    def note_hopeless(self, hopeless):
+        """Log and count the jobs that can run nowhere."""
+        for name in hopeless.keys() - self.hopeless.keys():
+            log.warning("Job %s waits in vain: %s.", name, hopeless[name])
+        metrics.HOPELESS.set(len(hopeless))
+        self.hopeless = hopeless
+
     def targets(self):
         """Return the other domains that are in."""
         domain = self.settings.daemon_failure_domain
