Keep a shrunk endpoint's mark while a binding there expires

An endpoint that came back smaller than what it holds is marked as shrunk until its sums fit. When the lease of a binding there ran out, the state took its size off the sums, the mark went, and then the size came on again as unconfirmed: over its capacity without the mark.

Ruled out: a real over-commit. Nothing was bound to the endpoint meanwhile, and endpoint.fits refuses with or without the mark; the alarm was false. It would have stopped the domain's log on every daemon.

Change: the size is counted as unconfirmed before the binding is freed, so the sums never sink in between.

--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -246,10 +246,11 @@
                 raise errors.SecondBindingError(
                     f"{record.job}/{record.index} may still run"
                 )
-        self.let_go(job, task)
         if expired:
+            # Before the binding is freed, so that the sums never sink in between.
             key = (record.job, record.index)
             endpoint.leave_unconfirmed(key, record.attempt, job.spec.size)
+        self.let_go(job, task)
         if record.checkpoint:
             task.checkpoint = record.checkpoint
         if job.cancelled:
--- a/tests/shard/test_state.py
+++ b/tests/shard/test_state.py
@@ -213,3 +213,15 @@
     assert (state.jobs["minutes"].next_index, state.jobs["minutes"].untouched) == (2, 1)
     with pytest.raises(errors.StaleAttemptError):
         state.apply(wire.Record(move=wire.Move("minutes", 2, 2, "b", "other")))
+
+
+def test_shrunk_endpoint_keeps_what_an_expired_attempt_may_use(state):
+    state.apply(factory.bind())
+    state.apply(factory.endpoint(processors=500))
+    factory.lose(state, free_at=40.0)
+    state.apply(factory.released(evidence=wire.Evidence.EXPIRED, at=50.0))
+    state.check()
+    assert state.endpoints["e-0"].processors == 1000
+    state.apply(wire.Record(cleared=wire.Cleared("e-0", "minutes", 0, 1)))
+    state.check()
+    assert not state.endpoints["e-0"].shrunk
