Lend teams' quotas to failure domains in parts that follow their work

Cause: a quota was split equally over the domains that are in. A team with uneven work reached its part in one domain while the others' lay idle, and a task larger than a part never ran. The sum was not bounded either: domains that know different documents or live lists computed different parts.

Ruled out: counting over all domains with every binding (a partition withholds the sums); parts in proportion to processors (the same faults as equal ones); moving work to where a part is free (no help to a large task); deadlines on parts (a scheduler that pauses in an append past its deadline binds all the same).

The adopter gives up the parts of domains without entry VMs. `quotas = equal` is the baseline. A few lines in services/scheduler.py and adopter.py use it. `waiting` stood twice and is in policy/planner.py now.

--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -83,15 +83,10 @@
     """Return the `Space` that a domain's own waiting tasks leave."""
     space = Space(state)
     for job in planner.queue(state):
-        space.take(job.spec.size, waiting(job))
+        space.take(job.spec.size, planner.waiting(job))
     return space
 
 
-def waiting(job):
-    """Return how many tasks of ``job`` wait."""
-    return job.untouched + sum(t.phase == Phase.WAITING for t in job.tasks.values())
-
-
 def surplus(state, leaving=False, hopeless=()):
     """Return (job, tasks that should move), urgent jobs first.
 
@@ -99,13 +94,13 @@
     Otherwise the jobs whose ids are in ``hopeless`` stay, as they fit nowhere.
     """
     if state.out or leaving:
-        return [(job, waiting(job)) for job in planner.queue(state)]
+        return [(job, planner.waiting(job)) for job in planner.queue(state)]
     space = Space(state)
     found = []
     for job in planner.queue(state):
         if job.spec.id in hopeless:
             continue
-        wanted = waiting(job)
+        wanted = planner.waiting(job)
         left = wanted - space.take(job.spec.size, wanted)
         if left:
             found.append((job, left))
--- a/clementinebay/policy/eviction.py
+++ b/clementinebay/policy/eviction.py
@@ -1,5 +1,6 @@
 """Which running work gives way to urgent work, at the least lost work."""
 
+from clementinebay.policy import planner
 from clementinebay.policy.placement import Room
 from clementinebay.shard.entities import HOLDING, Phase
 from clementinebay.shard.wire import ttypes as wire
@@ -132,7 +133,7 @@
     records = []
     for job in urgent:
         spec = job.spec
-        for _task in range(waiting(job)):
+        for _task in range(planner.waiting(job)):
             if len(records) >= RELEASES_PER_DECISION:
                 return records
             if not ledger.allows(spec.team, spec.size):
@@ -145,11 +146,6 @@
     return records
 
 
-def waiting(job):
-    """Return how many tasks of ``job`` wait."""
-    return job.untouched + sum(t.phase == Phase.WAITING for t in job.tasks.values())
-
-
 def release(victim, reason):
     """Return the record that evicts ``victim``."""
     task = victim.task
--- a/clementinebay/policy/planner.py
+++ b/clementinebay/policy/planner.py
@@ -63,6 +63,11 @@
     return any(task.phase == Phase.WAITING for task in job.tasks.values())
 
 
+def waiting(job):
+    """Return how many tasks of ``job`` wait."""
+    return job.untouched + sum(t.phase == Phase.WAITING for t in job.tasks.values())
+
+
 class Planner:
     """Makes one decision; ``health`` and ``ledger`` say what is held back."""
 
--- a/clementinebay/services/adopter.py
+++ b/clementinebay/services/adopter.py
@@ -10,7 +10,8 @@
 from clementinebay import errors
 from clementinebay.endpoint.base import Renewal
 from clementinebay.log import Log
-from clementinebay.policy import adoption, attempts, balance, membership
+from clementinebay.policy import adoption, attempts, balance, membership, quota
+from clementinebay.quotaparts import QuotaParts
 from clementinebay.service import Service
 from clementinebay.services.dispatcher import EndpointOrders
 from clementinebay.shard import transfer
@@ -94,6 +95,9 @@
         self.orders = EndpointOrders(
             self, self.driver, self.clock, self.settings.scheduler_tick_seconds
         )
+        self.parts = QuotaParts(
+            adopter.kernel.find("platform").control, domain, self.clock
+        )
         self.leader = LeaderLease(
             adopter.kernel.find("platform").control,
             domain,
@@ -109,8 +113,11 @@
     async def tick(self):
         """Make one round of decisions, write them, and act on the state."""
         if not await self.leader.hold():
+            self.parts.begin()
             return
         await self.log.catch_up()
+        totals = quota.totals(self.adopter.config.document)
+        await self.parts.adjust(self.log, totals, leaving=True)
         names = list(self.log.state.endpoints)
         await asyncio.gather(*(self.renew(name) for name in names))
         for part in split(self.orders.take_records() + self.decide()):
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -6,6 +6,7 @@
 from clementinebay.log import Log
 from clementinebay.policy import eviction, membership, placement, planner, quota
 from clementinebay.policy.taskhealth import ParkReason, TaskHealth
+from clementinebay.quotaparts import QuotaParts
 from clementinebay.service import Service
 from clementinebay.shard.entities import Phase
 from clementinebay.shard.leader import LeaderLease
@@ -52,6 +53,9 @@
             settings.scheduler_leader_seconds,
             self.clock,
         )
+        store = self.kernel.find("platform").control
+        self.parts = QuotaParts(store, self.domain, self.clock)
+        self.background.spawn(self.follow_parts)
         self.health = TaskHealth()
         self.decided = None
         self.compared = None
@@ -78,10 +82,23 @@
         """Begin with what the state remembers of failures."""
         self.health = TaskHealth()
         self.health.learn_state(self.shard.state)
+        self.parts.begin()
         self.decided = None
 
+    async def follow_parts(self):
+        """Follow the parts of quotas while this daemon schedules."""
+        while True:
+            try:
+                await self.parts.follow()
+            except errors.PlatformError as error:
+                log.debug("Following the quotas again: %s.", error)
+            await asyncio.sleep(self.settings.scheduler_poll_seconds)
+
     async def tick(self):
         """Make one round of decisions, write them, and act on the state."""
+        if self.settings.scheduler_quotas == "lent":
+            totals = quota.totals(self.config.document)
+            await self.parts.adjust(self.shard.log, totals)
         records = self.outcomes() + self.decide_if_changed()
         if records:
             try:
@@ -114,6 +131,7 @@
             self.config.document.revision,
             self.health.version,
             self.first_lease() > now,
+            *self.quotas().items(),
         )
         if key == self.decided and now < self.look_again_at:
             return records
@@ -176,6 +194,8 @@
 
     def quotas(self):
         """Return the limits of teams in this domain."""
+        if self.settings.scheduler_quotas == "lent":
+            return self.parts.limits
         document = self.config.document
         domains = [
             name
--- a/clementinebay/settings.py
+++ b/clementinebay/settings.py
@@ -180,6 +180,13 @@
         "Whether work moves to domains with room.",
         choices=("on", "off"),
     ),
+    Option(
+        "scheduler",
+        "quotas",
+        "lent",
+        "How quotas are split: lent to domains as they need, or equally.",
+        choices=("lent", "equal"),
+    ),
     Option(
         "scheduler",
         "task_health",
--- /dev/null
+++ b/tests/system/test_quotas.py
@@ -0,0 +1,74 @@
+import pytest
+
+from clementinebay import registry
+from standins.cluster import Cluster, wait_for
+from tests.system import helpers
+
+DOMAINS = ("a", "b", "c")
+QUOTA = 6
+
+
+@pytest.fixture
+def cluster():
+    with Cluster(
+        DOMAINS,
+        daemons=1,
+        endpoints=1,
+        processors=64,
+        extra=helpers.SHORT,
+        proxied=True,
+    ) as cluster:
+        answer = helpers.apply(
+            cluster.daemons[0], {"team:t": f"processors = {QUOTA}\n"}, 0
+        )
+        assert answer.status_code < 300, answer.text
+        revision = answer.json()["revision"]
+        for daemon in cluster.daemons:
+            wait_for(
+                "the quota",
+                lambda d=daemon: cluster.status(d)["config_revision"] >= revision,
+            )
+        yield cluster
+
+
+def submit_in(cluster, domain, count, **fields):
+    """Submit single tasks that begin in ``domain`` through its daemon."""
+    operator = next(d for d in cluster.daemons if d.domain == domain)
+    names = (f"u-{number}" for number in range(10_000))
+    for name in names:
+        if count and registry.split(name, 1, DOMAINS)[0].domain == domain:
+            helpers.submit(operator, name, team="t", **fields)
+            count -= 1
+
+
+def used(cluster):
+    """Return the running tasks by domain; they never exceed the quota together."""
+    found = dict.fromkeys(DOMAINS, 0)
+    for run in cluster.runs():
+        if run["state"] == "running":
+            found[run["endpoint"][0]] += 1
+    assert sum(found.values()) <= QUOTA
+    return found
+
+
+def test_quota_follows_the_work_and_holds_under_a_partition(cluster):
+    submit_in(cluster, "a", 30, run_seconds=1.0)
+    wait_for("the whole quota in a", lambda: used(cluster)["a"] == QUOTA)
+    submit_in(cluster, "b", 30, run_seconds=1.0)
+    wait_for("a part in b", lambda: used(cluster)["b"] == QUOTA // 2)
+    cluster.cut_from_platform("a-*")
+    cluster.cut_from_domains("a")
+    for _look in range(20):
+        used(cluster)
+        helpers.pause(0.2)
+    cluster.heal()
+    wait_for("both again", lambda: used(cluster)["a"] and used(cluster)["b"])
+    assert not cluster.violations()
+
+
+def test_task_larger_than_an_equal_share_runs(cluster):
+    helpers.submit(
+        cluster.daemons[0], "large", 3, processors=4.0, team="t", run_seconds=0.5
+    )
+    helpers.wait_done(cluster.daemons[0], "large", 3, seconds=30)
+    assert not cluster.violations()
