--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -159,6 +159,38 @@
         assert outcomes.count("not-run") == 20
 
 
+async def test_a_late_loop_refuses_the_client_that_floods(clock, store):
+    async with Bed(clock, store, replicas=1) as bed:
+        bed.driver.held = asyncio.Event()
+        flood = [asyncio.create_task(bed.outcome(client="flood")) for _n in range(60)]
+        quiet = asyncio.create_task(bed.outcome(client="quiet"))
+        await settle()
+        for _look in range(20):
+            bed.router.clients.look(0.1, clock.now())
+        asked = len(bed.driver.asked)
+        assert await bed.outcome(client="flood") == "not-run"
+        assert len(bed.driver.asked) == asked
+        bed.driver.held.set()
+        assert await bed.outcome(client="quiet") == "done"
+        assert set(await asyncio.gather(quiet, *flood)) == {"done"}
+        assert not any(usage.held for usage in bed.router.clients.clients.values())
+
+
+async def test_what_cannot_end_in_time_any_more_is_not_sent(clock, store):
+    async with Bed(clock, store, replicas=1) as bed:
+        lane = bed.router.lane("call-in")
+        lane.load.note(0.5, clock.now())
+        bed.driver.held = asyncio.Event()
+        sent = [asyncio.create_task(bed.outcome()) for _n in range(9)]
+        await settle()
+        clock.advance(4.6)
+        lane.load.note(0.5, clock.now())
+        bed.driver.held.set()
+        outcomes = await asyncio.gather(*sent)
+        assert outcomes.count("not-run") == 1
+        assert len(bed.driver.asked) == 8
+
+
 async def test_a_late_answer_is_hedged_and_nothing_leaks(clock, store):
     async with Bed(clock, store, replicas=2) as bed:
         hanging = asyncio.Event()
