--- a/bench/roundtrip.py
+++ b/bench/roundtrip.py
@@ -7,11 +7,13 @@
 import csv
 import os
 
-from bench import demo, load
+from bench import demo, load, openload
 from standins.cluster import ROOT, Cluster, wait_for
 
 SERVICE = "call-in"
 CONNECTIONS = (1, 8, 32)
+#: Shares of what one daemon sustains at the most connections, for random arrivals.
+OPEN_SHARES = (0.5, 0.8)
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
@@ -71,10 +73,28 @@
             }
 
 
+def open_rows(cluster, seconds, most_rps, seed):
+    """Yield rows of random arrivals at shares of ``most_rps``, through one daemon."""
+    ways = targets(cluster)
+    for share in OPEN_SHARES:
+        for name in ("straight", "one daemon"):
+            result = openload.measure(ways[name][0], share * most_rps, seconds, seed)
+            yield {
+                "connections": f"open {share:.0%}",
+                "way": name,
+                "p50_ms": round(result["p50_ms"], 2),
+                "p99_ms": round(result["p99_ms"], 2),
+                "rps": round(result["rps"]),
+                "failed": result["failed"],
+                "daemon_us": "",
+            }
+
+
 def main():
     """Measure and print."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=3.0)
+    parser.add_argument("--seed", type=int, default=1, help="of random arrivals")
     parser.add_argument("--sample-percent", type=float, default=1.0)
     arguments = parser.parse_args()
     options = {"daemons": 1, "endpoints": 1, "sample": arguments.sample_percent}
@@ -85,7 +105,11 @@
         found = []
         for row in rows(cluster, arguments.seconds):
             found.append(row)
-            print("  ".join(f"{key} {value}" for key, value in row.items()), flush=True)
+            show(row)
+        most = next(r["rps"] for r in reversed(found) if r["way"] == "one daemon")
+        for row in open_rows(cluster, arguments.seconds, most, arguments.seed):
+            found.append(row)
+            show(row)
     os.makedirs(os.path.join(ROOT, "out"), exist_ok=True)
     with open(os.path.join(ROOT, "out", "roundtrip.csv"), "w", newline="") as file:
         writer = csv.DictWriter(file, found[0])
@@ -93,5 +117,10 @@
         writer.writerows(found)
 
 
+def show(row):
+    """Print a row."""
+    print("  ".join(f"{key} {value}" for key, value in row.items()), flush=True)
+
+
 if __name__ == "__main__":
     main()
--- a/clementinebay/policy/routing.py
+++ b/clementinebay/policy/routing.py
@@ -100,8 +100,14 @@
 
     def choose(self, replicas, loads, rng, now):
         """See `RoutingPolicy`."""
-        pair = rng.sample(replicas, min(2, len(replicas)))
-        return min(pair, key=lambda replica: loads[replica.endpoint].expected(now))
+        count = len(replicas)
+        first = int(rng.random() * count)
+        # A second one that differs; much cheaper than rng.sample.
+        second = (first + 1 + int(rng.random() * (count - 1))) % count
+        one, other = replicas[first], replicas[second]
+        if loads[other.endpoint].expected(now) < loads[one.endpoint].expected(now):
+            return other
+        return one
 
 
 class LeastInFlight(RoutingPolicy):
