--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -317,6 +317,16 @@
         # The answer may be one that the platform was told to lose.
         self.http.post(f"{self.platform_url}/v3/kv/txn", json=body)
 
+    def restart_endpoints(self, domain):
+        """End the endpoints of a domain at once and start them; they forget all."""
+        process = next(p for p in self.processes if p.name == f"endpoints-{domain}")
+        process.kill()
+        process.start()
+        for name, address in self.endpoints.items():
+            if name.startswith(f"{domain}-"):
+                url = f"http://{address}/control/runs"
+                wait_for(f"endpoint {name}", lambda url=url: self.http.get(url))
+
     def restart(self, daemon):
         """Start a daemon again that has ended, and wait until it is ready."""
         daemon.process.start()
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -29,7 +29,9 @@
 class Endpoint:
     """One worker with its tasks, slots and faults."""
 
-    def __init__(self, name, processors_milli, memory_mb, accelerators, slots, seed):
+    def __init__(
+        self, name, processors_milli, memory_mb, accelerators, slots, seed, boot_bar
+    ):
         self.name = name
         self.limits = (processors_milli, memory_mb, accelerators)
         self.slots = asyncio.Semaphore(slots)
@@ -40,6 +42,8 @@
         self.meter = UsageMeter()
         self.runs = {}
         self.refused = set()
+        self.barred_until = self.clock.now() + boot_bar
+        self.barred = []
         self.version = 0
         self.violations = []
         self.requests = []
@@ -135,7 +139,10 @@
     # Tasks
 
     async def start(self, call):
-        """Start an attempt unless it is late or was stopped before."""
+        """Start an attempt unless it is late, was stopped before, or may have been.
+
+        A worker that was started lately has forgotten what was stopped.
+        """
         order = call.json()
         key = (order["job"], order["index"], order["attempt"])
         now = self.clock.now()
@@ -145,6 +152,9 @@
             return web.Reply({"code": "stopped-before"}, 409)
         if now > order["lease_deadline"]:
             return web.Reply({"code": "lease-passed"}, 409)
+        if order["lease_deadline"] < self.barred_until:
+            self.barred.append(order["origin"])
+            return web.Reply({"code": "before-boot"}, 409)
         run = Run(order, now, self.seed, self.faults["wrong_factor"])
         self.runs[key] = run
         self.touch(run)
@@ -277,7 +287,9 @@
     async def control_runs(self, _call):
         """Return all runs and violations."""
         runs = [run.record() for run in self.runs.values()]
-        return web.Reply({"runs": runs, "violations": self.violations})
+        return web.Reply(
+            {"runs": runs, "violations": self.violations, "barred": self.barred}
+        )
 
     async def control_requests(self, _call):
         """Return the ids of all requests that ran."""
@@ -294,6 +306,7 @@
             arguments.accelerators,
             arguments.slots,
             arguments.seed,
+            arguments.boot_bar_seconds,
         )
         for number in range(arguments.count)
     }
@@ -314,6 +327,12 @@
     parser.add_argument("--accelerators", type=int, default=0)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--boot-bar-seconds",
+        type=float,
+        default=0.0,
+        help="refuse starts whose deadline lies within so long of this one's start",
+    )
     asyncio.run(serve(parser.parse_args()))
 
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -12,9 +12,11 @@
 reset     "before" any byte goes up, or "after", when the first answer comes back
 truncate  bytes that go down before the connection is closed, -1 for all
 swap      whether the first answers of two connections are exchanged
+park      whether new connections wait, before the target is reached, for "unpark"
 ========  ==================================================================
 
-``{"sever": true}`` resets the connections that are open now.
+``{"sever": true}`` resets the connections that are open now, ``{"unpark": true}`` lets
+those that wait go on.
 """
 
 import argparse
@@ -45,6 +47,7 @@
     "reset": "",
     "truncate": -1,
     "swap": False,
+    "park": False,
 }
 
 
@@ -58,6 +61,7 @@
         self.rng = random.Random(seed)
         self.faults = dict(NO_FAULTS)
         self.changed = asyncio.Event()
+        self.unparked = asyncio.Event()
         self.pairs = set()
         self.lone_answer = None
 
@@ -66,6 +70,9 @@
         if faults.pop("sever", False):
             for pair in list(self.pairs):
                 pair.reset()
+        if faults.pop("unpark", False):
+            self.unparked.set()
+            self.unparked = asyncio.Event()
         self.faults.update(faults)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -75,6 +82,8 @@
         if self.faults["refuse"]:
             abort(writer)
             return
+        if self.faults["park"]:
+            await self.unparked.wait()
         try:
             target = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
--- a/tests/system/test_tickets.py
+++ b/tests/system/test_tickets.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 TICKETS = 8
