--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -12,7 +12,8 @@
 
 from bench.colocated import count, metric, print_table, submit, write_csv
 from clementinebay import registry
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 
 DOMAINS = ("a", "b", "c")
 ENDPOINTS = 3
--- a/tests/system/test_quotas.py
+++ b/tests/system/test_quotas.py
@@ -1,7 +1,8 @@
 import pytest
 
 from clementinebay import registry
-from standins.cluster import Cluster, wait_for
+from standins.cluster import Cluster
+from standins.process import wait_for
 from tests.system import helpers
 
 DOMAINS = ("a", "b", "c")
