--- a/tests/shard/machine.py
+++ b/tests/shard/machine.py
@@ -3,8 +3,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, precondition, rule
 
+from clementinebay import errors
 from clementinebay.shard.wire import ttypes as wire
-from tests.shard import world
+from tests.shard import limits, world
 from tests.shard.situations import DAEMONS, ENDPOINTS, Situations
 
 #: How calls end; most succeed.
@@ -60,7 +61,7 @@
     def claim(self, daemon, key):
         self.daemon(daemon).begin(self.daemon(daemon).claim(f"key-{key}"))
 
-    @rule(domain=st.sampled_from(world.DOMAINS), out=st.booleans())
+    @rule(domain=st.sampled_from(limits.DOMAINS), out=st.booleans())
     def change_domain(self, domain, out):
         self.world.change_domain(domain, out)
 
@@ -129,7 +130,7 @@
         late = self.world.late
         try:
             late.pop(number % len(late))()
-        except world.errors.PlatformError:
+        except errors.PlatformError:
             pass
         self.world.check()
 
@@ -195,7 +196,7 @@
     def calm(self):
         self.world.hidden.clear()
         self.world.leaving.clear()
-        for domain in world.DOMAINS:
+        for domain in limits.DOMAINS:
             self.world.change_domain(domain, False)
         for endpoint in self.world.endpoints.values():
             endpoint.granted = endpoint.processors = 2000
--- /dev/null
+++ b/tests/shard/modelstore.py
@@ -0,0 +1,78 @@
+"""The model's clocks and its store, whose calls end as the machine says."""
+
+import types
+
+from clementinebay import errors
+from clementinebay.clock import Clock
+from clementinebay.platform.base import KeyValueStore
+
+
+class SkewedClock(Clock):
+    """The world's time and a constant."""
+
+    def __init__(self, world, offset):
+        self.world = world
+        self.offset = offset
+
+    def now(self):
+        return self.world.time + self.offset
+
+    async def sleep(self, seconds):
+        await ask("sleep")
+
+
+@types.coroutine
+def ask(kind):
+    """Suspend the operation until the machine says how its next call ends."""
+    return (yield kind)
+
+
+class FaultyStore(KeyValueStore):
+    """A store whose every call waits for a word: do, refuse, lose, late or hold.
+
+    A call that is lost took effect, one that is late may do so at any time.  The answer
+    of one that is held waits for another word.
+    """
+
+    def __init__(self, world):
+        self.world = world
+        self.space = world.space
+
+    async def call(self, kind, action):
+        word = await ask(kind)
+        if word == "refuse":
+            raise errors.PlatformUnavailableError("refused")
+        if word == "late":
+            self.world.late.append(action)
+            raise errors.PlatformOutcomeUnknownError("late")
+        answer = action()
+        if word == "hold":
+            await ask("answer")
+        if word == "lose":
+            raise errors.PlatformOutcomeUnknownError("lost")
+        return answer
+
+    async def get(self, key):
+        return await self.call("read", lambda: self.space.get(key))
+
+    async def scan(self, start, end, limit=0):
+        space = self.space
+        return await self.call(
+            "read", lambda: (space.range(start, end, limit), space.revision)
+        )
+
+    async def commit(self, compares, puts=(), deletes=()):
+        write = (compares, puts, deletes)
+        return await self.call("write", lambda: self.space.commit(*write))
+
+    async def grant(self, ttl):
+        return await self.call("write", lambda: self.space.grant(ttl))
+
+    async def keep_alive(self, lease):
+        return await self.call("write", lambda: self.space.keep_alive(lease))
+
+    async def revoke(self, lease):
+        return await self.call("write", lambda: self.space.revoke(lease))
+
+    def watch(self, start, end, revision):
+        raise NotImplementedError
--- a/tests/shard/mutants.py
+++ b/tests/shard/mutants.py
@@ -21,7 +21,7 @@
 from clementinebay.shard.entities import EndpointState
 from clementinebay.shard.log import ShardLog
 from clementinebay.shard.state import State
-from tests.shard import world
+from tests.shard import limits, modelstore
 from tests.shard.machine import ShardMachine
 
 #: Lease of a start whose binding's end is not kept, in seconds.
@@ -86,7 +86,7 @@
     """Let the leases of a lost endpoint end by the clock of who says so."""
 
     def endpoint_records(state, vms, now, free_at):
-        return original(state, vms, now, free_at - 2 * world.SKEW)
+        return original(state, vms, now, free_at - 2 * limits.SKEW)
 
     return endpoint_records
 
@@ -220,7 +220,7 @@
 MUTANTS = (
     Mutant(
         "comparison of the snapshot's version",
-        (world.FaultyStore, "commit", without_compare("/snapshot")),
+        (modelstore.FaultyStore, "commit", without_compare("/snapshot")),
     ),
     Mutant("check of free capacity", (EndpointState, "fits", constant(True))),
     Mutant(
@@ -261,7 +261,7 @@
     Mutant("part named by its move", (balance.Balancer, "__init__", unnamed_part)),
     Mutant(
         "comparison at the next index",
-        (world.FaultyStore, "commit", without_compare("/log/")),
+        (modelstore.FaultyStore, "commit", without_compare("/log/")),
     ),
 )
 
--- a/tests/shard/situations.py
+++ b/tests/shard/situations.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from clementinebay import errors
 from clementinebay.shard.wire import ttypes as wire
-from tests.shard import factory, world
+from tests.shard import factory, limits
 
 DAEMONS = st.integers(0, 3)
-DOMAINS = st.sampled_from(world.DOMAINS)
+DOMAINS = st.sampled_from(limits.DOMAINS)
 ENDPOINTS = st.sampled_from(["a0", "a1", "b0", "b1"])
 #: How many calls an operation makes before its daemon sleeps.
 CALLS = st.integers(0, 5)
@@ -117,7 +118,7 @@
         for action in late:
             try:
                 action()
-            except world.errors.PlatformError:
+            except errors.PlatformError:
                 pass
             self.world.check()
 
@@ -260,7 +261,7 @@
 
     def other(self, domain):
         """Return the domain that ``domain`` moves its work to."""
-        return world.DOMAINS[1 - world.DOMAINS.index(domain)]
+        return limits.DOMAINS[1 - limits.DOMAINS.index(domain)]
 
     @rule(domain=DOMAINS, turns=st.integers(1, 3))
     def swing(self, domain, turns):
