--- a/bench/requests.py
+++ b/bench/requests.py
@@ -98,9 +98,9 @@
                 return float(line.split()[-1])
         return 0.0
 
-    def send(self, arrivals, seconds, actions=(), key=None, seed=SEED):
+    def send(self, arrivals, seconds, actions=(), **options):
         """Send {client: rate} for ``seconds``; return the results."""
-        return asyncio.run(send_all(self.url, arrivals, seconds, actions, key, seed))
+        return asyncio.run(send_all(self.url, arrivals, seconds, actions, **options))
 
 
 def send_apart(url, arrivals, seconds, seed):
@@ -108,7 +108,9 @@
     asyncio.run(send_all(url, arrivals, seconds, seed=seed))
 
 
-async def send_all(url, arrivals, seconds, actions=(), key=None, seed=SEED):
+async def send_all(
+    url, arrivals, seconds, actions=(), key=None, seed=SEED, repeatable=False
+):
     """Send at arrival times fixed by the seed; run (time, action) meanwhile.
 
     ``key`` is a coroutine function of (session, url) that returns a once-only key.
@@ -130,17 +132,19 @@
             delay = start + at - time.perf_counter()
             if delay > 0:
                 await asyncio.sleep(delay)
-            sending = send(session, url, client, at, results, key)
+            sending = send(session, url, client, at, results, key, repeatable)
             tasks.append(asyncio.create_task(sending))
         await asyncio.gather(*tasks)
     return results
 
 
-async def send(session, url, client, at, results, key=None):
+async def send(session, url, client, at, results, key=None, repeatable=False):
     """Send one request that has two seconds."""
     deadline = time.time() + 2.0
     headers = {"X-Client": client, "X-Deadline": f"{deadline:.3f}"}
     start = time.perf_counter()
+    if repeatable:
+        headers["X-Repeatable"] = "true"
     if key is not None:
         headers["Idempotency-Key"] = await key(session, url)
     async with session.post(url, data=b"x" * 200, headers=headers) as answer:
@@ -292,6 +296,48 @@
             }
 
 
+def hang():
+    """Yield rows of 24 endpoints of which one, then all hang from 2 s to 5 s."""
+    for name, options in (("baseline", BASELINE), ("policy", {})):
+        for hanging in ("a-0", None):
+            with Bed(24, options) as bed:
+                bed.faults(service_seconds=0.02)
+                bed.send({"warm": 100}, 1.0)
+                for repeatable in (False, True):
+                    yield {
+                        "way": name,
+                        "hanging": "one" if hanging else "all",
+                        "repeatable": repeatable,
+                        **hang_row(bed, hanging, repeatable),
+                    }
+
+
+def hang_row(bed, hanging, repeatable):
+    """Return what 300 requests a second see while ``hanging``, or all, hang."""
+    names = ("retries", "hedges", "ejections")
+    before = [bed.counter(name) for name in names]
+    actions = (
+        (2.0, lambda: bed.faults(hanging, hang_requests=True)),
+        (5.0, lambda: bed.faults(hanging, hang_requests=False)),
+    )
+    results = bed.send({"c": 300}, 9.0, actions, repeatable=repeatable)
+    retries, hedges, ejections = (
+        bed.counter(name) - earlier for name, earlier in zip(names, before, strict=True)
+    )
+    failed = [r.at for r in results if r.outcome != "done"]
+    during = sum(2.0 <= r.at < 5.0 for r in results)
+    return {
+        "arrivals": during,
+        "offered_ratio": round((during + retries + hedges) / during, 2),
+        "not_run": count(results, "not-run"),
+        "unknown": count(results, "unknown"),
+        "last_failure_s_after_end": round(max(failed) - 5.0, 2) if failed else None,
+        "p50_ms": milliseconds(results, 0.5),
+        "p99_ms": milliseconds(results, 0.99),
+        "ejections": ejections,
+    }
+
+
 async def new_key(_session, _url):
     """Return a key of the client's own."""
     return uuid.uuid4().hex
@@ -329,6 +375,7 @@
     "flood": flood,
     "outage": outage,
     "bad-endpoint": bad_endpoint,
+    "hang": hang,
 }
 
 
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -4,8 +4,9 @@
 over-commit.  ``GET /control/runs`` lists every run with its times, so that a test can
 look for runs of one task that overlap.  Faults are set by ``POST /control/faults``:
 ``service_seconds`` (mean time of a request), ``fail_tasks`` (kinds whose tasks fail, or
-``["*"]``), ``fail_requests`` (refuse every request at once), ``cross_answers`` (give
-each answer to another request), ``answer_factor`` (the answer repeats the body so many
+``["*"]``), ``fail_requests`` (refuse every request at once), ``hang_requests`` (take
+requests and answer none), ``cross_answers`` (give each answer to another request),
+``answer_factor`` (the answer repeats the body so many
 times), ``run_factor`` (real over declared run time),
 ``wrong_factor`` (bound of the factor by which real sizes and run times are wrong),
 ``lag_seconds`` (age of measured usage), ``checkpoint_seconds`` (time between two
@@ -49,6 +50,7 @@
             "service_seconds": 0.0,
             "fail_tasks": [],
             "fail_requests": False,
+            "hang_requests": False,
             "cross_answers": False,
             "answer_factor": 1,
             "run_factor": 1.0,
@@ -93,6 +95,8 @@
             return web.Reply(b"fault", 500, not_run)
         if not self.serves(service):
             return web.Reply(b"no replica", 503, not_run)
+        while self.faults["hang_requests"]:
+            await asyncio.sleep(STEP_SECONDS)
         async with self.slots:
             self.requests.append(request_id)
             await self.spend_service_time(service)
