Eject no endpoint by successes from before all hung

Change: another endpoint must have worked since this one's failure before. The new test fails without it. Ruled out: faster fading, which also forgets real outliers.

--- a/clementinebay/policy/health.py
+++ b/clementinebay/policy/health.py
@@ -22,13 +22,16 @@
 class Health:
     """Counts of one endpoint, faded up to ``counted_at``.
 
-    While ``probing`` it takes one request at a time.
+    While ``probing`` it takes one request at a time.  ``worked_at`` and ``failed_at``
+    are the times of the last success and the last failure.
     """
 
     __slots__ = (
         "attempts",
         "failures",
         "counted_at",
+        "worked_at",
+        "failed_at",
         "ejected_until",
         "ejections",
         "probing",
@@ -38,6 +41,8 @@
         self.attempts = 0.0
         self.failures = 0.0
         self.counted_at = now
+        self.worked_at = 0.0
+        self.failed_at = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
         self.probing = 0
@@ -90,15 +95,30 @@
         health.failures += not ok
         if health.probing:
             return self.note_probe(endpoint, ok, now)
-        if health.attempts < LEAST_ATTEMPTS or health.share < FAILING_SHARE:
-            return False
-        if not self.others_work(health, now):
-            return False
-        if len(self.troubled) >= self.most:
+        before = health.failed_at
+        if ok:
+            health.worked_at = now
+        else:
+            health.failed_at = now
+        if not self.is_outlier(health, before, now):
             return False
         self.eject(endpoint, now)
         return True
 
+    def is_outlier(self, health, since, now):
+        """Return whether an endpoint, and not all, fails and may be ejected.
+
+        Another one must have worked ``since`` the failure before; when all hang, the
+        first whose requests time out would be judged by successes from before.
+        """
+        return (
+            health.attempts >= LEAST_ATTEMPTS
+            and health.share >= FAILING_SHARE
+            and len(self.troubled) < self.most
+            and any(h.worked_at > since for h in self.known.values() if h is not health)
+            and self.others_work(health, now)
+        )
+
     def note_probe(self, endpoint, ok, now):
         """Count an attempt at an endpoint on probation."""
         health = self.known[endpoint]
--- a/tests/policy/test_health.py
+++ b/tests/policy/test_health.py
@@ -49,3 +49,24 @@
     run(ejector, {"e3"}, 4)
     run(ejector, set(NAMES), 30, start=4.0)
     assert ejector.known["e3"].ejected_until < 34.0 + 2 * health.FIRST_SECONDS
+
+
+def test_a_hang_of_all_ejects_none_when_the_first_of_them_time_out():
+    ejector = health.Ejector()
+    for number in range(1200):
+        ejector.note(NAMES[number % 24], True, number / 1200)
+    timeouts = [(name, number) for name in NAMES for number in range(12)]
+    ejected = [ejector.note(name, False, 8.0 + n / 1000) for name, n in timeouts]
+    assert ejector.known["e0"].share >= health.FAILING_SHARE
+    assert not any(ejected)
+
+
+def test_a_hang_of_one_ejects_it():
+    ejector = health.Ejector()
+    ejected = []
+    for number in range(3000):
+        now = number / 300
+        name = NAMES[number % 24]
+        ejected.append(ejector.note(name, name != "e3" or now < 4.0, now))
+    assert ejected.count(True) >= 1
+    assert ejector.troubled == {"e3"}
