Count a cancelled copy neither as success nor as failure of its endpoint

Cause: a hanging endpoint whose requests were hedged looked healthy, as each cancelled copy was noted as worked. Its latency so far is still learned. The test fails without.

--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -190,7 +190,7 @@
     async def send(self, request, replica, lane):
         """Send ``request`` to a replica where it holds a place."""
         start = self.clock.now()
-        worked = False
+        worked = cancelled = False
         try:
             with self.tracer.span("endpoint", endpoint=replica.endpoint):
                 status, body = await self.driver.request(
@@ -211,20 +211,26 @@
         except errors.EndpointAnswerLostError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
         except asyncio.CancelledError:
-            worked = True
+            cancelled = True
             raise
         finally:
-            self.note(request.service, replica, worked, start)
+            self.note_latency(lane, replica, worked or cancelled, start)
+            if not cancelled:
+                self.note_health(replica, worked)
             lane.free(replica)
 
-    def note(self, service, replica, worked, start):
-        """Learn from one attempt at a replica."""
+    def note_latency(self, lane, replica, known, start):
+        """Learn a latency, or that it is longer than so far; not from a failure."""
+        if not known:
+            return
         now = self.clock.now()
-        if worked:
-            self.loads[replica.endpoint].note(now - start, now)
-            self.lane(service).load.note(now - start, now)
-            self.hedges[service].note(now - start)
-        if self.ejector.note(replica.endpoint, worked, now):
+        self.loads[replica.endpoint].note(now - start, now)
+        lane.load.note(now - start, now)
+        self.hedges[lane.service].note(now - start)
+
+    def note_health(self, replica, worked):
+        """Count an attempt at a replica; one that was cancelled shows nothing."""
+        if self.ejector.note(replica.endpoint, worked, self.clock.now()):
             metrics.EJECTIONS.inc()
 
     async def send_hedged(self, request, replica, lane, excluded):
--- a/tests/services/test_router.py
+++ b/tests/services/test_router.py
@@ -204,6 +204,7 @@
         bed.driver.script = {"e0": hang}
         assert await bed.outcome(repeatable=True) == "done"
         await settle()
+        assert "e0" not in bed.router.ejector.known
         assert all(not load.in_flight for load in bed.router.loads.values())
 
 
