Let a domain that gives up a part of a quota replace no tasks that end

A domain whose part is too large may lower it only to what it holds. It went on binding within the old part, so whenever it looked, all of the part was held; ten looks a second had met the moment between an end and the next start by chance.

Ruled out: the platform and the needs of the other domain, which were written.

Change: while another domain lacks something, a domain binds no more than its fair amount, below its part, and the part follows what is still held. Limits are made anew after a write instead of set by it.

--- a/clementinebay/policy/lending.py
+++ b/clementinebay/policy/lending.py
@@ -154,9 +154,11 @@
 
 
 def next_need(domain, total, needs, use):
-    """Return the `Need` that ``domain`` should have, given {domain: `Need`}.
+    """Return (the `Need` that ``domain`` should have, what it should hold at most).
 
-    A part that is larger than fair is kept while no other domain lacks anything.
+    ``needs`` are {domain: `Need`}.  A part that is larger than fair is kept while no
+    other domain lacks anything; otherwise what ends is not replaced, and the part
+    follows what is still held.
     """
     old = needs.get(domain, Need())
     held = capped(use.held, total, beyond=True)
@@ -166,7 +168,7 @@
     needs = {**needs, domain: new}
     contended = others_lack(domain, needs)
     if contended:
-        target = tuple(map(max, held, Split(total, needs).run()[domain]))
+        target = Split(total, needs).run()[domain]
     elif new.lacking:
         target = capped(times(wanted, SPARE), total)
     else:
@@ -176,7 +178,7 @@
         max(h, change(p, t, more, contended))
         for h, p, t, more in zip(held, old.part, target, free, strict=True)
     )
-    return Need(part, wanted, step, use.since)
+    return Need(part, wanted, step, use.since), target if contended else part
 
 
 def others_lack(domain, needs):
--- a/clementinebay/quotaparts.py
+++ b/clementinebay/quotaparts.py
@@ -106,11 +106,9 @@
             if (at := self.written_at.get(team, 0.0)) <= latest
         )
         await asyncio.gather(
-            *(
-                self.write(team, totals[team], need)
-                for _at, team, need in due[:WRITES_AT_ONCE]
-            )
+            *(self.write(team, need) for _at, team, need in due[:WRITES_AT_ONCE])
         )
+        self.review(shard_log.state, totals, leaving)
 
     def review(self, state, totals, leaving):
         """Bring ``limits`` and the needs that are ``due`` up to date, if need be.
@@ -132,19 +130,18 @@
         for team, use in lending.uses(state, totals, leaving).items():
             needs, total = self.needs.get(team, {}), totals[team]
             old = needs.get(self.domain, lending.Need())
-            new = lending.next_need(self.domain, total, needs, use)
+            new, most = lending.next_need(self.domain, total, needs, use)
             if state.index <= self.index:
                 new = msgspec.structs.replace(
                     new, part=tuple(map(max, old.part, new.part))
                 )
             # What is about to be given up is not used any more.
-            self.limits[team] = lending.limit(
-                total, tuple(map(min, old.part, new.part))
-            )
+            most = tuple(map(min, old.part, new.part, most))
+            self.limits[team] = lending.limit(total, most)
             if self.loaded and lending.worth_writing(self.domain, needs, new):
                 self.due[team] = new
 
-    async def write(self, team, total, need):
+    async def write(self, team, need):
         """Write this domain's need unless another domain was first."""
         key, old = PREFIX + team, self.needs.get(team, {})
         needs = {**old, self.domain: need}
@@ -161,4 +158,3 @@
         else:
             self.versions[team], self.needs[team] = written, needs
             self.changes += 1
-            self.limits[team] = lending.limit(total, need.part)
