Bring replicas back to a failure domain that returned, the new one first

Cause: a replica that left with its domain is a task of the domain that took it, and nothing there asks where it came from; after a return all replicas stayed where they had been moved to.

Ruled out: moving the replica as a task (it stops before it starts); evening out over all domains (moves what was never elsewhere); a record of the pair.

A twin is submitted to the domain that the replica came from; when it runs, the replica's part is cancelled. One at a time for each service, 5 s after the return, and batch work gives way to it. shard/state.py: `_part` is public as `moved_spec`. bench/domain.py sends requests beside the batch work.

--- a/bench/domain.py
+++ b/bench/domain.py
@@ -3,15 +3,25 @@
 Run ``python -m bench.domain [--seed N]``: three domains full of batch work; one is
 taken out and brought back.  "balanced" moves work by what targets have free and brings
 work back; "even" sends all of it away in equal parts and moves nothing else; "no
-checkpoints" is "balanced" with endpoints that cannot checkpoint.  Results are printed
-and written to out/domain.csv, with the work of each second in out/domain-seconds.csv.
+checkpoints" is "balanced" with endpoints that cannot checkpoint.  Requests to a service
+with replicas in all domains arrive all the time.  Results are printed and written to
+out/domain.csv, with the work of each second in out/domain-seconds.csv.
 """
 
 import argparse
+import asyncio
 import random
+import threading
 import time
 
-from bench.colocated import metric, print_table, submit, work_done, write_csv
+from bench.colocated import (
+    Arrivals,
+    metric,
+    print_table,
+    submit,
+    work_done,
+    write_csv,
+)
 from standins.cluster import Cluster
 
 DOMAINS = ("a", "b", "c")
@@ -23,6 +33,9 @@
 BEFORE_SECONDS = 6
 OUT_SECONDS = 12
 AFTER_SECONDS = 12
+REPLICAS = 6
+#: Requests a second.
+RATE = 50.0
 #: Part of the work of a second before the outage from which a domain counts as back.
 BACK_PART = 0.9
 NEVER_SECONDS = 10_000.0
@@ -77,8 +90,13 @@
         for number in range(JOBS):
             seconds = RUN_SECONDS * rng.uniform(0.5, 1.5)
             submit(cluster, f"b-{number:02d}", count=TASKS, run_seconds=seconds)
+        submit(cluster, "call-in", count=REPLICAS, service=True, urgency="urgent")
         samples = []
         watch(cluster, 4.0, [])
+        calls = Arrivals(cluster.daemons, "call-in", RATE, seed)
+        seconds = BEFORE_SECONDS + OUT_SECONDS + AFTER_SECONDS
+        caller = threading.Thread(target=asyncio.run, args=(calls.run(seconds),))
+        caller.start()
         watch(cluster, BEFORE_SECONDS, samples)
         change(cluster, "c", "out")
         taken_out = len(samples) - 1
@@ -86,6 +104,8 @@
         change(cluster, "c", "in")
         brought_in = len(samples) - 1
         watch(cluster, AFTER_SECONDS, samples)
+        at_home = replicas_in(cluster, "c")
+        caller.join()
         before = rate(samples[0], samples[taken_out])
         remaining = rate(samples[0], samples[taken_out], ("a", "b"))
         outage = rate(samples[taken_out], samples[brought_in])
@@ -97,11 +117,25 @@
             "after work/s": rate(samples[brought_in], samples[-1]),
             "back after s": back_after(samples, taken_out, brought_in),
             "starts/s at most": most_starts(samples, brought_in),
+            "replicas home": at_home,
+            "p50 ms": calls.milliseconds(0.5),
+            "p99 ms": calls.milliseconds(0.99),
+            "not done": len(calls.failed),
             "evictions": int(metric(cluster, "clementine_evictions_total")),
             "violations": len(cluster.violations()),
         }, list(by_second(variant, samples))
 
 
+def replicas_in(cluster, domain):
+    """Return how many replicas run in a domain."""
+    return sum(
+        run["service"]
+        and run["state"] == "running"
+        and run["endpoint"].startswith(f"{domain}-")
+        for run in cluster.runs()
+    )
+
+
 def back_after(samples, taken_out, brought_in):
     """Return the seconds from the return until the domain works as before."""
     usual = rate(samples[0], samples[taken_out], ("c",))
--- a/clementinebay/services/mover.py
+++ b/clementinebay/services/mover.py
@@ -9,13 +9,20 @@
 
 from clementinebay import errors, metrics
 from clementinebay.log import Log
-from clementinebay.policy import balance, planner
+from clementinebay.policy import balance, homing, planner
 from clementinebay.service import Service
 from clementinebay.shard import transfer
 
 #: Time between two decisions, and after one that found no room, in seconds.
 BALANCE_SECONDS = 1.0
 NO_ROOM_SECONDS = 3.0
+#: Time between two looks for replicas that may go home, and after one that found none.
+HOMING_SECONDS = 1.0
+NOTHING_AWAY_SECONDS = 10.0
+#: Time for which a domain must have been in before replicas go back there, in seconds.
+SETTLED_SECONDS = 5.0
+#: Longest wait for a replica to run at home, in seconds.
+TWIN_SECONDS = 30.0
 
 log = Log("mover")
 
@@ -33,6 +40,9 @@
         self.fleet = self.kernel.find("fleet")
         self.balance_at = 0.0
         self.hopeless = {}
+        self.homing_at = 0.0
+        self.in_since = {}
+        self.twins = {}
         self.background.spawn(self.run)
 
     async def run(self):
@@ -41,6 +51,8 @@
             await asyncio.sleep(self.settings.scheduler_tick_seconds * 2)
             if self.scheduler.leader.held:
                 try:
+                    if self.settings.scheduler_balance == "on":
+                        await self.bring_home()
                     await self.move_out()
                     await self.deliver()
                 except (errors.LogConflictError, errors.RecordRefusedError) as error:
@@ -75,6 +87,42 @@
         else:
             self.balance_at = now + NO_ROOM_SECONDS
 
+    async def bring_home(self):
+        """Take one step to bring replicas back to where they were moved from."""
+        state, now = self.shard.state, self.clock.now()
+        if now < self.homing_at and not (state.out and self.twins):
+            return
+        away = homing.away(state)
+        self.homing_at = now + (HOMING_SECONDS if away else NOTHING_AWAY_SECONDS)
+        homes = {}
+        for name in self.settled(now) & {job.source for job in away}:
+            home = self.shard.log_of(name)
+            await home.catch_up()
+            homes[name] = home.state
+        found = homing.steps(self.shard.state, homes, now, self.overdue(homes, now))
+        if homes and not (found.own or found.others or self.twins):
+            self.homing_at = now + NOTHING_AWAY_SECONDS
+        for name, record in found.others:
+            log.info("A replica goes back to %s: %s.", name, record)
+            await self.shard.log_of(name).append([record], homes[name].index)
+        if found.own:
+            await self.shard.append(found.own)
+
+    def settled(self, now):
+        """Return the other domains that have been in for a while."""
+        targets = self.targets()
+        self.in_since = {name: self.in_since.get(name, now) for name in targets}
+        return {n for n, at in self.in_since.items() if at <= now - SETTLED_SECONDS}
+
+    def overdue(self, homes, now):
+        """Return the ids of twins that have been starting for too long."""
+        starting = [
+            job.spec.id for home in homes.values() for job in homing.starting(home)
+        ]
+        deadline = now + TWIN_SECONDS
+        self.twins = {name: self.twins.get(name, deadline) for name in starting}
+        return {name for name, at in self.twins.items() if at <= now}
+
     def note_hopeless(self, hopeless):
         """Log and count the jobs that can run nowhere."""
         for name in hopeless.keys() - self.hopeless.keys():
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -281,7 +281,7 @@
         job = self.job(record.job)
         if record.part in self.outbox:
             return
-        spec = _part(job.spec, record)
+        spec = moved_spec(job.spec, record)
         checkpoint = ""
         task = job.tasks.get(record.first_index)
         if task is not None:
@@ -379,7 +379,8 @@
         checks.check(self)
 
 
-def _part(spec, move):
+def moved_spec(spec, move):
+    """Return the `wire.JobSpec` of the part of ``spec`` that a `wire.Move` makes."""
     return wire.JobSpec(
         id=move.part,
         workload=spec.workload,
