--- a/clementinebay/requestapi.py
+++ b/clementinebay/requestapi.py
@@ -2,8 +2,9 @@
 
 The path is ``/v1/services/SERVICE/requests``.  Request headers: ``X-Client``,
 ``X-Deadline`` (seconds since the Unix epoch), ``Idempotency-Key`` for a request that
-runs at most once, ``X-Repeatable: true`` for one that may be sent again, and
-``traceparent``.  The answer's ``X-Outcome`` is done, not-run or unknown.
+runs at most once, ``X-Repeatable: true`` for one that may be sent again (a key
+outweighs it), and ``traceparent``.  The answer's ``X-Outcome`` is done, not-run or
+unknown.
 
 A POST to ``/v1/services/SERVICE/tickets`` answers with a once-only key that also works
 while the platform is down.
@@ -18,6 +19,7 @@
 
 #: Status of an answer that carries an error, by error class, most special first.
 STATUSES = (
+    (errors.SlowBodyError, 408),
     (errors.BadRequestError, 400),
     (errors.DuplicateKeyError, 409),
     (errors.NotRunError, 503),
@@ -49,6 +51,13 @@
     message: str
 
 
+#: Answer to a client that has too many requests in progress, and its counter.
+CROWDED_BODY = msgspec.json.encode(
+    Failure("not-run", errors.OverloadedError.code, "too many requests of this client")
+)
+CROWDED = metrics.REFUSALS.labels(errors.OverloadedError.code)
+
+
 def status_of(error):
     """Return the HTTP status that stands for a `RequestError`."""
     return next((s for kind, s in STATUSES if isinstance(error, kind)), 504)
@@ -72,6 +81,12 @@
             if name in HEADERS
         }
         request_id = secrets.token_hex(16)
+        if self.router.clients.refuses(headers.get(b"x-client", "")):
+            # As cheap as it can be: without body, span or exception.
+            OUTCOMES["not-run"].inc()
+            CROWDED.inc()
+            await respond(send, 503, CROWDED_BODY, "not-run", request_id, "")
+            return
         start = self.clock.now()
         with self.tracer.entry("client", headers.get(b"traceparent", "")):
             trace = tracing.traceparent()
@@ -117,13 +132,15 @@
             raise errors.BadRequestError("X-Deadline is not finite")
         if not deadline > now:
             raise errors.DeadlinePassedError("the deadline has passed")
+        key = headers.get(b"idempotency-key", "")
         return model.Request(
             service=service,
             client=headers.get(b"x-client", ""),
             id=request_id,
             deadline=deadline,
-            repeatable=headers.get(b"x-repeatable", "") == "true",
-            key=headers.get(b"idempotency-key", ""),
+            # The promise of a key outweighs the leave to send again.
+            repeatable=not key and headers.get(b"x-repeatable", "") == "true",
+            key=key,
             body=body,
         )
 
@@ -150,6 +167,19 @@
                 return b"".join(parts)
 
 
+def slow_body_answer():
+    """Return the bytes of the answer to a request whose body comes too slowly."""
+    error = errors.SlowBodyError("the body comes too slowly")
+    metrics.REFUSALS.labels(error.code).inc()
+    body = msgspec.json.encode(Failure(error.outcome, error.code, str(error)))
+    head = (
+        f"HTTP/1.1 {status_of(error)} Request Timeout\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        f"X-Outcome: {error.outcome}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 async def respond(send, status, body, outcome, request_id, trace):
     """Send the answer."""
     headers = [
--- a/clementinebay/services/router.py
+++ b/clementinebay/services/router.py
@@ -5,8 +5,9 @@
 from collections import defaultdict
 
 from clementinebay import claims, errors, metrics, model, tickets, tracing
+from clementinebay.log import Log
 from clementinebay.peer.wire import ttypes as wire
-from clementinebay.policy import health, hedge, retry, routing
+from clementinebay.policy import health, hedge, overload, retry, routing
 from clementinebay.service import Service
 from clementinebay.services.lane import Lane
 
@@ -16,6 +17,9 @@
 ORDER_CONNECTIONS = 2
 
 
+log = Log("router")
+
+
 class Router(Service):
     """Routes requests; ``in_progress`` counts those that are not answered yet."""
 
@@ -44,6 +48,7 @@
         self.ejector = health.Ejector(settings.router_eject_percent)
         self.budget = retry.RetryBudget(settings.router_retry_percent)
         self.rng = random.Random(settings.daemon_name)
+        self.clients = overload.ClientLimit()
         self.in_progress = 0
         self.draining = False
         self.seen_vms = None
@@ -60,6 +65,7 @@
             return await self.serve(request)
         self.check(request)
         release = await self.claim(request)
+        request.claimed = True
         try:
             return await self.serve(request)
         except errors.NotRunError:
@@ -78,6 +84,7 @@
             message.body,
             message.hops,
         )
+        request.claimed = True
         with self.tracer.remote("forwarded", envelope.traceparent):
             answer = await self.serve(request)
         return wire.ForwardReply(answer.status, answer.body)
@@ -85,11 +92,19 @@
     async def serve(self, request):
         """Answer a request whose key, if any, is claimed."""
         self.check(request)
+        if self.clients.refuses(request.client):
+            raise errors.OverloadedError("this client has too many requests here")
+        self.clients.hold(request.client, self.clock.now())
         self.in_progress += 1
         try:
             return await self.attempts(request)
+        except errors.InvariantBrokenError as error:
+            metrics.INVARIANTS_BROKEN.inc()
+            log.error("An invariant is broken: %s.", error)
+            raise errors.OutcomeUnknownError(str(error)) from error
         finally:
             self.in_progress -= 1
+            self.clients.release(request.client)
 
     def check(self, request):
         """Raise a `NotRunError` if ``request`` need not be tried at all."""
@@ -187,6 +202,7 @@
         start = self.clock.now()
         worked = False
         try:
+            request.begin_attempt()
             with self.tracer.span("endpoint", endpoint=replica.endpoint):
                 status, body = await self.driver.request(
                     replica.address,
@@ -202,6 +218,7 @@
             errors.EndpointUnreachableError,
             errors.EndpointRefusedError,
         ) as error:
+            request.note_not_run()
             raise errors.AttemptNotRunError(str(error)) from error
         except errors.EndpointAnswerLostError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
@@ -283,6 +300,7 @@
             request.hops - 1,
         )
         metrics.FORWARDS.inc()
+        request.begin_attempt()
         load = self.loads[vm.id]
         load.in_flight += 1
         start = self.clock.now()
@@ -296,8 +314,10 @@
                     tracing.traceparent(),
                 )
         except (errors.PeerUnreachableError, errors.FrameTooLargeError) as error:
+            request.note_not_run()
             raise errors.AttemptNotRunError(f"{vm.id}: {error}") from error
         except errors.NotRunError as error:
+            request.note_not_run()
             text = f"{vm.id}: {error.code}: {error}"
             raise errors.AttemptNotRunError(text) from error
         except errors.ClementineError as error:
@@ -347,9 +367,15 @@
                 lane.dispatch()
 
     async def recheck(self):
-        """Look at those who wait; places also become free by time and by the log."""
+        """Look at those who wait; places also become free by time and by the log.
+
+        How late the look comes shows how late all else is.
+        """
+        loop = asyncio.get_running_loop()
         while True:
+            due = loop.time() + RECHECK_SECONDS
             await asyncio.sleep(RECHECK_SECONDS)
+            self.clients.look(loop.time() - due, self.clock.now())
             for name, lane in list(self.lanes.items()):
                 if lane.queue:
                     lane.expire()
