--- a/tests/test_quotaparts.py
+++ b/tests/test_quotaparts.py
@@ -225,3 +225,41 @@
         assert one.held + other.held == 6000
 
     asyncio.run(run())
+
+
+def test_domain_without_daemons_keeps_only_what_its_tasks_hold():
+    async def run():
+        clock, domains = system()
+        one, other, _third = domains
+        one.submit("minutes", 9, 1000)
+        await rounds(clock, domains, 4)
+        for _task in range(4):
+            one.finish()
+        other.submit("route", 9, 1000)
+        await rounds(clock, [other], 1)
+        adopter = QuotaParts(one.store, one.name, clock)
+        await adopter.adjust(one, {"t": QUOTA}, leaving=True)
+        one.state.index += 1
+        clock.time += 1.0
+        await adopter.adjust(one, {"t": QUOTA}, leaving=True)
+        assert adopter.limits["t"] == (2000, None, None)
+        await rounds(clock, [other], 2)
+        assert (one.held, other.held) == (2000, 4000)
+
+    asyncio.run(run())
+
+
+def test_work_within_its_part_writes_nothing():
+    async def run():
+        clock, domains = system()
+        one = domains[0]
+        one.submit("minutes", 3, 1000)
+        await rounds(clock, domains, 4)
+        revision = one.store.space.revision
+        for number in range(20):
+            one.finish()
+            one.submit(f"next-{number}", 1, 1000)
+            await rounds(clock, domains, 1)
+        assert one.store.space.revision == revision
+
+    asyncio.run(run())
