Count peer bytes by kind of message, and pace task starts in the bench

Cause: the wave of cancellations and the peers' bytes at the target's 140 starts a second had no measurement. `bench.recovery paced` submits one job a second; `cancel` takes the size of the wave and prints the writes a job; `--domains` sets how many there are. The metric clementine_peer_sent_bytes tells kinds apart, an answer by the kind that it answers.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -7,10 +7,12 @@
 
 import argparse
 import asyncio
+import re
 import statistics
 import sys
 import threading
 import time
+from collections import Counter
 
 import httpx
 
@@ -20,6 +22,10 @@
 WRITES_LIMIT, READS_LIMIT = 300, 2_000
 #: Time between two samples, in seconds.
 SAMPLE_SECONDS = 1.0
+#: The metric of bytes sent by kind of message.
+KIND_BYTES = re.compile(r'clementine_peer_sent_bytes_total\{kind="(\w+)"\} (\S+)')
+#: Run time of the tasks of paced starts, and how long they are measured, in seconds.
+PACED_RUN_SECONDS, PACED_SECONDS = 5.0, 30
 #: Requests of the bench in progress at once.
 CONCURRENCY = 64
 #: Share of the rate before a fault that counts as recovered.
@@ -51,24 +57,43 @@
                     url = f"{self.cluster.platform_url}/control/counts"
                     counts = client.get(url).json()
                     counts["at"] = time.time()
-                    counts["bytes"] = self.peer_bytes(client)
+                    counts.update(self.peer_bytes(client))
                     self.samples.append(counts)
                 except httpx.HTTPError:
                     continue
 
     def peer_bytes(self, client):
-        """Return the peer bytes that all daemons sent and received."""
-        total = 0.0
+        """Return the peer bytes that all daemons sent and received, and by kind."""
+        found = Counter(bytes=0.0)
         for daemon in self.cluster.daemons:
             for line in client.get(f"{daemon.url}/metrics").text.splitlines():
                 if line.startswith("clementine_peer_bytes_total"):
-                    total += float(line.split()[-1])
-        return total
+                    found["bytes"] += float(line.split()[-1])
+                elif match := KIND_BYTES.match(line):
+                    found[f"{match[1]} bytes"] += float(match[2])
+        return found
 
     def rates(self, key):
         """Return the changes a second of ``key`` between samples."""
         pairs = zip(self.samples, self.samples[1:], strict=False)
-        return [(b[key] - a[key]) / (b["at"] - a["at"]) for a, b in pairs] or [0.0]
+        changes = [
+            (b.get(key, 0.0) - a.get(key, 0.0)) / (b["at"] - a["at"]) for a, b in pairs
+        ]
+        return changes or [0.0]
+
+    def grown(self, key):
+        """Return by how much ``key`` grew from the first sample to the last."""
+        return self.samples[-1][key] - self.samples[0][key] if self.samples else 0
+
+    def mean_rates(self, suffix):
+        """Return {key: change a second} of the keys that end in ``suffix``."""
+        first, last = self.samples[0], self.samples[-1]
+        elapsed = last["at"] - first["at"]
+        return {
+            key: (last[key] - first.get(key, 0.0)) / elapsed
+            for key in sorted(last)
+            if key.endswith(suffix)
+        }
 
     def row(self):
         """Return median and highest rates."""
@@ -145,7 +170,7 @@
     time.sleep(8)
 
 
-def run_starts(cluster):
+def run_starts(cluster, _options):
     """Measure task starts a second over 20 seconds."""
     submit(cluster, "load", 40_000, 2.0, 0.25)
     wait_for("starts", lambda: len(starts(cluster)) > 100, 30)
@@ -157,7 +182,7 @@
     return {"starts/s": f"{found:.0f}", **sampler.row()}
 
 
-def run_replace(cluster):
+def run_replace(cluster, _options):
     """Kill all daemons at once under load and start them again."""
     steady_load(cluster)
     at = time.time()
@@ -177,7 +202,7 @@
     }
 
 
-def run_outage(cluster):
+def run_outage(cluster, _options):
     """Take the platform away for a minute under load."""
     steady_load(cluster)
     at = time.time()
@@ -197,15 +222,46 @@
     }
 
 
-def run_cancel(cluster, count=5_000):
+def run_paced(cluster, options):
+    """Measure peer bytes by kind at the wanted task starts a second."""
+    per_second = options.starts
+
+    def pace(seconds, first):
+        begin = time.monotonic()
+        for number in range(seconds):
+            name = f"paced-{first + number}"
+            submit(cluster, name, per_second, PACED_RUN_SECONDS, 0.25)
+            time.sleep(max(0.0, begin + number + 1 - time.monotonic()))
+
+    # Daemons that have just started may not have read the list of VMs yet.
+    wait_for("a job", lambda: submit(cluster, "first", 1, 1.0, 0.25) or True)
+    pace(round(2 * PACED_RUN_SECONDS), 0)
+    since = time.time()
+    with Sampler(cluster) as sampler:
+        pace(PACED_SECONDS, 1_000)
+    found = rate(starts(cluster), since, since + PACED_SECONDS)
+    daemons = len(cluster.daemons)
+    return {
+        "starts/s": f"{found:.0f}",
+        **sampler.row(),
+        **{
+            f"{kind}/s/daemon": f"{value / daemons:.0f}"
+            for kind, value in sampler.mean_rates("bytes").items()
+        },
+    }
+
+
+def run_cancel(cluster, options):
     """Cancel a wave of jobs, each by a call of its own."""
+    count = options.jobs
     names = [f"wave-{number}" for number in range(count)]
     body = {"count": 1, "run_seconds": 600.0, "processors": 1.0}
     at = time.time()
     with Sampler(cluster) as sampler:
         submits = [("POST", "/v1/jobs", {"name": name, **body}) for name in names]
         submitted = asyncio.run(call_all(cluster, submits))
-    submit_row = sampler.row()
+    submit_row = {f"submit {key}": value for key, value in sampler.row().items()}
+    written = sampler.grown("write")
     middle = time.time()
     with Sampler(cluster) as sampler:
         cancels = [("DELETE", f"/v1/jobs/{name}", None) for name in names]
@@ -214,9 +270,11 @@
         wait_for("an empty system", lambda: not running(cluster), 60)
     return {
         "submit s": f"{middle - at:.1f}",
-        "submit writes/s max": submit_row["writes/s max"],
+        "submit writes a job": f"{written / count:.2f}",
+        **submit_row,
         "codes": f"{submitted} {cancelled}",
         "cancel s": f"{answered - middle:.1f}",
+        "cancel writes a job": f"{sampler.grown('write') / count:.2f}",
         "all stopped s": f"{time.time() - middle:.1f}",
         **sampler.row(),
     }
@@ -232,6 +290,7 @@
     "replace": run_replace,
     "outage": run_outage,
     "cancel": run_cancel,
+    "paced": run_paced,
 }
 
 
@@ -240,12 +299,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("scenarios", nargs="+", choices=sorted(SCENARIOS))
     parser.add_argument("--endpoints", type=int, default=4, help="in each domain")
+    parser.add_argument("--domains", type=int, default=3)
+    parser.add_argument("--jobs", type=int, default=5_000, help="of a wave")
+    parser.add_argument("--starts", type=int, default=140, help="paced, a second")
     arguments = parser.parse_args()
     print(f"limits: {WRITES_LIMIT} writes/s, {READS_LIMIT} reads/s")
     code = 0
     for name in arguments.scenarios:
-        with Cluster(endpoints=arguments.endpoints, sample=1.0) as cluster:
-            row = SCENARIOS[name](cluster)
+        domains = tuple("abcdefgh"[: arguments.domains])
+        with Cluster(domains, endpoints=arguments.endpoints, sample=1.0) as cluster:
+            row = SCENARIOS[name](cluster, arguments)
             violations = cluster.violations()
         print(f"\n{name}")
         for key, value in {**row, "violations": len(violations)}.items():
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -45,6 +45,9 @@
 EJECTIONS = Counter("clementine_ejections", "Endpoints passed over as failing.")
 FORWARDS = Counter("clementine_forwards", "Requests forwarded to peers.")
 PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
+PEER_SENT = Counter(
+    "clementine_peer_sent_bytes", "Bytes of frames by what was asked.", ["kind"]
+)
 RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
 INVARIANTS_BROKEN = Counter(
     "clementine_invariants_broken", "Assertions about the shard that did not hold."
--- a/clementinebay/peer/link.py
+++ b/clementinebay/peer/link.py
@@ -19,6 +19,12 @@
 log = Log("peer")
 
 
+def count_sent(kind, data):
+    """Count a frame by the kind of message that it carries or answers."""
+    name = wire.Kind._VALUES_TO_NAMES.get(kind, "OTHER")
+    metrics.PEER_SENT.labels(name).inc(len(data))
+
+
 class Connection(asyncio.Protocol):
     """Frames over one TCP connection; the frames of one turn share a write."""
 
@@ -161,6 +167,7 @@
             data = frame.encode(self.failure(envelope, lost), self.limit)
         if connection.is_open:
             connection.send(data)
+            count_sent(envelope.kind, data)
 
     @staticmethod
     def failure(envelope, error):
@@ -204,6 +211,7 @@
         timer = loop.call_later(remaining, self.give_up, future)
         try:
             connection.send(data)
+            count_sent(kind, data)
             answer = await future
         finally:
             timer.cancel()
