Make submissions and cancellations of a wave share writes

Cause: a submission cost a write of its own for the plan of the job, and about two for the part. The group commit works within one daemon: six daemons that write to the same log compete for its next index, and a batch that was overtaken went out again at once, with the same few records. While a daemon's share was spent, the write waited for its turn between the read of the log and the write, so that others nearly always came between. Ruled out: too few callers in one batch. A writer that was overtaken pauses, up to 0.32 s, lets more callers join, takes its turn first, reads the log and only then writes. A writer without competitors does none of this.

--- a/clementinebay/platform/accountant.py
+++ b/clementinebay/platform/accountant.py
@@ -15,6 +15,8 @@
 CONTROL_SHARE = 0.2
 #: Share of all writes that goes to the daemons that schedule.
 SCHEDULERS_SHARE = 0.25
+#: Most writes that are reserved and not used yet.
+MOST_RESERVED = 4
 
 
 class CallRate:
@@ -110,6 +112,20 @@
         self.store = store
         self.budget = budget
         self.control = control
+        self.reserved = 0
+
+    async def reserve(self):
+        """See `KeyValueStore`; what is reserved and not used serves a later write."""
+        if self.reserved < MOST_RESERVED:
+            await self.count("write")
+            self.reserved += 1
+
+    async def count_commit(self):
+        """Use a write that was reserved, or count one and wait for its turn."""
+        if self.reserved:
+            self.reserved -= 1
+        else:
+            await self.count("write")
 
     async def count(self, kind):
         """Count a call of ``kind`` and wait for its turn."""
@@ -129,7 +145,7 @@
 
     async def commit(self, compares, puts=(), deletes=()):
         """See `KeyValueStore`."""
-        await self.count("write")
+        await self.count_commit()
         return await self.store.commit(compares, puts, deletes)
 
     async def grant(self, ttl):
--- a/clementinebay/platform/base.py
+++ b/clementinebay/platform/base.py
@@ -89,6 +89,12 @@
         """Write ``key`` if its version is ``version``; return the new version."""
         return await self.commit([(key, version)], [Put(key, value, lease)])
 
+    async def reserve(self):
+        """Wait for the turn of one write, so that the next one need not wait.
+
+        For a store that limits its callers, before a read that a write rests on.
+        """
+
     async def close(self):
         """Give up connections."""
 
--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -26,9 +26,13 @@
         """Begin to answer peers."""
         self.shard = self.kernel.find("shard")
         self.peers = self.kernel.find("peers")
-        self.registry = registry.JobRegistry(self.kernel.find("platform").store)
+        self.registry = registry.SharedJobRegistry(self.kernel.find("platform").store)
         self.peers.handle(peer_wire.Kind.JOBS, peer_wire.JobsQuery, self.on_jobs_query)
 
+    async def stop(self):
+        """End the write of plans in progress."""
+        await self.registry.__aexit__()
+
     async def submit(self, spec):
         """Submit `wire.JobSpec` ``spec``, whose id is the job's name.
 
--- a/clementinebay/shard/groupcommit.py
+++ b/clementinebay/shard/groupcommit.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 
 from clementinebay import errors
 from clementinebay.shard.log import split
@@ -12,26 +13,37 @@
 ATTEMPTS = 20
 #: A log that was read within so long is not read again before a write, in seconds.
 FRESH_SECONDS = 0.5
+#: Shortest and longest pause of a writer that others overtook, in seconds.
+PAUSES_SECONDS = (0.02, 0.32)
+#: Factors of the pause after a batch that was overtaken, and one that was not.
+LONGER, SHORTER = 2.0, 0.8
 
 
 class Entry:
     """Records of one caller; ``result`` is a future of their refusals."""
 
-    __slots__ = ("records", "still_due", "result")
+    __slots__ = ("records", "still_due", "result", "attempts")
 
     def __init__(self, records, still_due, result):
         self.records = records
         self.still_due = still_due
         self.result = result
+        self.attempts = 0
 
 
 class GroupWriter:
-    """Appends to ``log`` what callers hand in; a context manager that ends its task."""
+    """Appends to ``log`` what callers hand in; a context manager that ends its task.
+
+    While other writers overtake this one, it pauses and reads before each batch, so
+    that few writes are in vain and more callers share one.
+    """
 
     def __init__(self, log):
         self.log = log
         self.entries = []
         self.running = None
+        self.pause_seconds = 0.0
+        self.rng = random.Random(log.writer)
 
     async def write(self, records, still_due=None):
         """Append ``records`` and return one refusal or ``None`` for each.
@@ -55,6 +67,9 @@
         """Write until nothing waits."""
         try:
             while self.entries:
+                if self.pause_seconds:
+                    part = self.rng.uniform(0.5, 1.0)
+                    await self.log.clock.sleep(part * self.pause_seconds)
                 entries, self.entries = self.entries, []
                 try:
                     await self.write_entries(entries)
@@ -76,21 +91,40 @@
                 await self.write_group(group)
 
     async def write_group(self, entries):
-        """Write ``entries`` in one batch and settle them."""
+        """Write ``entries`` in one batch; they wait again if others were faster."""
         try:
-            for _attempt in range(ATTEMPTS):
-                if await self.try_write(entries):
-                    return
-            raise errors.LogConflictError("other writers were faster each time")
+            if await self.try_write(entries):
+                self.succeeded()
+            else:
+                self.overtaken(entries)
         except errors.ClementineError as error:
             settle(entries, error)
-        finally:
-            settle(entries, errors.LogConflictError("the writer was stopped"))
+
+    def succeeded(self):
+        """Pause less."""
+        self.pause_seconds *= SHORTER
+        if self.pause_seconds < PAUSES_SECONDS[0]:
+            self.pause_seconds = 0.0
+
+    def overtaken(self, entries):
+        """Pause for longer, and have ``entries`` wait for the next batch."""
+        shortest, longest = PAUSES_SECONDS
+        self.pause_seconds = min(max(LONGER * self.pause_seconds, shortest), longest)
+        for entry in entries:
+            entry.attempts += 1
+        tired = [entry for entry in entries if entry.attempts >= ATTEMPTS]
+        settle(tired, errors.LogConflictError("other writers were faster each time"))
+        waiting = [entry for entry in entries if not entry.result.done()]
+        self.entries = waiting + self.entries
 
     async def try_write(self, entries):
         """Write ``entries`` that are due; return whether no other writer was first."""
         log = self.log
-        if log.clock.now() - log.confirmed_at > FRESH_SECONDS:
+        if self.pause_seconds:
+            # A wait between the read and the write would let others overtake.
+            await log.store.reserve()
+        age = log.clock.now() - log.confirmed_at
+        if self.pause_seconds or age > FRESH_SECONDS:
             await log.catch_up()
         after = log.state.index
         due = [entry for entry in entries if not entry.result.done()]
--- a/tests/platform/test_accountant.py
+++ b/tests/platform/test_accountant.py
@@ -65,3 +65,16 @@
         budget.take("write", True)
     clock.advance(10.0)
     assert budget.take("write", True) == 0.0
+
+
+async def test_reserved_writes_are_counted_once_and_bounded(store, clock):
+    budget = accountant.Budget(clock, 1000, 1000)
+    accounted = accountant.AccountedStore(store, budget, control=True)
+    taken = []
+    budget.take = lambda kind, _control: taken.append(kind) or 0.0
+    for _call in range(10):
+        await accounted.reserve()
+    assert len(taken) == accounted.reserved == accountant.MOST_RESERVED
+    for number in range(accountant.MOST_RESERVED + 1):
+        await accounted.create(f"key-{number}", b"")
+    assert (len(taken), accounted.reserved) == (accountant.MOST_RESERVED + 1, 0)
--- a/tests/shard/test_groupcommit.py
+++ b/tests/shard/test_groupcommit.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import pytest
 
@@ -55,3 +56,37 @@
         assert {type(result) for result in results} == {errors.PlatformUnavailableError}
         del log.store.commit
         assert await writer.write([factory.submit("x")]) == [None]
+
+
+async def take_turns(seconds):
+    """Let others run, the longer the more often."""
+    for _turn in range(round(seconds * 1000)):
+        await asyncio.sleep(0)
+
+
+async def test_writers_that_contend_write_little_in_vain(store, clock):
+    commits = []
+    commit = store.commit
+
+    async def counted(*arguments):
+        commits.append(arguments)
+        # Others read and write while this write is under way.
+        await asyncio.sleep(0)
+        return await commit(*arguments)
+
+    store.commit = counted
+    clock.sleep = take_turns
+    logs = [ShardLog(store, "a", f"w-{number}", clock) for number in range(6)]
+    async with contextlib.AsyncExitStack() as stack:
+        writers = [await stack.enter_async_context(GroupWriter(log)) for log in logs]
+
+        async def submit_one_after_another(first):
+            for number in range(first, first + 10):
+                writer = writers[first // 10 % len(writers)]
+                assert await writer.write([factory.submit(f"job-{number}")]) == [None]
+
+        firsts = range(0, 600, 10)
+        await asyncio.gather(*map(submit_one_after_another, firsts))
+    await logs[0].catch_up()
+    assert len(logs[0].state.jobs) == 600
+    assert len(commits) <= 150
--- a/tests/test_embedding.py
+++ b/tests/test_embedding.py
@@ -1,12 +1,14 @@
 """The parts work without a daemon, each on a store and a clock alone."""
 
+import asyncio
+
 import pytest
 
 from clementinebay import errors
 from clementinebay.claims import DAY_SECONDS, Claims
 from clementinebay.configstore import ConfigStore
 from clementinebay.policy.retry import RetryBudget
-from clementinebay.registry import JobRegistry, Plan, split
+from clementinebay.registry import JobRegistry, Plan, SharedJobRegistry, split
 from clementinebay.shard.leader import LeaderLease
 from tests.shard.test_log import LosingStore
 
@@ -62,6 +64,32 @@
         await registry.claim(Plan("minutes", "other", []))
 
 
+async def test_plans_that_wait_share_a_write(store, space):
+    await JobRegistry(store).claim(Plan("job-1", "d", []))
+    await JobRegistry(store).claim(Plan("job-2", "other", []))
+    before = space.revision
+    plans = [Plan(f"job-{number}", "d", [], created_at=1.0) for number in range(50)]
+    async with SharedJobRegistry(store) as registry:
+        found = await asyncio.gather(
+            *map(registry.claim, [*plans, plans[7]]), return_exceptions=True
+        )
+    assert type(found.pop(2)) is errors.RecordRefusedError
+    assert found.pop(1).created_at == 0.0
+    assert found == [plans[0], *plans[3:], plans[7]]
+    assert space.revision == before + 1
+
+
+async def test_failure_to_write_plans_reaches_every_caller(store):
+    async def broken(*_arguments):
+        raise errors.PlatformUnavailableError("down")
+
+    store.commit = broken
+    async with SharedJobRegistry(store) as registry:
+        claims = (registry.claim(Plan(name, "d", [])) for name in "ab")
+        found = await asyncio.gather(*claims, return_exceptions=True)
+    assert {type(error) for error in found} == {errors.PlatformUnavailableError}
+
+
 def test_split_covers_every_task_once():
     parts = split("minutes", 10, ["c", "a", "b"])
     indexes = [i for p in parts for i in range(p.first_index, p.first_index + p.count)]
