Hand the scheduler only what is news in endpoints' reports

Cause: nearly all peer bytes were reports as they came from the endpoints, in JSON with every field, again with each renewal until the log had the ends, and with the names of all running attempts at each full report. Ruled out: gossip, 193 bytes/s sent a daemon of 10. Change: what the scheduler knows is left out: ends that the log has, usage that it took before, running attempts that it started itself, and fields that it does not use. Of a full report only what it fails to mention is named. The rest is packed as arrays and compressed where that is shorter. A daemon that does not know the packing refuses these reports; ends are then recorded late until both daemons of a domain are replaced.

--- a/clementinebay/services/renewals.py
+++ b/clementinebay/services/renewals.py
@@ -8,13 +8,13 @@
 import asyncio
 import random
 
-import msgspec
-
 from clementinebay import errors
+from clementinebay.endpoint import packing
 from clementinebay.endpoint.base import Renewal, Report
 from clementinebay.log import Log
 from clementinebay.peer.wire import ttypes as peer_wire
 from clementinebay.policy import attempts, sharing
+from clementinebay.policy.reporting import Told
 from clementinebay.service import Service
 
 #: Reports of an endpoint after which a full one is asked for.
@@ -30,12 +30,13 @@
     one is to be asked for; ``waits`` counts reports in a row that are not in the log.
     """
 
-    __slots__ = ("since", "reports", "waits")
+    __slots__ = ("since", "reports", "waits", "told")
 
     def __init__(self):
         self.since = None
         self.reports = 0
         self.waits = 0
+        self.told = Told()
 
 
 class Renewals(Service):
@@ -196,27 +197,36 @@
             self.take(name, report, expected)
             return
         scheduler = self.peers.scheduler()
-        if scheduler is None or not (report.tasks or report.services or expected):
+        if scheduler is None:
+            return
+        state, told = self.shard.state, self.standings[name].told
+        told.begin(scheduler.id, bool(expected))
+        missing = attempts.missing(set(expected), report.tasks)
+        tasks = told.news(state, name, report.tasks)
+        if not (tasks or report.services or missing):
             return
         message = peer_wire.EndpointReport(
             name,
-            msgspec.json.encode(report),
-            [peer_wire.Attempt(*attempt) for attempt in sorted(expected)],
+            packing.pack(Report(report.version, tasks, report.services)),
+            [peer_wire.Attempt(*attempt) for attempt in sorted(missing)],
         )
         try:
-            await self.peers.query(
+            reply = await self.peers.query(
                 scheduler, peer_wire.Kind.REPORTS, message, peer_wire.ReportTaken
             )
         except errors.PeerError as error:
             log.debug("%s did not take a report: %s.", scheduler.id, error)
+            told.forget()
+            return
+        if reply.taken:
+            told.taken(tasks)
+        else:
+            told.forget()
 
     async def on_report(self, message, _envelope):
         """Take a report that a peer brings, if this daemon schedules."""
         if self.active:
-            try:
-                report = msgspec.json.decode(message.report, type=Report)
-            except msgspec.DecodeError as error:
-                raise errors.FrameMalformedError(f"no report: {error}") from error
+            report = packing.unpack(message.report)
             expected = {(a.job, a.index, a.attempt) for a in message.expected}
             self.take(message.endpoint, report, expected)
         return peer_wire.ReportTaken(self.active)
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -47,8 +47,9 @@
 }
 
 struct Attempt { 1: string job, 2: i32 index, 3: i32 attempt }
-// An endpoint's report, as it came, for the scheduler of the shard.  `expected` are
-// attempts that a full report has to mention.
+// What is news to the scheduler of the shard in an endpoint's report, packed as
+// `endpoint/packing.py` says.  `expected` are attempts that a full report had to mention
+// and did not.
 struct EndpointReport {
   1: string endpoint, 2: binary report, 3: list<Attempt> expected,
 }
