Share the platform's stand-in and consecutive ports of the slopes' parts

Cause: two parts on the platform each ran it and filled it, and two parts each put together the ports of their stand-ins.

--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -86,6 +86,12 @@
             child.stop()
 
 
+def on_ports(name, module, first, count, *options):
+    """Run a module that serves at ``count`` ports from ``first``; see `process`."""
+    ports = ["--port", str(first), "--count", str(count)]
+    return process(name, module, *ports, *options)
+
+
 @contextlib.contextmanager
 def platform():
     """Run the platform's stand-in; yield its URL."""
@@ -108,8 +114,7 @@
     def stand_ins(self, size):
         """Run the endpoints."""
         first = free_range(size)
-        options = ["--name", "d", "--port", str(first), "--count", str(size)]
-        with process("endpoints", "standins.endpoint", *options):
+        with on_ports("endpoints", "standins.endpoint", first, size, "--name", "d"):
             url = f"http://127.0.0.1:{first + size - 1}/control/runs"
             wait_for("the endpoints", lambda: httpx.get(url))
             yield {"first": first}
@@ -150,8 +155,7 @@
     def stand_ins(self, size):
         """Run the peers in one process."""
         first = free_range(size + 1)
-        options = ["--port", str(first), "--count", str(size)]
-        with process("peers", "bench.slopes_peers", *options):
+        with on_ports("peers", "bench.slopes_peers", first, size):
             yield {"first": first}
 
     async def open(self, stack, size, arguments):
@@ -176,19 +180,31 @@
     return Peers(kernel)
 
 
-class LiveList(Part):
+class OnPlatform(Part):
+    """A part whose only stand-in is the platform."""
+
+    @contextlib.contextmanager
+    def stand_ins(self, size):
+        """Run the platform with what the part reads."""
+        with platform() as url:
+            self.fill(url, size)
+            yield {"url": url}
+
+    def fill(self, url, size):
+        """Put what the part reads into the platform."""
+        raise NotImplementedError
+
+
+class LiveList(OnPlatform):
     """Reads of the live list that has not changed."""
 
     name = "livelist"
     what = "the list is read and has not changed; size is VMs"
     sizes = (90, 180, 360, 770)
 
-    @contextlib.contextmanager
-    def stand_ins(self, size):
-        """Run the platform with the VMs listed."""
-        with platform() as url:
-            change_list(url, [endpoint_vm(number) for number in range(size)])
-            yield {"url": url}
+    def fill(self, url, size):
+        """List the VMs."""
+        change_list(url, [endpoint_vm(number) for number in range(size)])
 
     async def open(self, stack, size, arguments):
         """Start the service."""
@@ -233,20 +249,17 @@
     httpx.post(f"{url}/control/vms", json={"put": vms})
 
 
-class Config(Part):
+class Config(OnPlatform):
     """The poll of the revision while the document stays as it is."""
 
     name = "config"
     what = "the revision is polled; size is sections"
     sizes = (50, 100, 200, 400)
 
-    @contextlib.contextmanager
-    def stand_ins(self, size):
-        """Run the platform with a document of ``size`` sections."""
-        with platform() as url:
-            sections = {f"service:name-{number}": text(0) for number in range(size)}
-            asyncio.run(apply(url, sections))
-            yield {"url": url}
+    def fill(self, url, size):
+        """Apply a document of ``size`` sections."""
+        sections = {f"service:name-{number}": text(0) for number in range(size)}
+        asyncio.run(apply(url, sections))
 
     async def open(self, stack, size, arguments):
         """Start the service."""
