--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,28 +2,17 @@
 
 import base64
 import os
-import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import time
 
 import httpx
 
 from standins import platform, proxy
-
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-#: Longest wait for a process to answer or to end, in seconds.
-WAIT_SECONDS = 20.0
-#: Ports to choose from: from, and before.
-PORTS = (10_000, 32_000)
-#: Ports that were given out.
-GIVEN = set()
-#: Not seeded, so that two runs at a time do not draw the same ports.
-PICK = random.SystemRandom()
+from standins.ports import free_ports, free_range
+from standins.process import Process, wait_for
 
 SETTINGS = """\
 [daemon]
@@ -31,6 +20,7 @@
 failure_domain = {domain}
 [front]
 port = {front}
+body_seconds = {body}
 [peer]
 port = {peer}
 seeds = {seeds}
@@ -42,91 +32,16 @@
 {extra}
 """
 
-
-def free_ports(count):
-    """Return ports of loopback that are free now."""
-    return [free_range(1) for _number in range(count)]
-
-
-def free_range(count):
-    """Return the first of ``count`` consecutive free ports.
-
-    They lie below the range from which the kernel takes the ports of outgoing
-    connections, and none is given out twice.
-    """
-    while True:
-        first = PICK.randrange(*PORTS)
-        ports = range(first, first + count)
-        if not GIVEN.intersection(ports) and all(map(is_free, ports)):
-            GIVEN.update(ports)
-            return first
-
-
-def is_free(port):
-    """Return whether nothing listens at ``port``."""
-    with socket.socket() as opened:
-        try:
-            opened.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
-
-
-def wait_for(what, condition, seconds=WAIT_SECONDS):
-    """Return ``condition()`` once it is true; raise `TimeoutError` naming ``what``."""
-    limit = time.monotonic() + seconds
-    while True:
-        try:
-            if found := condition():
-                return found
-        except httpx.HTTPError:
-            pass
-        if time.monotonic() > limit:
-            raise TimeoutError(f"waited {seconds} s for {what}")
-        time.sleep(0.05)
-
-
-class Process:
-    """A child process with its log file."""
-
-    def __init__(self, name, arguments, folder):
-        self.name = name
-        self.arguments = arguments
-        self.path = os.path.join(folder, f"{name}.log")
-        self.child = None
-        self.start()
-
-    def start(self):
-        """Start the process, again after it ended."""
-        with open(self.path, "ab") as output:
-            self.child = subprocess.Popen(
-                [sys.executable, "-m", *self.arguments],
-                cwd=ROOT,
-                stdout=output,
-                stderr=output,
-                stdin=subprocess.DEVNULL,
-            )
-
-    def signal(self, number):
-        """Send a signal."""
-        self.child.send_signal(number)
-
-    def stop(self, seconds=WAIT_SECONDS):
-        """Ask the process to end and return its exit code."""
-        if self.child.poll() is None:
-            self.child.send_signal(signal.SIGCONT)
-            self.child.terminate()
-        try:
-            return self.child.wait(seconds)
-        except subprocess.TimeoutExpired:
-            self.child.kill()
-            self.child.wait()
-            raise
-
-    def kill(self):
-        """End the process at once."""
-        self.child.kill()
-        self.child.wait()
+#: Settings with short times, so that leases run out within a test.
+SHORT_TIMES = """\
+[scheduler]
+poll_seconds = 0.2
+start_grace_seconds = 2
+lease_seconds = 2
+reclaim_after_seconds = 3
+clock_skew_seconds = 0.2
+leader_seconds = 2
+"""
 
 
 class Daemon:
@@ -161,10 +76,12 @@
         extra="",
         proxied=False,
         sample=100.0,
+        body_seconds=10.0,
         **size,
     ):
         self.domains = domains
         self.sample = sample
+        self.body_seconds = body_seconds
         self.extra = extra
         self.size = {"processors": 32, "memory_mb": 125_000, "accelerators": 0, **size}
         self.endpoints_per_domain = endpoints
@@ -319,6 +236,7 @@
                     name=daemon.name,
                     domain=daemon.domain,
                     front=daemon.front,
+                    body=self.body_seconds,
                     peer=daemon.peer,
                     seeds=self.seeds_of(daemon),
                     platform=self.platform_of(daemon),
@@ -353,6 +271,15 @@
         """Set faults of the platform."""
         self.http.post(f"{self.platform_url}/control/faults", json=faults)
 
+    def hold_write(self, domain, record, effect=False):
+        """Stop the next write of a ``record`` to a domain's log; see the platform."""
+        hold = {"domain": domain, "record": record, "effect": effect}
+        self.platform_faults(hold=hold)
+
+    def write_held(self):
+        """Return whether the write that `hold_write` waits for has come."""
+        return self.http.get(f"{self.platform_url}/control/held").json() > 0
+
     def endpoint_faults(self, name, **faults):
         """Set faults of an endpoint."""
         address = self.endpoints[name]
@@ -390,6 +317,16 @@
         # The answer may be one that the platform was told to lose.
         self.http.post(f"{self.platform_url}/v3/kv/txn", json=body)
 
+    def restart_endpoints(self, domain):
+        """End the endpoints of a domain at once and start them; they forget all."""
+        process = next(p for p in self.processes if p.name == f"endpoints-{domain}")
+        process.kill()
+        process.start()
+        for name, address in self.endpoints.items():
+            if name.startswith(f"{domain}-"):
+                url = f"http://{address}/control/runs"
+                wait_for(f"endpoint {name}", lambda url=url: self.http.get(url))
+
     def restart(self, daemon):
         """Start a daemon again that has ended, and wait until it is ready."""
         daemon.process.start()
