--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -59,9 +59,9 @@
         self.parts = QuotaParts(store, self.domain, self.clock)
         self.background.spawn(self.follow_parts)
         self.health = TaskHealth()
-        self.decided = self.adjusted = None
+        self.decided = None
         self.compared = None
-        self.look_again_at = self.adjust_again_at = 0.0
+        self.look_again_at = 0.0
         self.background.spawn(self.run)
 
     async def stop(self):
@@ -85,7 +85,7 @@
         self.health = TaskHealth()
         self.health.learn_state(self.shard.state)
         self.parts.begin()
-        self.decided = self.adjusted = None
+        self.decided = None
 
     async def follow_parts(self):
         """Follow the parts of quotas while this daemon schedules."""
@@ -98,7 +98,9 @@
 
     async def tick(self):
         """Make one round of decisions, write them, and act on the state."""
-        await self.adjust_parts()
+        if self.settings.scheduler_quotas == "lent":
+            totals = quota.totals(self.config.document)
+            await self.parts.adjust(self.shard.log, totals)
         records = self.outcomes() + self.decide_if_changed()
         if records:
             try:
@@ -111,24 +113,6 @@
         await self.keep_log_short()
         self.dispatcher.reconcile()
 
-    async def adjust_parts(self):
-        """Bring the parts of quotas up to date with news, and now and then without."""
-        if self.settings.scheduler_quotas != "lent":
-            return
-        now = self.clock.now()
-        key = (
-            self.shard.state.index,
-            self.config.document.revision,
-            self.parts.loaded,
-            sum(self.parts.versions.values()),
-        )
-        if key == self.adjusted and now < self.adjust_again_at:
-            return
-        self.adjusted = key
-        self.adjust_again_at = now + LOOK_AGAIN_SECONDS
-        totals = quota.totals(self.config.document)
-        await self.parts.adjust(self.shard.log, totals)
-
     def outcomes(self):
         """Return the records that endpoints' reports ask for."""
         records = self.dispatcher.take_records()
