--- a/tests/system/helpers.py
+++ b/tests/system/helpers.py
@@ -59,6 +59,25 @@
         )
 
 
+def restore(cluster):
+    """End all faults and start daemons again that have ended."""
+    cluster.heal()
+    for name in cluster.endpoints:
+        cluster.endpoint_faults(name, service_seconds=0.0, fail_requests=False)
+    for daemon in cluster.daemons:
+        if daemon.process.child.poll() is not None:
+            cluster.restart(daemon)
+
+
+def runs_in(cluster, domain):
+    """Return the runs that go on in a domain."""
+    return [
+        run
+        for run in cluster.runs()
+        if run["endpoint"].startswith(domain) and run["state"] == "running"
+    ]
+
+
 def set_domain(daemon, domain, state):
     url = f"{daemon.url}/v1/domains/{domain}"
     answer = CLIENT.put(url, json={"state": state}, timeout=20)
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -20,12 +20,7 @@
 @pytest.fixture
 def cluster(system):
     yield system
-    system.heal()
-    for name in system.endpoints:
-        system.endpoint_faults(name, service_seconds=0.0)
-    for daemon in system.daemons:
-        if daemon.process.child.poll() is not None:
-            system.restart(daemon)
+    helpers.restore(system)
 
 
 def send(cluster, keys):
--- a/tests/system/test_graceful_shutdown.py
+++ b/tests/system/test_graceful_shutdown.py
@@ -66,7 +66,7 @@
     helpers.set_domain(cluster.daemons[0], "a", "out")
     for daemon in cluster.daemons[:2]:
         wait_for("an answer", lambda d=daemon: done(d))
-    wait_for("no replica here", lambda: not runs_in(cluster, "a"))
+    wait_for("no replica here", lambda: not helpers.runs_in(cluster, "a"))
     for peer in cluster.daemons[2:]:
         with Load(cluster.daemons[0]) as load:
             wait_for("answers", lambda load=load: len(load.outcomes) > 6)
@@ -82,11 +82,3 @@
 
 def done(daemon):
     return helpers.outcome(helpers.request(daemon)) == "done"
-
-
-def runs_in(cluster, domain):
-    return [
-        run
-        for run in cluster.runs()
-        if run["endpoint"].startswith(domain) and run["state"] == "running"
-    ]
--- a/tests/system/test_moves.py
+++ b/tests/system/test_moves.py
@@ -32,10 +32,7 @@
     operator = system.daemons[0]
     set_domains(system, operator, a="in", b="out")
     yield system
-    system.heal()
-    for daemon in system.daemons:
-        if daemon.process.child.poll() is not None:
-            system.restart(daemon)
+    helpers.restore(system)
 
 
 def set_domains(cluster, operator, **states):
--- a/tests/system/test_no_double_run.py
+++ b/tests/system/test_no_double_run.py
@@ -16,10 +16,7 @@
 @pytest.fixture
 def cluster(system):
     yield system
-    system.heal()
-    for daemon in system.daemons:
-        if daemon.process.child.poll() is not None:
-            system.restart(daemon)
+    helpers.restore(system)
     revision = helpers.set_domain(system.daemons[0], "a", "in")
     wait_for("the domain in", lambda: is_in(system, revision))
     system.list_vms([system.endpoint_vm(name) for name in system.endpoints])
--- a/tests/system/test_not_run.py
+++ b/tests/system/test_not_run.py
@@ -128,7 +128,7 @@
     """The only replica is in the other domain, whose daemon dies at work."""
     entry, peer = cluster.daemons
     helpers.set_domain(entry, "a", "out")
-    wait_for("no replica here", lambda: not replicas(cluster, "a"))
+    wait_for("no replica here", lambda: not helpers.runs_in(cluster, "a"))
     wait_for("an answer", lambda: helpers.outcome(helpers.request(entry)) == "done")
     cluster.endpoint_faults("b-0", service_seconds=0.5)
     answers = helpers.in_parallel(
@@ -140,11 +140,3 @@
     assert "unknown" in check(cluster, answers)
     assert check(cluster, send(cluster, 2)) <= {"not-run", "unknown"}
     cluster.restart(peer)
-
-
-def replicas(cluster, domain):
-    return [
-        run
-        for run in cluster.runs()
-        if run["endpoint"].startswith(domain) and run["state"] == "running"
-    ]
--- a/tests/system/test_tickets.py
+++ b/tests/system/test_tickets.py
@@ -27,12 +27,7 @@
 @pytest.fixture
 def cluster(system):
     yield system
-    system.heal()
-    for name in system.endpoints:
-        system.endpoint_faults(name, service_seconds=0.0, fail_requests=False)
-    for daemon in system.daemons:
-        if daemon.process.child.poll() is not None:
-            system.restart(daemon)
+    helpers.restore(system)
 
 
 def issue(daemon):
@@ -141,7 +136,7 @@
     """Both peers of the other domain serve; one dies, the other could run it again."""
     entry, _second, killed, other = cluster.daemons
     helpers.set_domain(entry, "a", "out")
-    wait_for("no replica here", lambda: not replicas(cluster, "a"))
+    wait_for("no replica here", lambda: not helpers.runs_in(cluster, "a"))
     wait_for("an answer", lambda: helpers.outcome(helpers.request(entry)) == "done")
     cluster.endpoint_faults("b-0", service_seconds=1.0)
     keys = [new(entry) for _number in range(FORWARDED)]
@@ -162,11 +157,3 @@
         times = ran.count(answer.headers["X-Request-Id"])
         assert times == 1 if helpers.outcome(answer) == "done" else times <= 1
     assert len(ran) - before <= FORWARDED
-
-
-def replicas(cluster, domain):
-    return [
-        run
-        for run in cluster.runs()
-        if run["endpoint"].startswith(domain) and run["state"] == "running"
-    ]
