--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -45,14 +45,20 @@
 EJECTIONS = Counter("clementine_ejections", "Endpoints passed over as failing.")
 FORWARDS = Counter("clementine_forwards", "Requests forwarded to peers.")
 PEER_BYTES = Counter("clementine_peer_bytes", "Bytes of frames.", ["direction"])
+PEER_SENT = Counter(
+    "clementine_peer_sent_bytes", "Bytes of frames by what was asked.", ["kind"]
+)
 RECORDS = Counter("clementine_records", "Records written to the shard.", ["kind"])
 INVARIANTS_BROKEN = Counter(
-    "clementine_invariants_broken", "Assertions about the shard that did not hold."
+    "clementine_invariants_broken", "Assertions inside the program that did not hold."
 )
 REFUSED = Counter("clementine_records_refused", "Records refused by the state machine.")
 TASKS = Gauge("clementine_tasks", "Tasks of the shard by phase.", ["phase"])
 EVICTIONS = Counter("clementine_evictions", "Tasks evicted.", ["reason"])
 PARKED = Counter("clementine_parked", "Tasks parked.", ["reason"])
+HOPELESS = Gauge(
+    "clementine_hopeless_jobs", "Jobs here whose waiting tasks fit nowhere."
+)
 THROTTLED = Gauge("clementine_throttled", "Tasks that are throttled.")
 INTERFERENCE = Gauge(
     "clementine_interference",
--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -6,6 +6,7 @@
 from clementinebay.log import Log
 from clementinebay.policy import eviction, membership, placement, planner, quota
 from clementinebay.policy.taskhealth import ParkReason, TaskHealth
+from clementinebay.quotaparts import QuotaParts
 from clementinebay.service import Service
 from clementinebay.shard.entities import Phase
 from clementinebay.shard.leader import LeaderLease
@@ -13,6 +14,8 @@
 
 #: Longest time between two decisions about a state that did not change, in seconds.
 LOOK_AGAIN_SECONDS = 1.0
+#: The same while nothing waits and no endpoint is in doubt, in seconds.
+LOOK_AGAIN_SETTLED_SECONDS = 5.0
 
 log = Log("scheduler")
 
@@ -52,6 +55,9 @@
             settings.scheduler_leader_seconds,
             self.clock,
         )
+        store = self.kernel.find("platform").control
+        self.parts = QuotaParts(store, self.domain, self.clock)
+        self.background.spawn(self.follow_parts)
         self.health = TaskHealth()
         self.decided = None
         self.compared = None
@@ -78,10 +84,23 @@
         """Begin with what the state remembers of failures."""
         self.health = TaskHealth()
         self.health.learn_state(self.shard.state)
+        self.parts.begin()
         self.decided = None
 
+    async def follow_parts(self):
+        """Follow the parts of quotas while this daemon schedules."""
+        while True:
+            try:
+                await self.parts.follow()
+            except errors.PlatformError as error:
+                log.debug("Following the quotas again: %s.", error)
+            await asyncio.sleep(self.settings.scheduler_poll_seconds)
+
     async def tick(self):
         """Make one round of decisions, write them, and act on the state."""
+        if self.settings.scheduler_quotas == "lent":
+            totals = quota.totals(self.config.document)
+            await self.parts.adjust(self.shard.log, totals)
         records = self.outcomes() + self.decide_if_changed()
         if records:
             try:
@@ -112,15 +131,32 @@
         key = (
             self.shard.state.index,
             self.config.document.revision,
+            self.livelist.vms,
             self.health.version,
             self.first_lease() > now,
+            *self.quotas().items(),
         )
         if key == self.decided and now < self.look_again_at:
             return records
         self.decided = key
-        self.look_again_at = now + LOOK_AGAIN_SECONDS
         with metrics.DECISION_SECONDS.time():
-            return records + self.decide(now)
+            records = records + self.decide(now)
+        settled = not records and self.is_settled()
+        self.look_again_at = now + (
+            LOOK_AGAIN_SETTLED_SECONDS if settled else LOOK_AGAIN_SECONDS
+        )
+        return records
+
+    def is_settled(self):
+        """Return whether time alone will not change the next decision for a while."""
+        state = self.shard.state
+        doubtful = any(
+            known.lost or known.free_at or known.shrunk
+            for known in state.endpoints.values()
+        )
+        return not (
+            doubtful or self.reachability.policy.in_doubt() or planner.queue(state)
+        )
 
     def decide(self, now):
         """Return the records that the state and the platform's word ask for."""
@@ -154,8 +190,8 @@
             return []
         state, settings = self.shard.state, self.settings
         vms = self.reachability.trusted(self.livelist.endpoints(self.domain))
-        # A list that brought nothing new to this state will not do so later.
-        compared = (vms, state.index)
+        # A list that brought nothing new to these endpoints will not do so later.
+        compared = (vms, membership.standings(state))
         if compared == self.compared:
             return []
         free_at = (
@@ -176,6 +212,8 @@
 
     def quotas(self):
         """Return the limits of teams in this domain."""
+        if self.settings.scheduler_quotas == "lent":
+            return self.parts.limits
         document = self.config.document
         domains = [
             name
--- a/clementinebay/shard/state.py
+++ b/clementinebay/shard/state.py
@@ -246,10 +246,11 @@
                 raise errors.SecondBindingError(
                     f"{record.job}/{record.index} may still run"
                 )
-        self.let_go(job, task)
         if expired:
+            # Before the binding is freed, so that the sums never sink in between.
             key = (record.job, record.index)
             endpoint.leave_unconfirmed(key, record.attempt, job.spec.size)
+        self.let_go(job, task)
         if record.checkpoint:
             task.checkpoint = record.checkpoint
         if job.cancelled:
@@ -281,7 +282,7 @@
         job = self.job(record.job)
         if record.part in self.outbox:
             return
-        spec = _part(job.spec, record)
+        spec = moved_spec(job.spec, record)
         checkpoint = ""
         task = job.tasks.get(record.first_index)
         if task is not None:
@@ -379,7 +380,8 @@
         checks.check(self)
 
 
-def _part(spec, move):
+def moved_spec(spec, move):
+    """Return the `wire.JobSpec` of the part of ``spec`` that a `wire.Move` makes."""
     return wire.JobSpec(
         id=move.part,
         workload=spec.workload,
--- a/tests/system/helpers.py
+++ b/tests/system/helpers.py
@@ -5,20 +5,11 @@
 
 import httpx
 
-from standins.cluster import wait_for
+from standins.cluster import SHORT_TIMES
+from standins.process import wait_for
 from standins.proxy import NO_FAULTS as NO_FAULTS
 
-#: Short times, so that leases run out within a test.
-SHORT = """\
-[scheduler]
-poll_seconds = 0.2
-start_grace_seconds = 2
-lease_seconds = 2
-reclaim_after_seconds = 3
-clock_skew_seconds = 0.2
-leader_seconds = 2
-"""
-
+SHORT = SHORT_TIMES
 CLIENT = httpx.Client(timeout=20, limits=httpx.Limits(max_connections=200))
 
 
@@ -68,6 +59,25 @@
         )
 
 
+def restore(cluster):
+    """End all faults and start daemons again that have ended."""
+    cluster.heal()
+    for name in cluster.endpoints:
+        cluster.endpoint_faults(name, service_seconds=0.0, fail_requests=False)
+    for daemon in cluster.daemons:
+        if daemon.process.child.poll() is not None:
+            cluster.restart(daemon)
+
+
+def runs_in(cluster, domain):
+    """Return the runs that go on in a domain."""
+    return [
+        run
+        for run in cluster.runs()
+        if run["endpoint"].startswith(domain) and run["state"] == "running"
+    ]
+
+
 def set_domain(daemon, domain, state):
     url = f"{daemon.url}/v1/domains/{domain}"
     answer = CLIENT.put(url, json={"state": state}, timeout=20)
