--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 # Policies beside their baselines; about a quarter of an hour.
 bench: $(STAMP)
 	$(PYTHON) -m bench.roundtrip
-	$(PYTHON) -m bench.requests routing flood outage bad-endpoint once-only
+	$(PYTHON) -m bench.requests routing flood outage hang bad-endpoint once-only
 	$(PYTHON) -m bench.failing --seed $(SEED)
 	$(PYTHON) -m bench.placement --seed $(SEED)
 	$(PYTHON) -m bench.urgent --seed $(SEED)
