--- a/clementinebay/services/scheduler.py
+++ b/clementinebay/services/scheduler.py
@@ -14,6 +14,8 @@
 
 #: Longest time between two decisions about a state that did not change, in seconds.
 LOOK_AGAIN_SECONDS = 1.0
+#: The same while nothing waits and no endpoint is in doubt, in seconds.
+LOOK_AGAIN_SETTLED_SECONDS = 5.0
 
 log = Log("scheduler")
 
@@ -129,6 +131,7 @@
         key = (
             self.shard.state.index,
             self.config.document.revision,
+            self.livelist.vms,
             self.health.version,
             self.first_lease() > now,
             *self.quotas().items(),
@@ -136,9 +139,24 @@
         if key == self.decided and now < self.look_again_at:
             return records
         self.decided = key
-        self.look_again_at = now + LOOK_AGAIN_SECONDS
         with metrics.DECISION_SECONDS.time():
-            return records + self.decide(now)
+            records = records + self.decide(now)
+        settled = not records and self.is_settled()
+        self.look_again_at = now + (
+            LOOK_AGAIN_SETTLED_SECONDS if settled else LOOK_AGAIN_SECONDS
+        )
+        return records
+
+    def is_settled(self):
+        """Return whether time alone will not change the next decision for a while."""
+        state = self.shard.state
+        doubtful = any(
+            known.lost or known.free_at or known.shrunk
+            for known in state.endpoints.values()
+        )
+        return not (
+            doubtful or self.reachability.policy.in_doubt() or planner.queue(state)
+        )
 
     def decide(self, now):
         """Return the records that the state and the platform's word ask for."""
@@ -172,8 +190,8 @@
             return []
         state, settings = self.shard.state, self.settings
         vms = self.reachability.trusted(self.livelist.endpoints(self.domain))
-        # A list that brought nothing new to this state will not do so later.
-        compared = (vms, state.index)
+        # A list that brought nothing new to these endpoints will not do so later.
+        compared = (vms, membership.standings(state))
         if compared == self.compared:
             return []
         free_at = (
