--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(PYTHON) -m bench.placement --seed $(SEED)
 	$(PYTHON) -m bench.urgent --seed $(SEED)
 	$(PYTHON) -m bench.domain --seed $(SEED)
+	$(PYTHON) -m bench.quotas --seed $(SEED)
 	$(PYTHON) -m bench.recovery starts cancel replace outage
 
 # The costs that docs/CAPACITY.md rests on.
