Leave no caller waiting when a group writer ends in a write

Cause: since batches that were overtaken wait again, the callers of the batch under way were settled only after an error of the package; a cancelled writer or an unexpected error left them waiting for ever. Found on reading. Change: whoever is not to wait again is settled whatever ends the write, and the pause shrinks only after a batch that was written.

--- a/clementinebay/shard/groupcommit.py
+++ b/clementinebay/shard/groupcommit.py
@@ -92,13 +92,19 @@
 
     async def write_group(self, entries):
         """Write ``entries`` in one batch; they wait again if others were faster."""
+        written = True
         try:
-            if await self.try_write(entries):
-                self.succeeded()
-            else:
-                self.overtaken(entries)
+            written = await self.try_write(entries)
         except errors.ClementineError as error:
             settle(entries, error)
+            return
+        finally:
+            if written:
+                settle(entries, errors.LogConflictError("the writer was stopped"))
+        if written:
+            self.succeeded()
+        else:
+            self.overtaken(entries)
 
     def succeeded(self):
         """Pause less."""
--- a/tests/shard/test_groupcommit.py
+++ b/tests/shard/test_groupcommit.py
@@ -90,3 +90,27 @@
     await logs[0].catch_up()
     assert len(logs[0].state.jobs) == 600
     assert len(commits) <= 150
+
+
+@pytest.mark.parametrize("ends", [True, False])
+async def test_writer_that_ends_in_a_write_leaves_nobody_waiting(log, ends):
+    begun = asyncio.Event()
+
+    async def commit(*_arguments):
+        begun.set()
+        await asyncio.sleep(0)
+        if not ends:
+            raise RuntimeError("unexpected")
+        await asyncio.sleep(60.0)
+
+    log.store.commit = commit
+    async with GroupWriter(log) as writer:
+        calls = [
+            asyncio.create_task(writer.write([factory.submit(name)])) for name in "xy"
+        ]
+        await begun.wait()
+        if not ends:
+            await asyncio.wait([writer.running])
+    async with asyncio.timeout(5.0):
+        results = await asyncio.gather(*calls, return_exceptions=True)
+    assert {type(result) for result in results} == {errors.LogConflictError}
