--- a/clementinebay/quotaparts.py
+++ b/clementinebay/quotaparts.py
@@ -46,6 +46,7 @@
         self.revision = 0
         self.limits = {}
         self.due = {}
+        self.unsettled = {}
         self.changes = 0
         self.seen = None
         self.seen_index = 0
@@ -83,6 +84,7 @@
             team = entry.key.removeprefix(PREFIX)
             if entry.value and entry.version > self.versions.get(team, 0):
                 self.versions[team] = entry.version
+                self.unsettled.pop(team, None)
                 self.needs[team] = msgspec.json.decode(
                     entry.value, type=dict[str, lending.Need]
                 )
@@ -106,11 +108,9 @@
             if (at := self.written_at.get(team, 0.0)) <= latest
         )
         await asyncio.gather(
-            *(
-                self.write(team, totals[team], need)
-                for _at, team, need in due[:WRITES_AT_ONCE]
-            )
+            *(self.write(team, need) for _at, team, need in due[:WRITES_AT_ONCE])
         )
+        self.review(shard_log.state, totals, leaving)
 
     def review(self, state, totals, leaving):
         """Bring ``limits`` and the needs that are ``due`` up to date, if need be.
@@ -132,24 +132,29 @@
         for team, use in lending.uses(state, totals, leaving).items():
             needs, total = self.needs.get(team, {}), totals[team]
             old = needs.get(self.domain, lending.Need())
-            new = lending.next_need(self.domain, total, needs, use)
+            new, most = lending.next_need(self.domain, total, needs, use)
             if state.index <= self.index:
                 new = msgspec.structs.replace(
                     new, part=tuple(map(max, old.part, new.part))
                 )
             # What is about to be given up is not used any more.
-            self.limits[team] = lending.limit(
-                total, tuple(map(min, old.part, new.part))
-            )
-            if self.loaded and lending.worth_writing(self.domain, needs, new):
+            most = tuple(map(min, old.part, new.part, most))
+            if team in self.unsettled:
+                most = tuple(map(min, most, self.unsettled[team]))
+            self.limits[team] = lending.limit(total, most)
+            news = lending.worth_writing(self.domain, needs, new)
+            if self.loaded and (news or team in self.unsettled):
                 self.due[team] = new
 
-    async def write(self, team, total, need):
+    async def write(self, team, need):
         """Write this domain's need unless another domain was first."""
         key, old = PREFIX + team, self.needs.get(team, {})
         needs = {**old, self.domain: need}
         version = self.versions.get(team, 0)
         self.written_at[team] = self.clock.now()
+        # Until an answer tells, the part may be the least that was ever tried.
+        tried = self.unsettled.get(team, need.part)
+        self.unsettled[team] = tuple(map(min, tried, need.part))
         try:
             written = await self.store.swap(key, msgspec.json.encode(needs), version)
         except errors.CompareFailedError as failure:
@@ -160,5 +165,5 @@
             log.debug("%s: %s.", team, error)
         else:
             self.versions[team], self.needs[team] = written, needs
+            self.unsettled.pop(team, None)
             self.changes += 1
-            self.limits[team] = lending.limit(total, need.part)
--- a/clementinebay/services/jobs.py
+++ b/clementinebay/services/jobs.py
@@ -27,9 +27,13 @@
         self.shard = self.kernel.find("shard")
         self.peers = self.kernel.find("peers")
         self.fleet = self.kernel.find("fleet")
-        self.registry = registry.JobRegistry(self.kernel.find("platform").store)
+        self.registry = registry.SharedJobRegistry(self.kernel.find("platform").store)
         self.peers.handle(peer_wire.Kind.JOBS, peer_wire.JobsQuery, self.on_jobs_query)
 
+    async def stop(self):
+        """End the write of plans in progress."""
+        await self.registry.__aexit__()
+
     async def submit(self, spec):
         """Submit `wire.JobSpec` ``spec``, whose id is the job's name.
 
--- a/tests/test_quotaparts.py
+++ b/tests/test_quotaparts.py
@@ -225,3 +225,67 @@
         assert one.held + other.held == 6000
 
     asyncio.run(run())
+
+
+def test_domain_without_daemons_keeps_only_what_its_tasks_hold():
+    async def run():
+        clock, domains = system()
+        one, other, _third = domains
+        one.submit("minutes", 9, 1000)
+        await rounds(clock, domains, 4)
+        for _task in range(4):
+            one.finish()
+        other.submit("route", 9, 1000)
+        await rounds(clock, [other], 1)
+        adopter = QuotaParts(one.store, one.name, clock)
+        await adopter.adjust(one, {"t": QUOTA}, leaving=True)
+        one.state.index += 1
+        clock.time += 1.0
+        await adopter.adjust(one, {"t": QUOTA}, leaving=True)
+        assert adopter.limits["t"] == (2000, None, None)
+        await rounds(clock, [other], 2)
+        assert (one.held, other.held) == (2000, 4000)
+
+    asyncio.run(run())
+
+
+def test_work_within_its_part_writes_nothing():
+    async def run():
+        clock, domains = system()
+        one = domains[0]
+        one.submit("minutes", 3, 1000)
+        await rounds(clock, domains, 4)
+        revision = one.store.space.revision
+        for number in range(20):
+            one.finish()
+            one.submit(f"next-{number}", 1, 1000)
+            await rounds(clock, domains, 1)
+        assert one.store.space.revision == revision
+
+    asyncio.run(run())
+
+
+def test_part_that_was_perhaps_given_up_is_not_used_for_new_work_either():
+    async def run():
+        clock, domains = system()
+        one, other, _third = domains
+        one.submit("minutes", 9, 1000)
+        await rounds(clock, domains, 4)
+        other.submit("route", 9, 1000)
+        await rounds(clock, [other], 1)
+        one.finish()
+        await one.refresh()
+        one.store.lose = True
+        clock.time += 1.0
+        await one.step({"t": QUOTA})
+        await rounds(clock, [other, other], 1)
+        one.submit("large", 1, 6000)
+        one.store.cut = True
+        clock.time += 1.0
+        await one.parts.adjust(one, {"t": QUOTA})
+        assert one.parts.limits["t"][0] <= QUOTA[0] - other.held
+        one.store.cut = False
+        await rounds(clock, domains, 60, finish=True)
+        assert not any(d.held for d in domains)
+
+    asyncio.run(run())
