--- a/bench/load.py
+++ b/bench/load.py
@@ -17,6 +17,8 @@
 
 #: Range and precision of histograms, in microseconds and digits.
 HISTOGRAM = (1, 60_000_000, 3)
+#: Longest run of a load client, in seconds.
+CLIENT_SECONDS = 120.0
 
 
 def request_bytes(url, body, headers):
@@ -118,19 +120,28 @@
         }
 
 
-def measure(url, connections, seconds, warm_up=1.0, headers=()):
-    """Run the load in a process of its own and return its result."""
-    command = [sys.executable, "-m", "bench.load", url]
-    command += ["--connections", str(connections), "--seconds", str(seconds)]
-    command += ["--warm-up", str(warm_up)]
-    for name, value in dict(headers).items():
-        command += ["--header", f"{name}={value}"]
+def run_apart(module, url, arguments):
+    """Run a load client in a process of its own and return its result."""
     done = subprocess.run(
-        command, cwd=ROOT, capture_output=True, text=True, check=True, timeout=120
+        [sys.executable, "-m", module, url, *map(str, arguments)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=CLIENT_SECONDS,
     )
     return json.loads(done.stdout)
 
 
+def measure(url, connections, seconds, warm_up=1.0, headers=()):
+    """Run the load in a process of its own and return its result."""
+    arguments = ["--connections", connections, "--seconds", seconds]
+    arguments += ["--warm-up", warm_up]
+    for name, value in dict(headers).items():
+        arguments += ["--header", f"{name}={value}"]
+    return run_apart("bench.load", url, arguments)
+
+
 def main():
     """Send a load and print what was measured."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/bench/openload.py
+++ b/bench/openload.py
@@ -8,13 +8,10 @@
 import asyncio
 import json
 import random
-import subprocess
-import sys
 import time
 from collections import deque
 
 from bench import load
-from standins.cluster import ROOT
 
 #: Connections that share the load; more requests than these wait in the client.
 CONNECTIONS = 128
@@ -88,12 +85,8 @@
 
 def measure(url, rate, seconds, seed=1):
     """Run the load in a process of its own and return its result."""
-    command = [sys.executable, "-m", "bench.openload", url]
-    command += ["--rate", str(rate), "--seconds", str(seconds), "--seed", str(seed)]
-    done = subprocess.run(
-        command, cwd=ROOT, capture_output=True, text=True, check=True, timeout=120
-    )
-    return json.loads(done.stdout)
+    arguments = ["--rate", rate, "--seconds", seconds, "--seed", seed]
+    return load.run_apart("bench.openload", url, arguments)
 
 
 def main():
