Have a caller that submits alone not wait for others

SharedJobRegistry paused after every write of plans, also after one that had a single plan.

Ruled out: the log's group writer, which pauses only when others overtake it.

Change: it pauses only after a write that had several plans, which is when callers overlap.

The new test waits in vain without the change.

--- a/clementinebay/registry.py
+++ b/clementinebay/registry.py
@@ -188,7 +188,8 @@
                 except errors.ClementineError as error:
                     for claimant in batch.values():
                         claimant.fail(error)
-                await asyncio.sleep(GATHER_SECONDS)
+                if len(batch) > 1:
+                    await asyncio.sleep(GATHER_SECONDS)
         finally:
             stopped = errors.PlatformOutcomeUnknownError("the writer was stopped")
             for claimant in (*batch.values(), *self.waiting):
--- a/tests/test_embedding.py
+++ b/tests/test_embedding.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from clementinebay import errors
+from clementinebay import errors, registry
 from clementinebay.claims import DAY_SECONDS, Claims
 from clementinebay.configstore import ConfigStore
 from clementinebay.policy.retry import RetryBudget
@@ -55,13 +55,13 @@
 
 
 async def test_first_plan_wins(store):
-    registry = JobRegistry(store)
+    jobs = JobRegistry(store)
     plan = Plan("minutes", "d", split("minutes", 10, ["a", "b", "c"]))
-    await registry.claim(plan)
+    await jobs.claim(plan)
     later = Plan("minutes", "d", split("minutes", 10, ["a", "b"]))
-    assert await registry.claim(later) == plan
+    assert await jobs.claim(later) == plan
     with pytest.raises(errors.RecordRefusedError):
-        await registry.claim(Plan("minutes", "other", []))
+        await jobs.claim(Plan("minutes", "other", []))
 
 
 async def test_plans_that_wait_share_a_write(store, space):
@@ -69,9 +69,9 @@
     await JobRegistry(store).claim(Plan("job-2", "other", []))
     before = space.revision
     plans = [Plan(f"job-{number}", "d", [], created_at=1.0) for number in range(50)]
-    async with SharedJobRegistry(store) as registry:
+    async with SharedJobRegistry(store) as jobs:
         found = await asyncio.gather(
-            *map(registry.claim, [*plans, plans[7]]), return_exceptions=True
+            *map(jobs.claim, [*plans, plans[7]]), return_exceptions=True
         )
     assert type(found.pop(2)) is errors.RecordRefusedError
     assert found.pop(1).created_at == 0.0
@@ -79,13 +79,20 @@
     assert space.revision == before + 1
 
 
+async def test_a_caller_alone_does_not_wait_for_others(store, monkeypatch):
+    monkeypatch.setattr(registry, "GATHER_SECONDS", 3600.0)
+    async with SharedJobRegistry(store) as shared, asyncio.timeout(5.0):
+        for number in range(3):
+            await shared.claim(Plan(f"job-{number}", "d", []))
+
+
 async def test_failure_to_write_plans_reaches_every_caller(store):
     async def broken(*_arguments):
         raise errors.PlatformUnavailableError("down")
 
     store.commit = broken
-    async with SharedJobRegistry(store) as registry:
-        claims = (registry.claim(Plan(name, "d", [])) for name in "ab")
+    async with SharedJobRegistry(store) as jobs:
+        claims = (jobs.claim(Plan(name, "d", [])) for name in "ab")
         found = await asyncio.gather(*claims, return_exceptions=True)
     assert {type(error) for error in found} == {errors.PlatformUnavailableError}
 
