--- a/tests/test_quotaparts.py
+++ b/tests/test_quotaparts.py
@@ -173,19 +173,25 @@
     asyncio.run(run())
 
 
+async def lose_the_answer_to_a_lowering(clock, domains):
+    """Have the first domain give up a part of the quota for the second."""
+    one, other, _third = domains
+    one.submit("minutes", 9, 1000)
+    await rounds(clock, domains, 4)
+    other.submit("route", 9, 1000)
+    await rounds(clock, [other], 1)
+    one.finish()
+    await one.refresh()
+    one.store.lose = True
+    clock.time += 1.0
+    await one.step({"t": QUOTA})
+
+
 def test_part_that_was_perhaps_given_up_is_not_used():
     async def run():
         clock, domains = system()
         one, other, _third = domains
-        one.submit("minutes", 9, 1000)
-        await rounds(clock, domains, 4)
-        other.submit("route", 9, 1000)
-        await rounds(clock, [other], 1)
-        one.finish()
-        await one.refresh()
-        one.store.lose = True
-        clock.time += 1.0
-        await one.step({"t": QUOTA})
+        await lose_the_answer_to_a_lowering(clock, domains)
         assert not one.store.lose
         await rounds(clock, [other, other], 1)
         assert (one.held, other.held) == (5000, 1000)
@@ -269,15 +275,7 @@
     async def run():
         clock, domains = system()
         one, other, _third = domains
-        one.submit("minutes", 9, 1000)
-        await rounds(clock, domains, 4)
-        other.submit("route", 9, 1000)
-        await rounds(clock, [other], 1)
-        one.finish()
-        await one.refresh()
-        one.store.lose = True
-        clock.time += 1.0
-        await one.step({"t": QUOTA})
+        await lose_the_answer_to_a_lowering(clock, domains)
         await rounds(clock, [other, other], 1)
         one.submit("large", 1, 6000)
         one.store.cut = True
