--- a/bench/slopes_fakes.py
+++ b/bench/slopes_fakes.py
@@ -7,9 +7,9 @@
 
 from clementinebay import config, settings
 from clementinebay.clock import SystemClock
-from clementinebay.platform.base import Vm
 from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import Vm
 from clementinebay.tracing import Tracer
 
 #: Processors, memory and accelerators of every endpoint.
--- a/bench/slopes_parts.py
+++ b/bench/slopes_parts.py
@@ -302,7 +302,7 @@
     """Apply a change of the document."""
     from clementinebay.clock import SystemClock
     from clementinebay.configstore import ConfigStore
-    from clementinebay.platform.etcd import EtcdStore
+    from clementinebay.store.etcd import EtcdStore
 
     store = EtcdStore(url, 5.0)
     try:
--- a/clementinebay/claims.py
+++ b/clementinebay/claims.py
@@ -9,7 +9,7 @@
 import hashlib
 
 from clementinebay import errors
-from clementinebay.platform.base import Put
+from clementinebay.store.base import Put
 
 DAY_SECONDS = 86_400
 #: Wait before claims whose answer was lost are written again, in seconds.
--- a/clementinebay/clock.py
+++ b/clementinebay/clock.py
@@ -1,4 +1,4 @@
-"""Clocks.  All times are seconds since the Unix epoch, so deadlines cross VMs."""
+"""Clocks.  Times that cross VMs are seconds since the Unix epoch."""
 
 import asyncio
 import time
@@ -25,6 +25,14 @@
         return time.time()
 
 
+class BootClock(Clock):
+    """Seconds since the VM started, with the time in which it was suspended."""
+
+    def now(self):
+        """Return the seconds since the VM started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock for tests that moves only when told to."""
 
--- a/clementinebay/configstore.py
+++ b/clementinebay/configstore.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from clementinebay import config, errors
-from clementinebay.platform.base import MAX_VALUE_BYTES, Put, prefix_end
+from clementinebay.store.base import MAX_VALUE_BYTES, Put, prefix_end
 
 HEAD_KEY = "config/head"
 REVISION_KEY = "config/revision"
--- a/clementinebay/errors.py
+++ b/clementinebay/errors.py
@@ -116,6 +116,75 @@
     code = "call-budget-spent"
 
 
+class HistoryGoneError(PlatformError):
+    """The platform no longer knows the changes that a watch asked for."""
+
+    code = "history-gone"
+
+
+class EntryInvalidError(ClementineError):
+    """What another writer left in the platform cannot be read."""
+
+    code = "entry-invalid"
+
+    def __init__(self, key, reason):
+        self.key = key
+        self.reason = reason
+        super().__init__(f"{key}: {reason}")
+
+
+class OrderRefusedError(ClementineError):
+    """An endpoint refused an order; it had no effect.  ``reason`` is its word."""
+
+    code = "order-refused"
+
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    EXPIRED = "expired"
+    FULL = "full"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other-life"
+    INVALID = "invalid"
+
+    def __init__(self, endpoint, reason):
+        self.endpoint = endpoint
+        self.reason = reason
+        super().__init__(f"{endpoint} refused: {reason}")
+
+
+class JobRefusedError(ClementineError):
+    """A submission was refused; it will never run."""
+
+    code = "job-refused"
+
+    def __init__(self, reason, retry_after=1.0):
+        self.reason = reason
+        self.retry_after = retry_after
+        super().__init__(reason)
+
+
+class JobInvalidError(ClementineError):
+    """A submission is malformed; ``problem`` says where."""
+
+    code = "job-invalid"
+
+    def __init__(self, problem):
+        self.problem = problem
+        super().__init__(problem)
+
+
+class JobUnknownError(ClementineError):
+    """No such job is stored."""
+
+    code = "job-unknown"
+
+
+class NotLeaderError(ClementineError):
+    """Another scheduler holds the term, or none does any more."""
+
+    code = "not-leader"
+
+
 # Shard
 
 
@@ -358,6 +427,43 @@
     code = "frame-malformed"
 
 
+# Calls over HTTP
+
+
+class CallError(ClementineError):
+    """A call to another process failed."""
+
+    code = "call"
+
+
+class CallNotSentError(CallError):
+    """No connection could be opened; no byte of the call was sent."""
+
+    code = "call-not-sent"
+
+    def __init__(self, address, cause):
+        super().__init__(f"cannot connect to {address}: {cause!r}")
+
+
+class CallUnansweredError(CallError):
+    """No whole answer came; the call may have been carried out, also later."""
+
+    code = "call-unanswered"
+
+    def __init__(self, address, path, cause):
+        super().__init__(f"no answer from {address} to {path}: {cause!r}")
+
+
+class RequestTooLargeError(ClementineError):
+    """A request's head or body is longer than ``limit`` bytes."""
+
+    code = "request-too-large"
+
+    def __init__(self, limit):
+        self.limit = limit
+        super().__init__(f"longer than {limit} bytes")
+
+
 def subclasses(base=ClementineError):
     """Yield ``base`` and every error class below it."""
     yield base
--- /dev/null
+++ b/clementinebay/platform/gateway.py
@@ -0,0 +1,197 @@
+"""Clients' HTTP requests, translated into calls of the job gate."""
+
+import asyncio
+import re
+
+import msgspec
+
+from clementinebay import errors
+from clementinebay.web.server import Response
+from clementinebay.workflow.model import Step
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+#: Longest payload of a job, in bytes.
+MAX_PAYLOAD_BYTES = 4_000
+#: How long a client waits that does not say so, in milliseconds.
+DEFAULT_WAIT_MS = 3_000
+#: Share of the client's time after which an unknown outcome is no longer waited for.
+WAIT_SHARE = 0.8
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+NOT_ALLOWED = 405
+GONE = 410
+UNAVAILABLE = 503
+TIMEOUT = 504
+
+_encode = msgspec.json.Encoder().encode
+
+
+class WireStep(msgspec.Struct):
+    """A step as clients write it; fields that are 0, false or empty are left out.
+
+    ``cpu`` is in thousandths of a processor, ``max_per_server`` counts tasks of the
+    step on one endpoint, ``may_miss`` how many replicas may be away on our account.
+    """
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    after: list[int] = []
+    saves_progress: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class WireJob(msgspec.Struct):
+    """A job as clients write it; ``spec`` is handed to its tasks."""
+
+    spec: str = ""
+    steps: list[WireStep] = []
+    times: int = 0
+
+
+_decoder = msgspec.json.Decoder(WireJob)
+
+
+def decode_job(body):
+    """Return (payload, steps) of a submission; raise `JobInvalidError`."""
+    try:
+        job = _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise errors.JobInvalidError(str(error)) from error
+    if not job.steps:
+        raise errors.JobInvalidError("a job has at least one step")
+    if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise errors.JobInvalidError(f"spec: more than {MAX_PAYLOAD_BYTES} bytes")
+    if job.times:
+        raise errors.JobInvalidError("times: jobs with a timetable are not supported")
+    steps = tuple(decode_step(number, step) for number, step in enumerate(job.steps))
+    return job.spec, steps
+
+
+def decode_step(number, step):
+    """Return the `Step` that a client wrote; raise `JobInvalidError`."""
+    if step.count < 1:
+        raise errors.JobInvalidError(f"steps[{number}].count: less than 1")
+    if step.gang:
+        raise errors.JobInvalidError(f"steps[{number}].gang: not supported")
+    if any(not 0 <= earlier < number for earlier in step.after):
+        raise errors.JobInvalidError(f"steps[{number}].after: not an earlier step")
+    if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
+        raise errors.JobInvalidError(f"steps[{number}]: a negative size")
+    return Step(
+        count=step.count,
+        processors_milli=step.cpu,
+        memory_mb=step.mem_mb,
+        accelerators=step.gpu,
+        estimate_ms=step.estimate_ms,
+        after=tuple(step.after),
+        checkpoints=step.saves_progress,
+        required_label=step.required_label,
+        data_rack=step.data_rack,
+        max_per_endpoint=step.max_per_server,
+        speculative=step.speculative,
+        replica=step.long_running,
+        image=step.image,
+        latency_ms=step.target_ms,
+        filler=step.fills,
+        max_unavailable=step.may_miss,
+    )
+
+
+def problem(status, text, headers=()):
+    """Return a response that says what is wrong."""
+    return Response(status, _encode({"error": text}), headers)
+
+
+def retry_later(seconds, text):
+    """Return the response of a request that has not run and never will."""
+    return problem(UNAVAILABLE, text, (("retry-after", str(seconds)),))
+
+
+class Gateway:
+    """Answers clients' requests by calls of the job gate."""
+
+    async def answer(self, request, table, gate):
+        """Return the `Response` to one request."""
+        if table is None:
+            return retry_later(1, "no configuration yet")
+        queue = table.find(request.headers.get("host", ""), request.path)
+        if queue is None:
+            return problem(NOT_FOUND, "no such queue")
+        job_id = request.path[len(queue.prefix) :]
+        method = METHODS.get((request.method, bool(job_id)))
+        if method is None:
+            return problem(NOT_ALLOWED, "method not allowed")
+        if job_id and not JOB_ID.fullmatch(job_id):
+            return problem(BAD_REQUEST, "an id has 16 hexadecimal digits")
+        try:
+            return await method(self, request, queue, job_id, gate)
+        except errors.JobInvalidError as error:
+            return problem(BAD_REQUEST, error.problem)
+        except errors.JobUnknownError:
+            return problem(GONE, "no such job")
+        except errors.JobRefusedError as error:
+            return retry_later(error.retry_after, error.reason)
+        except errors.PlatformOutcomeUnknownError as error:
+            return problem(TIMEOUT, error.code)
+        except errors.PlatformError as error:
+            return retry_later(1, error.code)
+
+    async def submit(self, request, queue, job_id, gate):
+        """Accept a job."""
+        payload, steps = decode_job(request.body)
+        deadline = request.received_at + wait_seconds(request) * WAIT_SHARE
+        new = await gate.submit(queue, job_id, payload, steps, deadline)
+        gate.log.info(
+            "job.accepted",
+            job=job_id,
+            queue=queue.name,
+            tasks=sum(step.count for step in steps),
+            new=new,
+            ms=round((asyncio.get_running_loop().time() - request.received_at) * 1000),
+        )
+        return Response(OK)
+
+    async def show(self, request, queue, job_id, gate):
+        """Show a job's state."""
+        progress = await gate.progress(job_id)
+        return Response(OK, _encode({"state": progress.state.value}))
+
+    async def cancel(self, request, queue, job_id, gate):
+        """Cancel a job."""
+        await gate.cancel(job_id)
+        gate.log.info("job.cancel_stored", job=job_id, queue=queue.name)
+        return Response(OK)
+
+    async def count(self, request, queue, job_id, gate):
+        """Show how many jobs of a queue have begun no task."""
+        return Response(OK, _encode({"pending": await gate.pending(queue)}))
+
+
+#: (method, whether a job is named) -> what answers.
+METHODS = {
+    ("POST", True): Gateway.submit,
+    ("GET", True): Gateway.show,
+    ("DELETE", True): Gateway.cancel,
+    ("GET", False): Gateway.count,
+}
+
+
+def wait_seconds(request):
+    """Return how long the client waits for the answer, in seconds."""
+    text = request.headers.get("deadline-ms", "")
+    return (int(text) if text.isdecimal() else DEFAULT_WAIT_MS) / 1000
--- /dev/null
+++ b/clementinebay/platform/operator.py
@@ -0,0 +1,87 @@
+"""What operators write into the platform's store: queues, and domains taken out.
+
+The platform calls a queue a route and a domain that is taken out evacuated.
+"""
+
+import msgspec
+
+from clementinebay import errors
+from clementinebay.workflow.boundary import DomainOut
+from clementinebay.workflow.model import Queue, QueueTable
+
+CONFIG = "op/config"
+EVACUATE = "op/evacuate/"
+
+
+class Route(msgspec.Struct):
+    """A queue; ``slo_ms`` is a time that a job may take beyond its work.
+
+    ``stretch`` is what a job's longest chain of work may be stretched by.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    slo_ms: float = 0
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+
+
+class Service(msgspec.Struct):
+    """A group of endpoints."""
+
+    name: str
+    enforces_capacity: bool = False
+
+
+class Limits(msgspec.Struct):
+    """Limits of clients' requests, in bytes."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+
+
+class Config(msgspec.Struct):
+    """The operators' configuration in full."""
+
+    version: int
+    routes: list[Route] = []
+    services: list[Service] = []
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+_decoder = msgspec.json.Decoder(Config)
+
+
+def decode_item(key, value):
+    """Return what an item says, or ``None`` if it concerns nothing here."""
+    if key.startswith(EVACUATE):
+        return DomainOut(key[len(EVACUATE) :])
+    if key != CONFIG:
+        return None
+    try:
+        config = _decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise errors.EntryInvalidError(key, str(error)) from error
+    queues = [
+        Queue(
+            route.name,
+            route.host,
+            route.prefix,
+            route.service,
+            priority=route.priority,
+            attempts=route.attempts,
+            stretch=route.stretch,
+            slack_ms=route.slo_ms,
+        )
+        for route in config.routes
+    ]
+    return QueueTable(
+        config.version,
+        queues,
+        {service.name: service.enforces_capacity for service in config.services},
+        config.limits.max_body_bytes,
+        config.limits.max_header_bytes,
+    )
--- /dev/null
+++ b/clementinebay/platform/settings.py
@@ -0,0 +1,101 @@
+"""The platform's settings file, a YAML document, and what it says about this daemon."""
+
+import os
+
+import yaml
+
+from clementinebay import errors
+from clementinebay.workflow.boundary import Deployment
+
+#: Environment variable that holds the path of the settings file.
+PATH_VARIABLE = "CLEMENTINEBAY_NODE_FILE"
+#: How far ahead endpoints' leases are granted, in seconds: a scheduler's loss, its
+#: successor's election and its first reports fit in, and a lost endpoint's tasks are
+#: given up soon.
+LEASE_SECONDS = 5.0
+#: What is left of the grace period when the drain ends, in seconds.
+GRACE_MARGIN_SECONDS = 2.0
+
+#: Bounds that an installation may leave out, in its own units.
+DEFAULT_BOUNDS = {
+    "hold_max_ms": 6000,
+    "grace_s": 6,
+    "status_s": 120,
+    "stop_ms": 900,
+    "harm_ms": 4000,
+}
+
+
+class NodeSettings:
+    """What the settings file says, in this package's terms.
+
+    Addresses are (host, port); ``store`` and ``advice`` are "host:port".
+    """
+
+    __slots__ = (
+        "node",
+        "failure_domain",
+        "domains",
+        "front",
+        "ready",
+        "store",
+        "bounds",
+    )
+
+    def __init__(self, document):
+        try:
+            self.node = document["node"]
+            self.failure_domain = document["zone"]
+            self.domains = tuple(document["zones"])
+            self.front = parse_address(document["listen"]["front"])
+            self.ready = parse_address(document["listen"]["ready"])
+            self.store = document["platform"]["addr"]
+            self.bounds = DEFAULT_BOUNDS | (document.get("bounds") or {})
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.SettingsError([f"settings file: {error!r}"]) from error
+
+
+def parse_address(text):
+    """Return (host, port) of ``host:port``."""
+    host, _colon, port = text.rpartition(":")
+    return host, int(port)
+
+
+def settings_path():
+    """Return the path of the settings file; raise `SettingsError` if none is named."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise errors.SettingsError([f"{PATH_VARIABLE} is not set"])
+    return path
+
+
+def read(path):
+    """Return the `NodeSettings` of the file; raise `SettingsError` if it is wrong."""
+    try:
+        with open(path, "rb") as file:
+            document = yaml.load(file, Loader=yaml.CSafeLoader)
+    except (OSError, yaml.YAMLError) as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
+    return NodeSettings(document)
+
+
+def deployment(node, store, boundary, gateway):
+    """Return the `Deployment` that the settings describe."""
+    bounds = node.bounds
+    return Deployment(
+        node=node.node,
+        failure_domain=node.failure_domain,
+        domains=node.domains,
+        front=node.front,
+        ready=node.ready,
+        metrics=None,
+        store=store,
+        boundary=boundary,
+        gateway=gateway,
+        max_lease_seconds=bounds["hold_max_ms"] / 1000,
+        lease_seconds=LEASE_SECONDS,
+        drain_seconds=max(0.0, bounds["grace_s"] - GRACE_MARGIN_SECONDS),
+        status_seconds=bounds["status_s"],
+        stop_seconds=bounds["stop_ms"] / 1000,
+        harm_seconds=bounds["harm_ms"] / 1000,
+    )
--- /dev/null
+++ b/clementinebay/policy/dispatch.py
@@ -0,0 +1,107 @@
+"""Which waiting task starts where: the order of the jobs and the choice of endpoints.
+
+Pure: reads jobs and endpoints, returns choices.  The caller reserves what was chosen
+before it asks for the next task.
+"""
+
+#: A job that is later than this many times its objective earns nothing more.
+WORTHLESS_AFTER = 3.0
+#: How much worse, in parts of an endpoint, the job's own domains may be before another
+#: domain is opened to the job.
+DOMAIN_SLACK = 0.15
+#: Score of a filler beside replicas, which it disturbs, per replica.
+BESIDE_REPLICA = 0.25
+#: Score of a replica beside fillers, per filler.
+BESIDE_FILLER = 0.05
+#: Score of an endpoint that is still slow after its start.
+COLD = 0.5
+#: Score of an endpoint that failed the task before, or is being tried again.
+DISTRUSTED = 2.0
+
+
+def rank(job, now):
+    """Return the sort key of a job: replicas and urgent work first, then by deadline.
+
+    Jobs that cannot meet their objective any more come after those that can, and jobs
+    that are worth nothing come last.
+    """
+    priority = job.queue.priority if job.queue is not None else 0
+    if job.replica:
+        return (0, priority, job.accepted_at)
+    span = max(0.001, job.objective_at - job.accepted_at)
+    age = (now - job.accepted_at) / span
+    lateness = 0 if age < 1.0 else 1 if age < WORTHLESS_AFTER else 2
+    return (1 + lateness, priority, job.objective_at)
+
+
+def load_score(endpoint, step):
+    """Return the share of the processors that is claimed, with one task of ``step``."""
+    claimed = endpoint.processors_used + endpoint.filler_demand + step.processors_milli
+    return claimed / max(1, endpoint.info.processors_milli)
+
+
+def score(endpoint, task, now):
+    """Return how unfit ``endpoint`` is for ``task``; the least is the best."""
+    step = task.step
+    value = load_score(endpoint, step)
+    if step.filler:
+        value += BESIDE_REPLICA * endpoint.replicas
+    if step.replica:
+        value += BESIDE_FILLER * endpoint.fillers
+    if endpoint.info.cold_ms > 0:
+        value += COLD
+    if task.avoid is not None and endpoint.id in task.avoid:
+        value += DISTRUSTED
+    if step.data_rack and endpoint.info.rack != step.data_rack:
+        value += 1.0
+    return value
+
+
+def usable(endpoint, task, now):
+    """Return whether ``task`` may be started at ``endpoint`` at all."""
+    step = task.step
+    if endpoint.info.service != task.job.spec.service or not endpoint.fits(step):
+        return False
+    if step.required_label and step.required_label not in endpoint.info.labels:
+        return False
+    if endpoint.health.probation and endpoint.tasks:
+        return False
+    if step.max_per_endpoint:
+        beside = sum(
+            other.job is task.job and other.step_number == task.step_number
+            for other in endpoint.tasks.values()
+        )
+        return beside < step.max_per_endpoint
+    return True
+
+
+class Choice:
+    """Where a task goes: an endpoint, or a domain to open to the job first."""
+
+    __slots__ = ("endpoint", "domain")
+
+    def __init__(self, endpoint=None, domain=None):
+        self.endpoint = endpoint
+        self.domain = domain
+
+
+def choose(task, endpoints, now):
+    """Return the `Choice` for ``task`` among ``endpoints``, or ``None``."""
+    best = best_elsewhere = None
+    best_score = score_elsewhere = float("inf")
+    domains = task.job.domains
+    for endpoint in endpoints:
+        if not usable(endpoint, task, now):
+            continue
+        value = score(endpoint, task, now)
+        if endpoint.domain in domains:
+            if value < best_score:
+                best, best_score = endpoint, value
+        elif value < score_elsewhere:
+            best_elsewhere, score_elsewhere = endpoint, value
+    if best is None or best_score > score_elsewhere + DOMAIN_SLACK:
+        if best_elsewhere is not None:
+            return Choice(best, best_elsewhere.domain)
+        if best is None:
+            return None
+    return Choice(best)
--- a/clementinebay/quotaparts.py
+++ b/clementinebay/quotaparts.py
@@ -10,8 +10,8 @@
 
 from clementinebay import errors
 from clementinebay.log import Log
-from clementinebay.platform.base import prefix_end
 from clementinebay.policy import lending
+from clementinebay.store.base import prefix_end
 
 PREFIX = "quota/"
 #: Time between two writes for one team, in seconds.
--- a/clementinebay/registry.py
+++ b/clementinebay/registry.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from clementinebay import errors
-from clementinebay.platform.base import Put, prefix_end
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import Put, prefix_end
 
 PREFIX = "job/"
 #: Time that the plan of a job which is over is kept, in whole seconds.
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -12,25 +12,32 @@
     "config": ("clementinebay.services.configwatcher", "ConfigWatcher"),
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
+    "eventlog": ("clementinebay.services.eventlog", "EventLogService"),
     "fleet": ("clementinebay.services.fleet", "FleetWatcher"),
     "front": ("clementinebay.services.front", "Front"),
+    "jobgate": ("clementinebay.services.jobgate", "JobGate"),
     "jobs": ("clementinebay.services.jobs", "Jobs"),
     "livelist": ("clementinebay.services.livelist", "LiveListWatcher"),
     "mover": ("clementinebay.services.mover", "Mover"),
     "peers": ("clementinebay.services.peers", "Peers"),
     "platform": ("clementinebay.services.platform", "Platform"),
+    "queues": ("clementinebay.services.queues", "Queues"),
     "reachability": ("clementinebay.services.reachability", "EndpointReachability"),
     "renewals": ("clementinebay.services.renewals", "Renewals"),
     "retention": ("clementinebay.services.retention", "Retention"),
     "router": ("clementinebay.services.router", "Router"),
     "scheduler": ("clementinebay.services.scheduler", "Scheduler"),
     "shard": ("clementinebay.services.shard", "ShardFollower"),
+    "term": ("clementinebay.services.term", "Term"),
     "tracing": ("clementinebay.services.tracing", "Tracing"),
 }
 
 #: What a daemon runs; each starts what it requires first.
 DAEMON = ("scheduler", "mover", "retention", "adopter", "bootstrap", "front")
 
+#: What a daemon runs that schedules jobs of steps on an installation's platform.
+WORKFLOW_DAEMON = ("jobgate",)
+
 
 def find_service_class(name):
     """Return the class of service ``name``; raise `KernelError` if there is none."""
--- a/clementinebay/services/bootstrap.py
+++ b/clementinebay/services/bootstrap.py
@@ -11,10 +11,10 @@
 from clementinebay import errors, thriftcodec
 from clementinebay.log import Log
 from clementinebay.peer.wire import ttypes as wire
-from clementinebay.platform.base import Vm
 from clementinebay.service import Service
 from clementinebay.shard import snapshot
 from clementinebay.shard.wire import ttypes as shard_wire
+from clementinebay.store.base import Vm
 
 #: The platform has so long to answer before peers are asked, in seconds.
 PATIENCE_SECONDS = 2.0
--- a/clementinebay/services/livelist.py
+++ b/clementinebay/services/livelist.py
@@ -4,8 +4,8 @@
 
 from clementinebay import errors
 from clementinebay.log import Log
-from clementinebay.platform.livelist import HttpLiveList
 from clementinebay.service import Service
+from clementinebay.store.livelist import HttpLiveList
 
 log = Log("livelist")
 
--- a/clementinebay/services/platform.py
+++ b/clementinebay/services/platform.py
@@ -4,8 +4,8 @@
 import importlib
 
 from clementinebay import errors
-from clementinebay.platform.accountant import AccountedStore, Budget, shares
 from clementinebay.service import Service
+from clementinebay.store.accountant import AccountedStore, Budget, shares
 
 #: Daemons that are assumed to share the platform until the live list was read.
 ASSUMED_DAEMONS = 40
@@ -13,7 +13,7 @@
 RESIZE_SECONDS = 1.0
 
 #: Protocol name -> (module, class) of `KeyValueStore`.
-STORES = {"etcd-json": ("clementinebay.platform.etcd", "EtcdStore")}
+STORES = {"etcd-json": ("clementinebay.store.etcd", "EtcdStore")}
 
 
 def open_store(name, url, timeout):
--- /dev/null
+++ b/clementinebay/services/queues.py
@@ -0,0 +1,82 @@
+"""Service "queues": follows the operators' queues and the domains taken out."""
+
+from clementinebay import errors
+from clementinebay.clock import BootClock
+from clementinebay.service import Service
+from clementinebay.workflow.boundary import DomainOut
+from clementinebay.workflow.mirror import Mirror
+from clementinebay.workflow.model import QueueTable
+
+
+class Queues(Service):
+    """Holds the newest `QueueTable` and the failure domains that are ``out``.
+
+    ``listener`` is called without arguments after each change.
+    """
+
+    name = "queues"
+    requires = ("eventlog",)
+
+    async def start(self):
+        """Begin to follow."""
+        self.log = self.kernel.find("eventlog").log
+        self.boundary = self.settings.boundary
+        self.table = None
+        self.domains_out = {}
+        self.listener = None
+        self.mirror = Mirror(
+            self.settings.store,
+            self.boundary.operator_prefix,
+            self.replace,
+            self.update,
+            BootClock(),
+            self.log,
+        )
+        self.background.spawn(self.mirror.run)
+
+    @property
+    def out(self):
+        """Names of the failure domains that are out of service."""
+        return frozenset(self.domains_out.values())
+
+    def replace(self, entries):
+        """Take all items of the operators."""
+        self.domains_out = {}
+        for entry in entries:
+            self.take(entry)
+        self.tell()
+
+    def update(self, entry):
+        """Take one change."""
+        if entry.value is None:
+            name = self.domains_out.pop(entry.key, None)
+            if name is not None:
+                self.log.info("domain.back", domain=name, version=entry.version)
+        else:
+            self.take(entry)
+        self.tell()
+
+    def take(self, entry):
+        """Take one item."""
+        try:
+            item = self.boundary.decode_operator_item(entry.key, entry.value)
+        except errors.EntryInvalidError as error:
+            self.log.error("operator.item_invalid", key=error.key, why=error.reason)
+            return
+        if isinstance(item, DomainOut):
+            self.domains_out[entry.key] = item.name
+            self.log.info("domain.out", domain=item.name, version=entry.version)
+        elif isinstance(item, QueueTable):
+            self.adopt(item)
+
+    def adopt(self, table):
+        """Use ``table`` unless it is older than the one in use."""
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        self.log.info("queues.adopted", version=table.version, queues=len(table.queues))
+
+    def tell(self):
+        """Call the listener."""
+        if self.listener is not None:
+            self.listener()
--- a/clementinebay/shard/log.py
+++ b/clementinebay/shard/log.py
@@ -11,10 +11,10 @@
 from collections import deque
 
 from clementinebay import errors, thriftcodec
-from clementinebay.platform.base import MAX_VALUE_BYTES, Put, prefix_end
 from clementinebay.shard import codec, snapshot
 from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import MAX_VALUE_BYTES, Put, prefix_end
 
 #: Wait before a write whose answer was lost is written again, in seconds.
 REWRITE_SECONDS = 0.2
--- /dev/null
+++ b/clementinebay/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service and list of VMs, behind abstract base classes."""
--- a/clementinebay/platform/accountant.py
+++ b/clementinebay/store/accountant.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from clementinebay import errors, metrics
-from clementinebay.platform.base import KeyValueStore
+from clementinebay.store.base import KeyValueStore
 
 #: Longest wait for a free call before it is refused, in seconds.
 LONGEST_WAIT_SECONDS = 1.0
--- a/clementinebay/platform/etcd.py
+++ b/clementinebay/store/etcd.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from clementinebay import errors
-from clementinebay.platform.base import Entry, KeyValueStore
-from clementinebay.platform.session import FAILED, NOT_SENT, Session
+from clementinebay.store.base import Entry, KeyValueStore
+from clementinebay.store.session import FAILED, NOT_SENT, Session
 
 #: Longest silence on a watch before it is opened again, in seconds.
 WATCH_SILENCE_SECONDS = 30.0
--- a/clementinebay/platform/keyspace.py
+++ b/clementinebay/store/keyspace.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from clementinebay import errors
-from clementinebay.platform.base import Entry, KeyValueStore
+from clementinebay.store.base import Entry, KeyValueStore
 
 #: Changes kept for watches that start in the past.
 HISTORY_LIMIT = 10_000
--- a/clementinebay/platform/livelist.py
+++ b/clementinebay/store/livelist.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from clementinebay import errors
-from clementinebay.platform.base import LiveList, Vm
-from clementinebay.platform.session import FAILED, Session
+from clementinebay.store.base import LiveList, Vm
+from clementinebay.store.session import FAILED, Session
 
 
 class HttpLiveList(LiveList):
--- /dev/null
+++ b/clementinebay/web/client.py
@@ -0,0 +1,204 @@
+"""An HTTP/1.1 client with a pool of connections for each address.
+
+It tells apart calls that were surely not sent from calls that may have been carried
+out: `CallNotSentError` and `CallUnansweredError`.
+"""
+
+import asyncio
+import socket
+
+import httptools
+
+from clementinebay import errors
+
+#: Unacknowledged bytes end a connection after so long, in milliseconds.
+USER_TIMEOUT_MS = 3_000
+#: Idle connections are probed after so long, in seconds.
+KEEPALIVE_SECONDS = 2
+#: Unanswered probes that end a connection.
+KEEPALIVE_PROBES = 2
+#: Connections that stay open unused to one address.
+MAX_IDLE = 4
+#: A connection that was unused for longer is not used again, in seconds.
+IDLE_SECONDS = 20.0
+
+
+class Answer:
+    """One whole response; ``headers`` maps lower-case names to texts."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection with at most one call in progress."""
+
+    __slots__ = (
+        "transport",
+        "parser",
+        "waiter",
+        "headers",
+        "body",
+        "kept",
+        "idle_since",
+    )
+
+    def __init__(self):
+        self.transport = None
+        self.waiter = None
+        self.kept = False
+        self.idle_since = 0.0
+
+    def connection_made(self, transport):
+        """Set the socket to notice a silent peer."""
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+    def connection_lost(self, exc):
+        """Fail the call in progress."""
+        self.fail(exc or ConnectionResetError())
+
+    def data_received(self, data):
+        """Feed the parser."""
+        if self.waiter is None:
+            self.transport.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.fail(error)
+            self.transport.abort()
+
+    def on_header(self, name, value):
+        """Collect one header."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, data):
+        """Collect a part of the body."""
+        self.body.append(data)
+
+    def on_message_complete(self):
+        """Hand over the answer."""
+        if self.waiter is not None and not self.waiter.done():
+            status = self.parser.get_status_code()
+            # The parser forgets this once the callback has returned.
+            self.kept = self.parser.should_keep_alive()
+            answer = Answer(status, self.headers, b"".join(self.body))
+            self.waiter.set_result(answer)
+
+    def fail(self, error):
+        """End the call in progress with ``error``."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(error)
+
+    async def exchange(self, data):
+        """Send the bytes of a call and return its `Answer`."""
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers = {}
+        self.body = []
+        self.waiter = asyncio.get_running_loop().create_future()
+        try:
+            self.transport.write(data)
+            return await self.waiter
+        finally:
+            self.waiter = None
+
+    @property
+    def reusable(self):
+        """Whether another call may use the connection."""
+        return self.kept and not self.transport.is_closing()
+
+
+class Client:
+    """Calls addresses ``host:port``; a context manager that owns the connections.
+
+    ``opened`` counts the connections that were opened so far.
+    """
+
+    def __init__(self):
+        self.idle = {}
+        self.opened = 0
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc):
+        for address in list(self.idle):
+            self.forget(address)
+
+    def forget(self, address):
+        """Close the idle connections to ``address``."""
+        for connection in self.idle.pop(address, ()):
+            connection.transport.abort()
+
+    async def call(self, address, method, path, timeout, body=None, headers=()):
+        """Return the `Answer` within ``timeout`` seconds.
+
+        ``body`` is bytes of JSON or ``None``; ``headers`` lists (name, value) texts.
+        Raises `CallNotSentError` if no byte was sent, else `CallUnansweredError`.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
+        connection = await self.connect(address, deadline)
+        data = encode_call(address, method, path, body, headers)
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await connection.exchange(data)
+        except BaseException as error:
+            connection.transport.abort()
+            if isinstance(error, TimeoutError):
+                self.forget(address)
+            if isinstance(error, (OSError, httptools.HttpParserError)):
+                raise errors.CallUnansweredError(address, path, error) from error
+            raise
+        self.give_back(address, connection)
+        return answer
+
+    async def connect(self, address, deadline):
+        """Return an idle connection, or a new one."""
+        loop = asyncio.get_running_loop()
+        idle = self.idle.get(address)
+        while idle:
+            connection = idle.pop()
+            fresh = loop.time() - connection.idle_since < IDLE_SECONDS
+            if fresh and not connection.transport.is_closing():
+                return connection
+            connection.transport.abort()
+        host, _colon, port = address.rpartition(":")
+        self.opened += 1
+        try:
+            async with asyncio.timeout_at(deadline):
+                _transport, connection = await loop.create_connection(
+                    ClientConnection, host, int(port)
+                )
+        except OSError as error:
+            raise errors.CallNotSentError(address, error) from error
+        return connection
+
+    def give_back(self, address, connection):
+        """Keep a connection for later calls."""
+        idle = self.idle.setdefault(address, [])
+        if connection.reusable and len(idle) < MAX_IDLE:
+            connection.idle_since = asyncio.get_running_loop().time()
+            idle.append(connection)
+        else:
+            connection.transport.close()
+
+
+def encode_call(address, method, path, body, headers):
+    """Return the bytes of a request."""
+    lines = [f"{method} {path} HTTP/1.1", f"host: {address}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if body is not None:
+        lines.append("content-type: application/json")
+    if body is not None or method != "GET":
+        lines.append(f"content-length: {len(body or b'')}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + (body or b"")
--- /dev/null
+++ b/clementinebay/workflow/engine.py
@@ -0,0 +1,587 @@
+"""The engine: takes what happened and the time, returns the orders that follow.
+
+It holds jobs and endpoints of one scheduler's term.  It performs no I/O; its owner
+sends the orders, reports their outcomes, and stores the progress of changed jobs.
+"""
+
+from clementinebay.policy import dispatch, endpointhealth
+from clementinebay.workflow.fleet import EndpointState
+from clementinebay.workflow.job import Job, JobState, TaskState
+
+#: Runs of one term are numbered from its term's number times this.
+RUNS_PER_TERM = 1000
+#: An order without an answer is carried out at the latest after so long, in seconds.
+LATE_ORDER_SECONDS = 13.0
+#: First and longest wait before a task that failed is run again, in seconds.
+RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 5.0
+#: An order to stop that had no effect yet is repeated after so long, in seconds.
+STOP_REPEAT_SECONDS = 1.0
+
+
+class End:
+    """How a run ended, as its endpoint reports it."""
+
+    __slots__ = ("number", "task", "run", "outcome", "checkpoint")
+
+    DONE = "done"
+    FAILED = "failed"
+
+    def __init__(self, number, task, run, outcome, checkpoint):
+        self.number = number
+        self.task = task
+        self.run = run
+        self.outcome = outcome
+        self.checkpoint = checkpoint
+
+
+class RunReport:
+    """A run at work, as its endpoint reports it.
+
+    ``percent`` is the run's progress, ``figure`` the tail in ms or the processors used.
+    """
+
+    __slots__ = ("task", "run", "checkpoint", "percent", "figure")
+
+    def __init__(self, task, run, checkpoint, percent, figure):
+        self.task = task
+        self.run = run
+        self.checkpoint = checkpoint
+        self.percent = percent
+        self.figure = figure
+
+
+class Report:
+    """An endpoint's list of its runs and ends; ``clock_ms`` is its steady clock."""
+
+    __slots__ = ("born_ms", "clock_ms", "running", "ended")
+
+    def __init__(self, born_ms, clock_ms, running, ended):
+        self.born_ms = born_ms
+        self.clock_ms = clock_ms
+        self.running = running
+        self.ended = ended
+
+
+class StartOrder:
+    """Start ``run`` of ``task`` at ``endpoint``."""
+
+    __slots__ = ("endpoint", "task", "run", "checkpoint")
+
+    def __init__(self, endpoint, task):
+        self.endpoint = endpoint
+        self.task = task
+        self.run = task.run
+        self.checkpoint = task.checkpoint
+
+
+class StopOrder:
+    """Stop a run at ``endpoint`` and refuse it from now on; ``task`` is a name."""
+
+    __slots__ = ("endpoint", "task", "run", "reason")
+
+    def __init__(self, endpoint, task, run, reason):
+        self.endpoint = endpoint
+        self.task = task
+        self.run = run
+        self.reason = reason
+
+
+class Engine:
+    """Jobs, endpoints, and what follows from events.
+
+    ``term`` numbers the schedulers of the installation from 0; ``inherited_until`` is
+    when every lease that an earlier one granted has surely run out.  ``wall`` is a
+    `Clock` of the time of day.  ``changed`` holds jobs whose progress must be stored,
+    ``urgent`` tells that somebody waits for that.
+    """
+
+    def __init__(self, term, log, wall, inherited_until=0.0):
+        self.term = term
+        self.wall = wall
+        self.log = log
+        self.inherited_until = inherited_until
+        self.jobs = {}
+        self.active = {}
+        self.endpoints = {}
+        self.out = frozenset()
+        self.guarded = {}
+        self.changed = {}
+        self.urgent = False
+        self.doubts = {}
+        self.stops = {}
+        self.unsettled = {}
+        self.expected = {}
+
+    # Jobs
+
+    def add_job(self, spec, queue, now, progress=None, inherited=False):
+        """Take up a job; ``progress`` is what an earlier scheduler stored of it."""
+        if spec.id in self.jobs:
+            return self.jobs[spec.id]
+        job = Job(spec, queue, now, self.wall.now())
+        if progress is not None:
+            job.restore(progress, now)
+        if inherited:
+            job.inherited_domains = frozenset(job.domains)
+        self.jobs[spec.id] = job
+        if not job.ended:
+            self.active[spec.id] = job
+        return job
+
+    def cancel(self, job_id, now):
+        """End a job at its client's wish; its runs are stopped."""
+        job = self.jobs.get(job_id)
+        if job is None or job.ended:
+            return
+        self.end_job(job, JobState.CANCELLED, self.wall.now())
+
+    def end_job(self, job, state, wall_now):
+        """Move a job to an ended state and stop what runs of it."""
+        job.state = state
+        job.ended_at = wall_now
+        self.active.pop(job.id, None)
+        self.mark(job, urgent=True)
+        for task in job.placed():
+            self.want_stop(task, state.value)
+        self.log.info(
+            "job.ended",
+            job=job.id,
+            queue=job.spec.queue,
+            state=state.value,
+            failures={name: len(runs) for name, runs in job.failures.items()},
+        )
+
+    def forget_job(self, job_id):
+        """Drop an ended job."""
+        self.jobs.pop(job_id, None)
+
+    def mark(self, job, urgent=False):
+        """Have the progress of ``job`` stored."""
+        self.changed[job.id] = job
+        self.urgent = self.urgent or urgent
+
+    # Endpoints
+
+    def expect_endpoint(self, endpoint_id, domain):
+        """Reckon with runs at an endpoint that an earlier scheduler used."""
+        if endpoint_id not in self.expected:
+            self.expected[endpoint_id] = domain
+            self.unsettled.setdefault(domain, set()).add(endpoint_id)
+
+    def settle(self, endpoint_id):
+        """Note that an endpoint holds no run that this scheduler does not know of."""
+        domain = self.expected.get(endpoint_id)
+        if domain is not None:
+            self.unsettled.get(domain, set()).discard(endpoint_id)
+
+    def see_endpoint(self, info, now):
+        """Take an entry of the registry; return the endpoint's state."""
+        endpoint = self.endpoints.get(info.id)
+        if endpoint is None:
+            endpoint = EndpointState(info, endpointhealth.Health())
+            self.endpoints[info.id] = endpoint
+            self.log.info(
+                "endpoint.listed",
+                endpoint=info.id,
+                domain=info.failure_domain,
+                service=info.service,
+            )
+        elif info.born_ms > endpoint.info.born_ms:
+            self.begin_life(endpoint, info, now)
+        elif info.born_ms == endpoint.info.born_ms:
+            if info.leaving and not endpoint.info.leaving:
+                self.log.info("endpoint.leaving", endpoint=info.id)
+            endpoint.info = info
+        endpoint.listed = True
+        return endpoint
+
+    def begin_life(self, endpoint, info, now):
+        """Take up a restarted endpoint: whatever ran there has ended."""
+        self.log.warning(
+            "endpoint.restarted",
+            endpoint=info.id,
+            runs=len(endpoint.tasks),
+            born_ms=info.born_ms,
+        )
+        for task in list(endpoint.tasks.values()):
+            if task.state in (TaskState.STARTING, TaskState.DOUBTFUL):
+                self.doubt(task, now)
+            else:
+                self.lose(task, "restarted", now)
+        endpoint.reset(info)
+
+    def unlist_endpoint(self, endpoint_id):
+        """Note that the registry lists an endpoint no more; its leases run out."""
+        endpoint = self.endpoints.get(endpoint_id)
+        if endpoint is not None and endpoint.listed:
+            endpoint.listed = False
+            self.log.warning(
+                "endpoint.unlisted", endpoint=endpoint_id, runs=len(endpoint.tasks)
+            )
+
+    def expire(self, now):
+        """Free the tasks of endpoints whose leases have surely run out."""
+        for endpoint in list(self.endpoints.values()):
+            if endpoint.clock_ms is None and endpoint.listed:
+                continue
+            if now < endpoint.lapsed_at():
+                continue
+            for task in list(endpoint.tasks.values()):
+                if now < self.doubts.get(task.name, 0.0):
+                    continue
+                self.lose(task, "lapsed", now)
+            if not endpoint.listed and not endpoint.tasks:
+                del self.endpoints[endpoint.id]
+                self.settle(endpoint.id)
+                self.log.info("endpoint.forgotten", endpoint=endpoint.id)
+        if self.inherited_until and now >= self.inherited_until:
+            self.inherited_until = 0.0
+            self.unsettled.clear()
+
+    def lose(self, task, cause, now):
+        """Give up a run that ended without being done."""
+        self.log.info(
+            "task.lost",
+            task=task.name,
+            run=task.run,
+            endpoint=task.endpoint.id,
+            cause=cause,
+        )
+        self.release(task, now)
+
+    def release(self, task, now):
+        """Take a task from its endpoint after its run has ended or is barred."""
+        self.doubts.pop(task.name, None)
+        self.stops.pop((task.endpoint.id, task.name, task.run), None)
+        task.free(now)
+
+    # Reports of endpoints
+
+    def take_report(self, endpoint, report, sent_at, now):
+        """Take an endpoint's lists, which it made after ``sent_at``.
+
+        Returns whether the report is of the life that is known.
+        """
+        if report.born_ms is not None and report.born_ms != endpoint.info.born_ms:
+            return False
+        endpoint.read_clock(report.clock_ms, now)
+        endpoint.answered_at = now
+        endpoint.failing_since = None
+        for end in report.ended:
+            if end.number > endpoint.noted:
+                endpoint.noted = end.number
+                self.take_end(endpoint, end, now)
+        seen = set()
+        for row in report.running:
+            seen.add(row.task)
+            self.take_running(endpoint, row, now)
+        self.find_missing(endpoint, seen, sent_at, now)
+        endpoint.settled = True
+        endpoint.reported_sent_at = sent_at
+        self.settle(endpoint.id)
+        return True
+
+    def find_task(self, name):
+        """Return the `Task` called ``name``, or ``None``."""
+        try:
+            job_id, _occurrence, step, index = name.split(".")
+            return self.jobs[job_id].tasks.get((int(step), int(index)))
+        except (KeyError, ValueError):
+            return None
+
+    def take_end(self, endpoint, end, now):
+        """Take one end of a run."""
+        self.stops.pop((endpoint.id, end.task, end.run), None)
+        task = self.find_task(end.task)
+        if task is None:
+            return
+        current = task.endpoint is endpoint and task.run == end.run
+        if end.checkpoint and not task.step.replica:
+            task.checkpoint = end.checkpoint
+        self.log.info(
+            "task.ended",
+            task=end.task,
+            run=end.run,
+            endpoint=endpoint.id,
+            outcome=end.outcome,
+            seconds=round(now - task.started_at, 3) if current else None,
+        )
+        if end.outcome == End.DONE:
+            endpoint.health.succeeded()
+            self.take_done(task, current, now)
+        else:
+            if end.outcome == End.FAILED:
+                self.take_failure(endpoint, task, end.run, now)
+            if current:
+                self.release(task, now)
+
+    def take_done(self, task, current, now):
+        """Finish the task of a run that is done, and perhaps its job."""
+        job = task.job
+        if task.state is TaskState.DONE:
+            return
+        if task.endpoint is not None:
+            if not current:
+                self.add_stop(task.endpoint, task.name, task.run, "duplicate")
+            self.doubts.pop(task.name, None)
+        if job.ended:
+            task.free(now)
+            return
+        job.finish_task(task, now)
+        if job.state is JobState.COMPLETED:
+            self.end_job(job, JobState.COMPLETED, self.wall.now())
+        else:
+            self.mark(job, urgent=True)
+
+    def take_failure(self, endpoint, task, run, now):
+        """Take a failed run: its own fault or the endpoint's."""
+        job = task.job
+        if endpoint.health.failed(job.id, now):
+            self.log.warning(
+                "endpoint.barred",
+                endpoint=endpoint.id,
+                until=round(endpoint.health.barred_until - now, 2),
+            )
+        task.avoid = (task.avoid or frozenset()) | {endpoint.id}
+        if job.ended:
+            return
+        used_up = job.fail_run(task, run)
+        failures = len(job.failures[task.name])
+        wait = min(RETRY_SECONDS * 2 ** (failures - 1), MAX_RETRY_SECONDS)
+        task.not_before = now + wait
+        if used_up:
+            self.end_job(job, JobState.FAILED, self.wall.now())
+        elif not task.step.replica:
+            self.mark(job, urgent=True)
+
+    def take_running(self, endpoint, row, now):
+        """Take one run that is at work."""
+        task = self.find_task(row.task)
+        if task is None or task.state is TaskState.DONE or task.job.ended:
+            known = task is not None and task.endpoint is endpoint
+            if not known or task.run != row.run:
+                self.add_stop(endpoint, row.task, row.run, "unknown")
+            elif task.state is not TaskState.STOPPING:
+                self.want_stop(task, "ended")
+            return
+        if task.endpoint is None and task.state is TaskState.WAITING:
+            task.run = max(task.run, row.run)
+            task.place(endpoint, row.run, TaskState.RUNNING, now)
+            task.pace = None
+            task.job.begun = True
+            self.log.info(
+                "task.adopted", task=row.task, run=row.run, endpoint=endpoint.id
+            )
+        elif task.endpoint is not endpoint or task.run != row.run:
+            self.add_stop(endpoint, row.task, row.run, "duplicate")
+            return
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.percent != task.percent:
+            task.percent = row.percent
+            task.progressed_at = now
+        task.figure = row.figure
+        if task.state in (TaskState.STARTING, TaskState.DOUBTFUL):
+            task.state = TaskState.RUNNING
+            self.doubts.pop(task.name, None)
+
+    def find_missing(self, endpoint, seen, sent_at, now):
+        """Free tasks that the endpoint does not list although it should."""
+        for task in list(endpoint.tasks.values()):
+            if task.name in seen:
+                continue
+            if task.state is TaskState.RUNNING and task.started_at < sent_at:
+                self.lose(task, "missing", now)
+            elif task.state is TaskState.STOPPING:
+                stop = self.stops.get((endpoint.id, task.name, task.run))
+                if stop is None or (stop.answered_at and stop.answered_at < sent_at):
+                    self.release(task, now)
+
+    # Orders
+
+    def want_stop(self, task, reason):
+        """Order the end of the run of ``task``, which keeps its resources till then."""
+        if task.state is not TaskState.STOPPING:
+            task.state = TaskState.STOPPING
+            self.add_stop(task.endpoint, task.name, task.run, reason)
+
+    def add_stop(self, endpoint, name, run, reason):
+        """Order the end of a run, again and again until it has an effect."""
+        key = (endpoint.id, name, run)
+        if key not in self.stops:
+            self.stops[key] = PendingStop(endpoint, name, run, reason)
+
+    def doubt(self, task, now):
+        """Bar the run of an unanswered order before the task is free."""
+        if task.state is TaskState.DOUBTFUL:
+            return
+        task.state = TaskState.DOUBTFUL
+        self.doubts[task.name] = now + LATE_ORDER_SECONDS
+        self.add_stop(task.endpoint, task.name, task.run, "unanswered")
+
+    def start_answered(self, order, now):
+        """Note that an order to start was carried out."""
+        task = order.task
+        current = task.endpoint is order.endpoint and task.run == order.run
+        if current and task.state is TaskState.STARTING:
+            task.state = TaskState.RUNNING
+            task.started_at = now
+
+    def start_refused(self, order, now, wait=0.0):
+        """Note that an order to start surely had no effect."""
+        task = order.task
+        if task.endpoint is order.endpoint and task.run == order.run:
+            self.release(task, now)
+            task.not_before = now + wait
+
+    def start_unanswered(self, order, now):
+        """Note that an order to start may be carried out, also later."""
+        task = order.task
+        current = task.endpoint is order.endpoint and task.run == order.run
+        if current and task.state is TaskState.STARTING:
+            self.doubt(task, now)
+
+    def stop_answered(self, order, now):
+        """Note that an endpoint refuses the run from now on, and ends it soon."""
+        stop = self.stops.get((order.endpoint.id, order.task, order.run))
+        if stop is None:
+            return
+        stop.answered_at = now
+        task = self.find_task(order.task)
+        if task is None or task.endpoint is not order.endpoint or task.run != order.run:
+            del self.stops[order.endpoint.id, order.task, order.run]
+            return
+        if task.state is TaskState.DOUBTFUL:
+            # Listed in the next report if it is at work, else free.
+            task.state = TaskState.STOPPING
+            self.doubts.pop(task.name, None)
+
+    def due_stops(self, now):
+        """Return the stop orders to send now."""
+        orders = []
+        for key, stop in list(self.stops.items()):
+            if stop.endpoint.id not in self.endpoints:
+                del self.stops[key]
+            elif now >= stop.next_at:
+                stop.next_at = now + STOP_REPEAT_SECONDS
+                orders.append(
+                    StopOrder(stop.endpoint, stop.task, stop.run, stop.reason)
+                )
+        return orders
+
+    def available(self, now):
+        """Return the endpoints that may be given tasks."""
+        sound = [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.listed
+            and endpoint.settled
+            and endpoint.recorded
+            and not endpoint.info.leaving
+            and endpoint.failing_since is None
+            and endpoint.domain not in self.out
+        ]
+        healths = [endpoint.health for endpoint in sound]
+        if endpointhealth.too_many_barred(healths, now):
+            return sound
+        return [e for e in sound if not e.health.barred(now)]
+
+    def inheritance_settled(self, job):
+        """Return whether no unknown run of ``job`` can be at work anywhere."""
+        if not job.inherited_domains:
+            return True
+        return not any(self.unsettled.get(name) for name in job.inherited_domains)
+
+    def plan(self, now):
+        """Return the orders to start that can be given now."""
+        orders = []
+        endpoints = self.available(now)
+        if not endpoints:
+            return orders
+        for job in sorted(
+            self.active.values(), key=lambda job: dispatch.rank(job, now)
+        ):
+            if not self.inheritance_settled(job):
+                continue
+            for task in job.waiting():
+                if task.not_before <= now:
+                    order = self.place(task, endpoints, now)
+                    if order is not None:
+                        orders.append(order)
+        return orders
+
+    def place(self, task, endpoints, now):
+        """Return the order for ``task``, or ``None`` if it has to wait."""
+        choice = dispatch.choose(task, endpoints, now)
+        if choice is None:
+            return None
+        job = task.job
+        if choice.domain is not None and choice.domain not in job.wanted_domains:
+            job.wanted_domains.add(choice.domain)
+            self.mark(job, urgent=True)
+        if choice.endpoint is None:
+            return None
+        run = max(task.run, self.term * RUNS_PER_TERM) + 1
+        task.place(choice.endpoint, run, TaskState.STARTING, now)
+        task.pace = 100
+        if not job.begun:
+            job.begun = True
+            job.first_start_at = now
+            self.mark(job)
+        return StartOrder(choice.endpoint, task)
+
+    # Storing
+
+    def take_changes(self):
+        """Return the jobs to store, and the ends whose effect is stored with them.
+
+        The second is a list of (endpoint, life, number); pass it to `stored` when all
+        is stored, or both to `not_stored`.
+        """
+        jobs = list(self.changed.values())
+        self.changed = {}
+        self.urgent = False
+        ends = [
+            (endpoint, endpoint.info.born_ms, endpoint.noted)
+            for endpoint in self.endpoints.values()
+            if endpoint.noted > endpoint.acknowledged
+        ]
+        return jobs, ends
+
+    def stored(self, records, ends):
+        """Note that ``records``, (job, `Progress`), are stored."""
+        for job, progress in records:
+            job.domains |= set(progress.domains)
+            job.wanted_domains -= job.domains
+        for endpoint, born_ms, number in ends:
+            if endpoint.info.born_ms == born_ms:
+                endpoint.acknowledged = max(endpoint.acknowledged, number)
+
+    def not_stored(self, jobs):
+        """Have ``jobs`` stored again."""
+        for job in jobs:
+            self.changed.setdefault(job.id, job)
+        self.urgent = True
+
+    def pending(self):
+        """Return how many jobs of each queue have begun no task."""
+        counts = {}
+        for job in self.active.values():
+            if not job.begun:
+                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        return counts
+
+
+class PendingStop:
+    """An order to stop that has not had its effect yet."""
+
+    __slots__ = ("endpoint", "task", "run", "reason", "next_at", "answered_at")
+
+    def __init__(self, endpoint, task, run, reason):
+        self.endpoint = endpoint
+        self.task = task
+        self.run = run
+        self.reason = reason
+        self.next_at = 0.0
+        self.answered_at = 0.0
--- /dev/null
+++ b/clementinebay/workflow/fleet.py
@@ -0,0 +1,134 @@
+"""Endpoints as the scheduler sees them: what runs there, their clock and lease."""
+
+#: How much slower than true an endpoint's clock may run, as a share.
+CLOCK_SLOWNESS = 0.02
+#: Time in which an endpoint ends what lost its lease, in seconds.
+LAPSE_MARGIN_SECONDS = 0.3
+
+
+class EndpointState:
+    """One life of an endpoint.
+
+    ``settled`` tells that the endpoint has answered this scheduler, so that older
+    schedulers' orders are refused there; ``recorded`` that the store names it as in
+    use.  ``acknowledged`` is the number of the last end whose effect is stored,
+    ``noted`` the last that was processed.
+    ``granted_ms`` is the latest lease deadline, on the endpoint's clock, that was ever
+    sent; ``clock_ms`` was read at ``clock_at`` of the scheduler's clock.
+    """
+
+    __slots__ = (
+        "info",
+        "listed",
+        "recorded",
+        "settled",
+        "tasks",
+        "processors_used",
+        "memory_used",
+        "accelerators_used",
+        "filler_demand",
+        "replicas",
+        "fillers",
+        "acknowledged",
+        "noted",
+        "granted_ms",
+        "clock_ms",
+        "clock_at",
+        "answered_at",
+        "failing_since",
+        "reported_sent_at",
+        "health",
+    )
+
+    def __init__(self, info, health):
+        self.health = health
+        self.tasks = {}
+        self.processors_used = 0
+        self.memory_used = 0
+        self.accelerators_used = 0
+        self.filler_demand = 0
+        self.replicas = 0
+        self.fillers = 0
+        self.listed = True
+        self.recorded = False
+        self.answered_at = 0.0
+        self.reset(info)
+
+    def reset(self, info):
+        """Begin with a new life of the endpoint, which knows of nothing before."""
+        self.info = info
+        self.settled = False
+        self.acknowledged = 0
+        self.noted = 0
+        self.granted_ms = 0
+        self.clock_ms = None
+        self.clock_at = 0.0
+        self.failing_since = None
+        self.reported_sent_at = 0.0
+
+    @property
+    def id(self):
+        """The endpoint's id."""
+        return self.info.id
+
+    @property
+    def domain(self):
+        """The endpoint's failure domain."""
+        return self.info.failure_domain
+
+    def add(self, task):
+        """Reserve the resources of ``task``."""
+        self.tasks[task.name] = task
+        self.reserve(task.step, 1)
+
+    def remove(self, task):
+        """Release the resources of ``task``."""
+        if self.tasks.pop(task.name, None) is not None:
+            self.reserve(task.step, -1)
+
+    def reserve(self, step, sign):
+        """Add or take away the resources of one task of ``step``."""
+        self.memory_used += sign * step.memory_mb
+        self.accelerators_used += sign * step.accelerators
+        if step.filler:
+            self.filler_demand += sign * step.processors_milli
+            self.fillers += sign
+        else:
+            self.processors_used += sign * step.processors_milli
+        if step.replica:
+            self.replicas += sign
+
+    def fits(self, step):
+        """Return whether one more task of ``step`` stays within the capacity."""
+        info = self.info
+        if self.memory_used + step.memory_mb > info.memory_mb:
+            return False
+        if self.accelerators_used + step.accelerators > info.accelerators:
+            return False
+        if step.filler:
+            return True
+        return self.processors_used + step.processors_milli <= info.processors_milli
+
+    # Clock and lease
+
+    def read_clock(self, clock_ms, received_at):
+        """Take a reading of the endpoint's clock that arrived at ``received_at``."""
+        self.clock_ms = clock_ms
+        self.clock_at = received_at
+
+    def earliest_clock(self, now):
+        """Return the least that the endpoint's clock can show at ``now``, in ms."""
+        return self.clock_ms + (now - self.clock_at) * 1000 * (1 - CLOCK_SLOWNESS)
+
+    def grant(self, now, seconds):
+        """Return a lease deadline ``seconds`` ahead, in ms of the endpoint's clock."""
+        deadline = int(self.earliest_clock(now) + seconds * 1000)
+        self.granted_ms = max(self.granted_ms, deadline)
+        return deadline
+
+    def lapsed_at(self):
+        """Return when every lease granted has surely run out, in scheduler time."""
+        if self.clock_ms is None or not self.granted_ms:
+            return 0.0
+        left = max(0, self.granted_ms - self.clock_ms) / 1000
+        return self.clock_at + left / (1 - CLOCK_SLOWNESS) + LAPSE_MARGIN_SECONDS
--- /dev/null
+++ b/clementinebay/workflow/job.py
@@ -0,0 +1,275 @@
+"""A job at work: its tasks, what is done, and the record that is stored of it."""
+
+from enum import StrEnum
+
+import msgspec
+
+
+class JobState(StrEnum):
+    """Where a job stands; the values are stored and shown."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+#: States that a job does not leave.
+ENDED = frozenset((JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED))
+
+
+class TaskState(StrEnum):
+    """Where a task stands.
+
+    ``STARTING``: an order is on its way.  ``DOUBTFUL``: an order was not answered and
+    may still be carried out, until it is barred.  ``STOPPING``: its end was ordered.
+    """
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    DOUBTFUL = "doubtful"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+class Progress(msgspec.Struct, omit_defaults=True):
+    """What is stored of a job's course.
+
+    ``done`` has for each step the done tasks as bits of a hexadecimal number.
+    ``failures`` maps a task to its runs that failed.  ``domains`` are all failure
+    domains in which tasks may have been started.  ``ended_at`` is in seconds since the
+    Unix epoch.
+    """
+
+    state: JobState = JobState.QUEUED
+    done: list[str] = []
+    failures: dict[str, list[int]] = {}
+    domains: list[str] = []
+    ended_at: float = 0.0
+
+
+class Task:
+    """One task; at most one run of it is at work at a time.
+
+    ``endpoint`` and ``run`` tell where it was last ordered, ``checkpoint`` what its
+    next run resumes from ("" for none).  ``percent`` is how far the run is, and
+    ``progressed_at`` when that last grew.  ``figure`` is the endpoint's last reading:
+    the tail in milliseconds of a replica, the processors of any other task.
+    ``pace`` is the share of time in percent at which a filler is let work; ``None``
+    while that is not known.
+    """
+
+    __slots__ = (
+        "job",
+        "step_number",
+        "index",
+        "name",
+        "state",
+        "run",
+        "endpoint",
+        "checkpoint",
+        "not_before",
+        "avoid",
+        "started_at",
+        "percent",
+        "progressed_at",
+        "figure",
+        "pace",
+        "over_since",
+        "away_since",
+    )
+
+    def __init__(self, job, step_number, index):
+        self.job = job
+        self.step_number = step_number
+        self.index = index
+        self.name = f"{job.id}.0.{step_number}.{index}"
+        self.state = TaskState.WAITING
+        self.run = 0
+        self.endpoint = None
+        self.checkpoint = ""
+        self.not_before = 0.0
+        self.avoid = None
+        self.started_at = 0.0
+        self.percent = 0
+        self.progressed_at = 0.0
+        self.figure = 0.0
+        self.pace = 100
+        self.over_since = None
+        self.away_since = 0.0
+
+    @property
+    def step(self):
+        """The `Step` of the task."""
+        return self.job.spec.steps[self.step_number]
+
+    def place(self, endpoint, run, state, now):
+        """Put a run of the task at ``endpoint``."""
+        self.endpoint = endpoint
+        self.run = run
+        self.state = state
+        self.started_at = now
+        self.percent = 0
+        self.progressed_at = now
+        self.figure = 0.0
+        self.over_since = None
+        endpoint.add(self)
+
+    def free(self, now):
+        """Take the task from its endpoint; it waits for its next run."""
+        if self.endpoint is not None:
+            self.endpoint.remove(self)
+        self.endpoint = None
+        self.state = TaskState.WAITING
+        self.away_since = now
+
+
+class Job:
+    """A job and its tasks.
+
+    ``inherited`` tells that an earlier scheduler may have started tasks that this one
+    has not heard of, in the domains ``inherited_domains``.  Times are seconds of the
+    scheduler's clock.
+    """
+
+    __slots__ = (
+        "spec",
+        "queue",
+        "state",
+        "tasks",
+        "left",
+        "failures",
+        "domains",
+        "wanted_domains",
+        "inherited_domains",
+        "accepted_at",
+        "ended_at",
+        "objective_at",
+        "open_steps",
+        "begun",
+        "first_start_at",
+    )
+
+    def __init__(self, spec, queue, now, wall_now):
+        self.spec = spec
+        self.queue = queue
+        self.state = JobState.QUEUED
+        self.domains = {spec.domain}
+        self.wanted_domains = set()
+        self.inherited_domains = frozenset()
+        self.failures = {}
+        self.tasks = {}
+        self.left = [step.count for step in spec.steps]
+        self.open_steps = set()
+        self.accepted_at = now - max(0.0, wall_now - spec.accepted_at)
+        self.ended_at = 0.0
+        self.objective_at = self.accepted_at + objective_seconds(spec, queue)
+        self.begun = False
+        self.first_start_at = None
+        self.open_ready_steps()
+
+    @property
+    def id(self):
+        """The client's id of the job."""
+        return self.spec.id
+
+    @property
+    def ended(self):
+        """Whether the job is in a state that it does not leave."""
+        return self.state in ENDED
+
+    @property
+    def replica(self):
+        """Whether a step of the job runs until the job is cancelled."""
+        return any(step.replica for step in self.spec.steps)
+
+    def open_ready_steps(self):
+        """Make the tasks of steps whose predecessors are done."""
+        for number, step in enumerate(self.spec.steps):
+            if number in self.open_steps or any(self.left[n] for n in step.after):
+                continue
+            self.open_steps.add(number)
+            for index in range(step.count):
+                if (number, index) not in self.tasks:
+                    self.tasks[number, index] = Task(self, number, index)
+
+    def waiting(self):
+        """Return the tasks that wait for a run."""
+        return [task for task in self.tasks.values() if task.state is TaskState.WAITING]
+
+    def placed(self):
+        """Return the tasks that have a run at an endpoint."""
+        return [task for task in self.tasks.values() if task.endpoint is not None]
+
+    def finish_task(self, task, now):
+        """Record that ``task`` is done; open the steps that waited for it."""
+        if task.state is TaskState.DONE:
+            return
+        task.free(now)
+        task.state = TaskState.DONE
+        self.left[task.step_number] -= 1
+        if not self.left[task.step_number]:
+            self.open_ready_steps()
+        if not any(self.left):
+            self.state = JobState.COMPLETED
+
+    def fail_run(self, task, run):
+        """Record a failed run; return whether the task has used up its attempts."""
+        runs = self.failures.setdefault(task.name, [])
+        if run not in runs:
+            runs.append(run)
+        return not task.step.replica and len(runs) >= self.spec.attempts
+
+    def progress(self):
+        """Return the `Progress` to store."""
+        bits = [0] * len(self.spec.steps)
+        for (number, index), task in self.tasks.items():
+            if task.state is TaskState.DONE:
+                bits[number] |= 1 << index
+        state = self.state
+        if state is JobState.QUEUED and self.begun:
+            state = JobState.RUNNING
+        failures = {} if self.replica else self.failures
+        return Progress(
+            state=state,
+            done=[f"{value:x}" for value in bits],
+            failures=failures,
+            domains=sorted(self.domains | self.wanted_domains),
+            ended_at=self.ended_at,
+        )
+
+    def restore(self, progress, now):
+        """Take up what an earlier scheduler stored."""
+        self.state = progress.state
+        self.begun = progress.state is not JobState.QUEUED
+        self.domains = set(progress.domains) or {self.spec.domain}
+        self.failures = {name: list(runs) for name, runs in progress.failures.items()}
+        self.ended_at = progress.ended_at
+        for number, text in enumerate(progress.done):
+            bits = int(text, 16)
+            for index in range(self.spec.steps[number].count):
+                if bits >> index & 1:
+                    task = self.tasks.setdefault(
+                        (number, index), Task(self, number, index)
+                    )
+                    task.state = TaskState.DONE
+                    self.left[number] -= 1
+        self.open_ready_steps()
+
+
+def chain_seconds(spec):
+    """Return the estimate of the longest chain of work, in seconds."""
+    longest = []
+    for step in spec.steps:
+        before = max((longest[number] for number in step.after), default=0.0)
+        longest.append(before + step.estimate_ms / 1000)
+    return max(longest, default=0.0)
+
+
+def objective_seconds(spec, queue):
+    """Return the latency objective of a job, in seconds."""
+    if queue is None:
+        return chain_seconds(spec)
+    return chain_seconds(spec) * queue.stretch + queue.slack_ms / 1000
--- /dev/null
+++ b/clementinebay/workflow/jobstore.py
@@ -0,0 +1,244 @@
+"""Jobs, their progress and the scheduler's term in the key-value service.
+
+    clementine/jobs/ID          a job as submitted, created once by any daemon
+    clementine/jobs/ID/cancel   its client cancelled it
+    clementine/progress/ID      its course, written by the scheduler alone
+    clementine/term/holder      the scheduler, under a lease
+    clementine/term/number      the number of the term and of the last write in it
+    clementine/term/endpoints   endpoints that the scheduler may have used
+    clementine/pending          jobs of each queue that have begun no task
+
+The scheduler's writes follow one another: each compares the version that its
+predecessor left at ``term/number``, so a write whose answer was lost cannot take effect
+after a later one, and none takes effect once another scheduler holds the term.
+"""
+
+import asyncio
+
+import msgspec
+
+from clementinebay import errors
+from clementinebay.store.base import Put, prefix_end
+from clementinebay.workflow.job import JobState, Progress
+from clementinebay.workflow.model import JobSpec
+
+JOBS = "clementine/jobs/"
+CANCEL = "/cancel"
+PROGRESS = "clementine/progress/"
+TERM = "clementine/term/"
+HOLDER = TERM + "holder"
+NUMBER = TERM + "number"
+ENDPOINTS = TERM + "endpoints"
+PENDING = "clementine/pending"
+
+#: Records of one transaction of the scheduler; the service takes 32 entries in all.
+RECORDS_PER_WRITE = 24
+#: Wait before a write whose answer was lost is repeated, in seconds.
+SETTLE_SECONDS = 0.1
+
+
+class Holder(msgspec.Struct):
+    """Who schedules; ``token`` is new with each try to become it."""
+
+    node: str
+    token: str
+
+
+class TermNumber(msgspec.Struct):
+    """The number of the term, and how many writes it has made."""
+
+    number: int
+    token: str
+    writes: int
+
+
+_encode = msgspec.json.Encoder().encode
+_spec_decoder = msgspec.json.Decoder(JobSpec)
+_progress_decoder = msgspec.json.Decoder(Progress)
+_holder_decoder = msgspec.json.Decoder(Holder)
+_number_decoder = msgspec.json.Decoder(TermNumber)
+_counts_decoder = msgspec.json.Decoder(dict[str, int])
+_domains_decoder = msgspec.json.Decoder(dict[str, str])
+
+
+def job_id_of(key):
+    """Return the job's id and whether the key is its cancellation."""
+    name = key[len(JOBS) :]
+    if name.endswith(CANCEL):
+        return name[: -len(CANCEL)], True
+    return name, False
+
+
+def decode_spec(value):
+    """Return the `JobSpec` that is stored as ``value``."""
+    return _spec_decoder.decode(value)
+
+
+def decode_holder(value):
+    """Return the `Holder` that is stored as ``value``."""
+    return _holder_decoder.decode(value)
+
+
+class JobStore:
+    """Reads and writes of any daemon; errors are those of `KeyValueStore`."""
+
+    def __init__(self, store):
+        self.store = store
+
+    async def submit(self, spec):
+        """Store a job unless its id is there; either way it is accepted."""
+        try:
+            await self.store.create(JOBS + spec.id, _encode(spec))
+        except errors.CompareFailedError:
+            return False
+        return True
+
+    async def find(self, job_id):
+        """Return the entry of a job as submitted, or ``None``."""
+        return await self.store.get(JOBS + job_id)
+
+    async def cancel(self, job_id):
+        """Store that a job is cancelled; raise `JobUnknownError` if there is none."""
+        entry = await self.find(job_id)
+        if entry is None:
+            raise errors.JobUnknownError(job_id)
+        key = JOBS + job_id
+        try:
+            await self.store.commit(
+                [(key, entry.version), (key + CANCEL, 0)], [Put(key + CANCEL, b"{}")]
+            )
+        except errors.CompareFailedError as error:
+            if error.key == key:
+                raise errors.JobUnknownError(job_id) from error
+
+    async def progress(self, job_id):
+        """Return the `Progress` of a job; raise `JobUnknownError` if there is none."""
+        entry = await self.store.get(PROGRESS + job_id)
+        if entry is not None:
+            return _progress_decoder.decode(entry.value)
+        if await self.find(job_id) is None:
+            raise errors.JobUnknownError(job_id)
+        return Progress(state=JobState.QUEUED)
+
+    async def pending(self):
+        """Return the count of jobs that have begun no task, by queue."""
+        entry = await self.store.get(PENDING)
+        return {} if entry is None else _counts_decoder.decode(entry.value)
+
+    async def all_progress(self):
+        """Return the `Progress` of all jobs by id."""
+        entries, _revision = await self.store.scan(PROGRESS, prefix_end(PROGRESS))
+        return {
+            entry.key[len(PROGRESS) :]: _progress_decoder.decode(entry.value)
+            for entry in entries
+        }
+
+    async def used_endpoints(self):
+        """Return the failure domains of endpoints that schedulers may have used."""
+        entry = await self.store.get(ENDPOINTS)
+        return {} if entry is None else _domains_decoder.decode(entry.value)
+
+
+class TermWriter:
+    """The writes of one scheduler in its term.
+
+    ``fence`` grows from term to term.  Raises `NotLeaderError` once the term is over.
+    """
+
+    def __init__(self, store, token, number, fence, version):
+        self.store = store
+        self.token = token
+        self.number = number
+        self.fence = fence
+        self.version = version
+        self.writes = 0
+
+    async def commit(self, puts, deletes=()):
+        """Write atomically, after all earlier writes of the term.
+
+        A write whose answer was lost is repeated until its outcome is known, since a
+        copy of it may still take effect.
+        """
+        self.writes += 1
+        mark = Put(NUMBER, _encode(TermNumber(self.number, self.token, self.writes)))
+        lost = False
+        while True:
+            try:
+                return await self.attempt([mark, *puts], deletes)
+            except errors.PlatformOutcomeUnknownError:
+                lost = True
+            except errors.PlatformUnavailableError:
+                if not lost:
+                    self.writes -= 1
+                    raise
+            await asyncio.sleep(SETTLE_SECONDS)
+
+    async def attempt(self, puts, deletes):
+        """Write once; a copy of the write may have taken effect before."""
+        compares = [(HOLDER, self.fence), (NUMBER, self.version)]
+        try:
+            self.version = await self.store.commit(compares, puts, deletes)
+        except errors.CompareFailedError as error:
+            entry = await self.store.get(NUMBER)
+            found = None if entry is None else _number_decoder.decode(entry.value)
+            if not self.wrote(found):
+                raise errors.NotLeaderError(HOLDER) from error
+            self.version = entry.version
+
+    def wrote(self, found):
+        """Return whether the `TermNumber` was left by the last write of the term."""
+        return (
+            found is not None
+            and found.token == self.token
+            and found.writes == self.writes
+        )
+
+    async def save(self, records, endpoints=None):
+        """Store (job id, `Progress`) pairs, and the endpoints in use if given."""
+        puts = [
+            Put(PROGRESS + job_id, _encode(progress)) for job_id, progress in records
+        ]
+        if endpoints is not None:
+            puts.append(Put(ENDPOINTS, _encode(endpoints)))
+        await self.commit(puts)
+
+
+def pending_puts(counts):
+    """Return the writes of the count of jobs that have begun no task, by queue."""
+    return [Put(PENDING, _encode(counts))]
+
+
+def job_spans(job_ids):
+    """Return the ranges of keys that hold what is stored of jobs."""
+    keys = []
+    for job_id in job_ids:
+        keys += [JOBS + job_id, JOBS + job_id + CANCEL, PROGRESS + job_id]
+    return [(key, key + "\0") for key in keys]
+
+
+async def begin_term(store, node, token, ttl):
+    """Become the scheduler; return the `TermWriter` and the lease.
+
+    Raises `NotLeaderError` if another is, and errors of `KeyValueStore`.
+    """
+    holder = await store.get(HOLDER)
+    if holder is not None:
+        if decode_holder(holder.value).token != token:
+            raise errors.NotLeaderError(HOLDER)
+        number = await store.get(NUMBER)
+        found = _number_decoder.decode(number.value)
+        writer = TermWriter(store, token, found.number, holder.version, number.version)
+        return writer, holder.lease
+    last = await store.get(NUMBER)
+    number = 0 if last is None else _number_decoder.decode(last.value).number + 1
+    lease = await store.grant(ttl)
+    compares = [(HOLDER, 0), (NUMBER, 0 if last is None else last.version)]
+    puts = [
+        Put(HOLDER, _encode(Holder(node, token)), lease),
+        Put(NUMBER, _encode(TermNumber(number, token, 0))),
+    ]
+    try:
+        revision = await store.commit(compares, puts)
+    except errors.CompareFailedError as error:
+        raise errors.NotLeaderError(HOLDER) from error
+    return TermWriter(store, token, number, revision, revision), lease
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,10 +23,10 @@
 
 from clementinebay import errors
 from clementinebay.clock import SystemClock
-from clementinebay.platform.base import Put
-from clementinebay.platform.keyspace import KeySpace
 from clementinebay.shard import codec
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import Put
+from clementinebay.store.keyspace import KeySpace
 from standins import web
 
 NO_FAULTS = {
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 import pytest
 
 from clementinebay.clock import ManualClock
-from clementinebay.platform.keyspace import KeySpace, MemoryStore
+from clementinebay.store.keyspace import KeySpace, MemoryStore
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=100, database=None
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -1,8 +1,8 @@
 from clementinebay import config
-from clementinebay.platform.base import Vm
 from clementinebay.policy import membership
 from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import Vm
 from tests.shard import factory
 
 
--- a/tests/policy/test_reachability.py
+++ b/tests/policy/test_reachability.py
@@ -1,7 +1,7 @@
-from clementinebay.platform.base import Vm
 from clementinebay.policy.reachability import Reachability
 from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import Vm
 from tests.shard import factory
 
 
--- a/tests/services/requestfakes.py
+++ b/tests/services/requestfakes.py
@@ -1,8 +1,8 @@
 import asyncio
 
 from clementinebay import config, errors, model, settings, tracing
-from clementinebay.platform.base import Vm
 from clementinebay.services.router import Router
+from clementinebay.store.base import Vm
 
 
 class Driver:
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -6,8 +6,8 @@
 from clementinebay import config, tracing
 from clementinebay.clock import SystemClock
 from clementinebay.peer.wire import ttypes as wire
-from clementinebay.platform.base import Vm
 from clementinebay.services.peers import Peers
+from clementinebay.store.base import Vm
 from standins.ports import free_ports
 from tests.services.fakes import Fake, FakeKernel
 
--- a/tests/shard/modelendpoint.py
+++ b/tests/shard/modelendpoint.py
@@ -2,8 +2,8 @@
 
 from clementinebay import errors
 from clementinebay.endpoint.base import Report, TaskReport
-from clementinebay.platform.base import Vm
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.base import Vm
 from tests.shard.limits import CAPACITY, GRACE, SKEW, VERSIONS_LIMIT
 from tests.shard.modelstore import SkewedClock
 
--- a/tests/shard/modelstore.py
+++ b/tests/shard/modelstore.py
@@ -4,7 +4,7 @@
 
 from clementinebay import errors
 from clementinebay.clock import Clock
-from clementinebay.platform.base import KeyValueStore
+from clementinebay.store.base import KeyValueStore
 
 
 class SkewedClock(Clock):
--- a/tests/shard/test_leader.py
+++ b/tests/shard/test_leader.py
@@ -1,8 +1,8 @@
 import pytest
 
 from clementinebay import errors
-from clementinebay.platform.keyspace import MemoryStore
 from clementinebay.shard.leader import LeaderLease
+from clementinebay.store.keyspace import MemoryStore
 
 
 class RacingStore(MemoryStore):
--- a/tests/shard/test_log.py
+++ b/tests/shard/test_log.py
@@ -3,8 +3,8 @@
 import pytest
 
 from clementinebay import errors
-from clementinebay.platform.keyspace import MemoryStore
 from clementinebay.shard.log import ShardLog, split
+from clementinebay.store.keyspace import MemoryStore
 from tests.shard import factory
 
 
--- a/tests/shard/world.py
+++ b/tests/shard/world.py
@@ -3,11 +3,11 @@
 import itertools
 
 from clementinebay import config, errors
-from clementinebay.platform.keyspace import KeySpace
 from clementinebay.policy import attempts
 from clementinebay.policy.attempts import Action
 from clementinebay.shard import snapshot
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.keyspace import KeySpace
 from tests.shard.limits import (
     CAPACITY,
     DOMAINS,
--- a/tests/platform/test_accountant.py
+++ b/tests/store/test_accountant.py
@@ -4,7 +4,7 @@
 
 from clementinebay import errors
 from clementinebay.clock import ManualClock
-from clementinebay.platform import accountant
+from clementinebay.store import accountant
 
 READS, WRITES = 2000, 300
 
--- a/tests/platform/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -5,9 +5,9 @@
 import pytest
 
 from clementinebay import errors
-from clementinebay.platform.base import Put
-from clementinebay.platform.etcd import EtcdStore
-from clementinebay.platform.livelist import HttpLiveList
+from clementinebay.store.base import Put
+from clementinebay.store.etcd import EtcdStore
+from clementinebay.store.livelist import HttpLiveList
 from standins.ports import free_ports
 from standins.process import Process, wait_for
 
--- a/tests/platform/test_keyspace.py
+++ b/tests/store/test_keyspace.py
@@ -1,8 +1,8 @@
 import pytest
 
 from clementinebay import errors
-from clementinebay.platform import keyspace
-from clementinebay.platform.base import Put
+from clementinebay.store import keyspace
+from clementinebay.store.base import Put
 
 
 def test_failed_comparison_changes_nothing(space):
--- a/tests/test_configstore.py
+++ b/tests/test_configstore.py
@@ -13,7 +13,7 @@
 
 from clementinebay import config, configstore, errors
 from clementinebay.clock import ManualClock
-from clementinebay.platform.keyspace import KeySpace, MemoryStore
+from clementinebay.store.keyspace import KeySpace, MemoryStore
 
 SECTIONS = ("domain:a", "domain:b", "team:c")
 
--- a/tests/test_quotaparts.py
+++ b/tests/test_quotaparts.py
@@ -4,10 +4,10 @@
 from hypothesis import strategies as st
 
 from clementinebay import errors
-from clementinebay.platform.keyspace import KeySpace, MemoryStore
 from clementinebay.policy import lending, planner, quota
 from clementinebay.quotaparts import QuotaParts
 from clementinebay.shard.wire import ttypes as wire
+from clementinebay.store.keyspace import KeySpace, MemoryStore
 from tests.policy import factory
 
 QUOTA = (6000, None, None)
