Load jobs before endpoints report, and pace fillers beside replicas

Change: jobs are read first; a run of a job that is not known is stopped only after two seconds; jobs accepted up to two seconds into a term count as inherited. A first pacing of fillers: pause them while a replica beside them is over its bound.

--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -131,10 +131,15 @@
         body = {"task": order.task, "run": order.run, "fence": fence}
         await self.order(order.endpoint, "/run-stop", body)
 
-    async def pace(self, endpoint, task, run, percent, fence):
-        """Let a filler work at ``percent`` of the time."""
-        body = {"task": task, "run": run, "percent": percent, "fence": fence}
-        await self.order(endpoint, "/pace", body)
+    async def pace(self, order, fence):
+        """Carry out a `PaceOrder`."""
+        body = {
+            "task": order.task.name,
+            "run": order.run,
+            "percent": order.percent,
+            "fence": fence,
+        }
+        await self.order(order.endpoint, "/pace", body)
 
     async def report(self, endpoint, deadline_ms, acknowledged, wait, fence):
         """Extend the lease and return a `Report`."""
--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -9,10 +9,16 @@
 #: How much worse, in parts of an endpoint, the job's own domains may be before another
 #: domain is opened to the job.
 DOMAIN_SLACK = 0.15
-#: Score of a filler beside replicas, which it disturbs, per replica.
-BESIDE_REPLICA = 0.25
-#: Score of a replica beside fillers, per filler.
-BESIDE_FILLER = 0.05
+#: Score of a filler beside replicas, which it disturbs.
+BESIDE_REPLICA = 10.0
+#: Score of a replica beside fillers, once and per filler.
+BESIDE_FILLERS = 0.6
+BESIDE_FILLER = 0.1
+#: Score of a replica at an endpoint that has none yet, so that few endpoints are lost
+#: to fillers.
+FIRST_REPLICA = 0.5
+#: Score of other work that takes an endpoint from fillers.
+TAKES_FROM_FILLERS = 0.1
 #: Score of an endpoint that is still slow after its start.
 COLD = 0.5
 #: Score of an endpoint that failed the task before, or is being tried again.
@@ -40,14 +46,27 @@
     return claimed / max(1, endpoint.info.processors_milli)
 
 
+def replica_score(endpoint, step):
+    """Return how unfit an endpoint is for a replica."""
+    value = 1 - endpoint.processors_used / max(1, endpoint.info.processors_milli)
+    if endpoint.fillers:
+        value += BESIDE_FILLERS + BESIDE_FILLER * endpoint.fillers
+    if not endpoint.replicas:
+        value += FIRST_REPLICA
+    return value
+
+
 def score(endpoint, task, now):
     """Return how unfit ``endpoint`` is for ``task``; the least is the best."""
     step = task.step
-    value = load_score(endpoint, step)
-    if step.filler:
-        value += BESIDE_REPLICA * endpoint.replicas
     if step.replica:
-        value += BESIDE_FILLER * endpoint.fillers
+        value = replica_score(endpoint, step)
+    else:
+        value = load_score(endpoint, step)
+        if step.filler:
+            value += BESIDE_REPLICA * bool(endpoint.replicas)
+        elif not endpoint.replicas:
+            value += TAKES_FROM_FILLERS
     if endpoint.info.cold_ms > 0:
         value += COLD
     if task.avoid is not None and endpoint.id in task.avoid:
--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -18,7 +18,7 @@
 #: Unanswered probes that end a connection.
 KEEPALIVE_PROBES = 2
 #: Connections that stay open unused to one address.
-MAX_IDLE = 4
+MAX_IDLE = 16
 #: A connection that was unused for longer is not used again, in seconds.
 IDLE_SECONDS = 20.0
 
--- a/clementinebay/workflow/boundary.py
+++ b/clementinebay/workflow/boundary.py
@@ -31,8 +31,8 @@
         """Carry out a `StopOrder`."""
 
     @abstractmethod
-    async def pace(self, endpoint, task, run, percent, fence):
-        """Let a filler work at ``percent`` of the time."""
+    async def pace(self, order, fence):
+        """Carry out a `PaceOrder`."""
 
     @abstractmethod
     async def report(self, endpoint, deadline_ms, acknowledged, wait, fence):
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -4,7 +4,7 @@
 sends the orders, reports their outcomes, and stores the progress of changed jobs.
 """
 
-from clementinebay.policy import dispatch, endpointhealth
+from clementinebay.policy import dispatch, endpointhealth, pacing
 from clementinebay.workflow.fleet import EndpointState
 from clementinebay.workflow.job import Job, JobState, TaskState
 
@@ -15,6 +15,9 @@
 #: First and longest wait before a task that failed is run again, in seconds.
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 5.0
+#: A run of a job that is not known is stopped after so long, in seconds: the job may
+#: be on its way here from the store.
+STRAY_SECONDS = 2.0
 #: An order to stop that had no effect yet is repeated after so long, in seconds.
 STOP_REPEAT_SECONDS = 1.0
 
@@ -87,6 +90,18 @@
         self.reason = reason
 
 
+class PaceOrder:
+    """Let a filler's run work at ``percent`` of the time."""
+
+    __slots__ = ("endpoint", "task", "run", "percent")
+
+    def __init__(self, endpoint, task, percent):
+        self.endpoint = endpoint
+        self.task = task
+        self.run = task.run
+        self.percent = percent
+
+
 class Engine:
     """Jobs, endpoints, and what follows from events.
 
@@ -347,7 +362,7 @@
         if job.ended:
             return
         used_up = job.fail_run(task, run)
-        failures = len(job.failures[task.name])
+        failures = 1 if task.step.replica else len(job.failures[task.name])
         wait = min(RETRY_SECONDS * 2 ** (failures - 1), MAX_RETRY_SECONDS)
         task.not_before = now + wait
         if used_up:
@@ -358,6 +373,9 @@
     def take_running(self, endpoint, row, now):
         """Take one run that is at work."""
         task = self.find_task(row.task)
+        if task is None and row.task.partition(".")[0] not in self.jobs:
+            self.take_stray(endpoint, row, now)
+            return
         if task is None or task.state is TaskState.DONE or task.job.ended:
             known = task is not None and task.endpoint is endpoint
             if not known or task.run != row.run:
@@ -386,6 +404,12 @@
             task.state = TaskState.RUNNING
             self.doubts.pop(task.name, None)
 
+    def take_stray(self, endpoint, row, now):
+        """Stop the run of a job that stays unknown."""
+        first_seen = endpoint.strays.setdefault((row.task, row.run), now)
+        if now > first_seen + STRAY_SECONDS:
+            self.add_stop(endpoint, row.task, row.run, "unknown-job")
+
     def find_missing(self, endpoint, seen, sent_at, now):
         """Free tasks that the endpoint does not list although it should."""
         for task in list(endpoint.tasks.values()):
@@ -470,6 +494,26 @@
                 )
         return orders
 
+    def pace(self, endpoint, now):
+        """Return the orders that keep an endpoint's fillers from its replicas."""
+        pacing.adjust(endpoint.pacing, endpoint, now)
+        for task in pacing.to_move(endpoint.pacing, endpoint, now):
+            if task.state is TaskState.RUNNING:
+                self.want_stop(task, "paused")
+        orders = []
+        percent = endpoint.pacing.percent
+        for task in endpoint.tasks.values():
+            running = task.state is TaskState.RUNNING
+            if task.step.filler and running and task.pace != percent:
+                task.pace = percent
+                orders.append(PaceOrder(endpoint, task, percent))
+        return orders
+
+    def pace_failed(self, order):
+        """Note that a pace may not be in force."""
+        if order.task.run == order.run:
+            order.task.pace = None
+
     def available(self, now):
         """Return the endpoints that may be given tasks."""
         sound = [
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -1,5 +1,7 @@
 """Endpoints as the scheduler sees them: what runs there, their clock and lease."""
 
+from clementinebay.policy.pacing import Pacing
+
 #: How much slower than true an endpoint's clock may run, as a share.
 CLOCK_SLOWNESS = 0.02
 #: Time in which an endpoint ends what lost its lease, in seconds.
@@ -38,10 +40,14 @@
         "failing_since",
         "reported_sent_at",
         "health",
+        "pacing",
+        "strays",
     )
 
     def __init__(self, info, health):
         self.health = health
+        self.pacing = Pacing()
+        self.strays = {}
         self.tasks = {}
         self.processors_used = 0
         self.memory_used = 0
@@ -58,6 +64,7 @@
         """Begin with a new life of the endpoint, which knows of nothing before."""
         self.info = info
         self.settled = False
+        self.strays = {}
         self.acknowledged = 0
         self.noted = 0
         self.granted_ms = 0
@@ -76,6 +83,12 @@
         """The endpoint's failure domain."""
         return self.info.failure_domain
 
+    @property
+    def load(self):
+        """The share of the processors that is claimed, fillers included."""
+        claimed = self.processors_used + self.filler_demand
+        return round(claimed / max(1, self.info.processors_milli), 2)
+
     def add(self, task):
         """Reserve the resources of ``task``."""
         self.tasks[task.name] = task
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -5,6 +5,7 @@
 
 from clementinebay import errors
 from clementinebay.clock import SystemClock
+from clementinebay.policy import pacing
 from clementinebay.workflow import jobstore
 from clementinebay.workflow.engine import Engine
 from clementinebay.workflow.mirror import Mirror
@@ -19,6 +20,9 @@
 ORDER_SECONDS = 0.8
 #: How long an endpoint's report may wait for an end, in seconds.
 REPORT_WAIT_SECONDS = 1.0
+#: The same for an endpoint with fillers beside replicas, whose readings cover the last
+#: half second.
+MIXED_WAIT_SECONDS = 0.4
 #: Time for an endpoint's report beyond its wait, in seconds.
 REPORT_SECONDS = 0.8
 #: Wait after a report that failed, in seconds.
@@ -33,6 +37,8 @@
 RETENTION_MARGIN_SECONDS = 30.0
 #: Jobs whose records are deleted in one write.
 FORGOTTEN_PER_WRITE = 8
+#: An earlier scheduler may act on new jobs for so long into this term, in seconds.
+OVERLAP_SECONDS = 2.0
 #: A lease is not granted beyond the endpoints' limit less this, in seconds.
 LEASE_MARGIN_SECONDS = 0.3
 #: Allowance for endpoints' clocks and orders on their way when an earlier scheduler's
@@ -59,6 +65,7 @@
         self.jobs = jobstore.JobStore(self.store)
         now = clock.now()
         self.confirmed_at = now
+        self.began_at = now
         self.max_lease = deployment.max_lease_seconds - LEASE_MARGIN_SECONDS
         inherited = now + self.max_lease * INHERITED_FACTOR + INHERITED_MARGIN_SECONDS
         self.engine = Engine(writer.number, log, SystemClock(), inherited)
@@ -116,8 +123,9 @@
             self.clock,
             self.log,
         )
-        await self.endpoint_mirror.load()
+        # Jobs first: the reports of endpoints speak of them.
         await self.job_mirror.load()
+        await self.endpoint_mirror.load()
         self.progress = {}
         self.queues.listener = self.queues_changed
         self.queues_changed()
@@ -160,10 +168,18 @@
                 else None,
                 now,
                 self.progress.get(job_id),
-                inherited=self.writer.number > 0 and entry.version < self.writer.fence,
+                inherited=self.inherited(entry, now),
             )
         self.kick()
 
+    def inherited(self, entry, now):
+        """Return whether an earlier scheduler may have seen a stored job.
+
+        One that does not know yet that its term is over still learns of new jobs.
+        """
+        young = now < self.began_at + OVERLAP_SECONDS
+        return self.writer.number > 0 and (young or entry.version < self.writer.fence)
+
     def replace_endpoints(self, entries):
         """Take the whole registry."""
         listed = set()
@@ -259,6 +275,10 @@
             run=order.run,
             endpoint=order.endpoint.id,
             fence=self.writer.fence,
+            filler=order.task.step.filler,
+            replicas=order.endpoint.replicas,
+            fillers=order.endpoint.fillers,
+            load=order.endpoint.load,
             outcome=outcome,
             ms=round((self.clock.now() - now) * 1000, 1),
         )
@@ -291,6 +311,30 @@
         )
         self.kick()
 
+    async def send_pace(self, order):
+        """Send an order to pace."""
+        try:
+            await self.driver.pace(order, self.writer.fence)
+        except (errors.CallError, errors.OrderRefusedError) as error:
+            self.engine.pace_failed(order)
+            self.log.warning(
+                "task.pace_failed",
+                task=order.task.name,
+                run=order.run,
+                error=error.code,
+            )
+            return
+        self.log.info(
+            "task.paced",
+            task=order.task.name,
+            run=order.run,
+            endpoint=order.endpoint.id,
+            percent=order.percent,
+            tail_share=round(pacing.worst_share(order.endpoint), 2),
+            replicas=order.endpoint.replicas,
+            fillers=order.endpoint.fillers,
+        )
+
     def fail_endpoint(self, endpoint):
         """Give an endpoint nothing new until it answers again."""
         if endpoint.failing_since is None:
@@ -314,7 +358,10 @@
         """Ask for one report; return whether it came."""
         sent_at = self.clock.now()
         unstored = endpoint.noted > endpoint.acknowledged
-        wait = REPORT_WAIT_SECONDS if endpoint.settled and not unstored else 0.0
+        wait = 0.0
+        if endpoint.settled and not unstored:
+            mixed = endpoint.replicas and endpoint.fillers
+            wait = MIXED_WAIT_SECONDS if mixed else REPORT_WAIT_SECONDS
         deadline_ms = None
         ahead = self.lease_seconds(sent_at)
         if endpoint.clock_ms is not None and endpoint.listed and ahead > 0:
@@ -337,6 +384,8 @@
             self.log.info("endpoint.regained", endpoint=endpoint.id)
         if not settled or report.ended or lost:
             self.kick()
+        for order in self.engine.pace(endpoint, now):
+            self.spawn(self.send_pace(order))
         if endpoint.noted > endpoint.acknowledged:
             self.changed.set()
             await self.wait_stored(endpoint)
