Learn which fillers press which replicas, and place by it

Cause: all endpoints carry replicas (about 120 of them claim nine tenths of the processors), so a filler always stands beside some.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -9,15 +9,14 @@
 #: How much worse, in parts of an endpoint, the job's own domains may be before another
 #: domain is opened to the job.
 DOMAIN_SLACK = 0.15
-#: Score of a filler beside replicas, which it disturbs.
-BESIDE_REPLICA = 10.0
-#: Score of a replica beside fillers, once and per filler.
-BESIDE_FILLERS = 0.6
-BESIDE_FILLER = 0.1
-#: Score of a replica at an endpoint that has none yet, so that few endpoints are lost
-#: to fillers.
-FIRST_REPLICA = 0.5
-#: Score of other work that takes an endpoint from fillers.
+#: Probability of harm to a replica from which a filler rather waits.
+HARM_LIMIT = 0.45
+#: Score of harm to replicas that is certain.
+HARM = 3.0
+#: Score of a replica at an endpoint with replicas of other images only: fillers find
+#: room more easily where replicas are alike.
+OTHER_IMAGE = 1.5
+#: Score of other work that takes an endpoint's processors from fillers.
 TAKES_FROM_FILLERS = 0.1
 #: Score of an endpoint that is still slow after its start.
 COLD = 0.5
@@ -46,26 +45,35 @@
     return claimed / max(1, endpoint.info.processors_milli)
 
 
-def replica_score(endpoint, step):
-    """Return how unfit an endpoint is for a replica."""
+def replica_score(endpoint, step, pressure):
+    """Return how unfit an endpoint is for a replica: full ones come first."""
     value = 1 - endpoint.processors_used / max(1, endpoint.info.processors_milli)
-    if endpoint.fillers:
-        value += BESIDE_FILLERS + BESIDE_FILLER * endpoint.fillers
-    if not endpoint.replicas:
-        value += FIRST_REPLICA
-    return value
+    images = endpoint.replica_images
+    if images and step.image not in images:
+        value += OTHER_IMAGE
+    return value + HARM * pressure.on_replica(step.image, endpoint)
+
+
+def filler_score(endpoint, step, pressure):
+    """Return how unfit an endpoint is for a filler, or ``None`` if it rather waits."""
+    harm = pressure.between(endpoint.replica_images, step.image)
+    if harm > HARM_LIMIT:
+        return None
+    return load_score(endpoint, step) + HARM * harm
 
 
-def score(endpoint, task, now):
-    """Return how unfit ``endpoint`` is for ``task``; the least is the best."""
+def score(endpoint, task, pressure):
+    """Return how unfit ``endpoint`` is for ``task``, or ``None`` if not at all fit."""
     step = task.step
     if step.replica:
-        value = replica_score(endpoint, step)
+        value = replica_score(endpoint, step, pressure)
+    elif step.filler:
+        value = filler_score(endpoint, step, pressure)
+        if value is None:
+            return None
     else:
         value = load_score(endpoint, step)
-        if step.filler:
-            value += BESIDE_REPLICA * bool(endpoint.replicas)
-        elif not endpoint.replicas:
+        if not endpoint.replicas:
             value += TAKES_FROM_FILLERS
     if endpoint.info.cold_ms > 0:
         value += COLD
@@ -76,7 +84,7 @@
     return value
 
 
-def usable(endpoint, task, now):
+def usable(endpoint, task):
     """Return whether ``task`` may be started at ``endpoint`` at all."""
     step = task.step
     if endpoint.info.service != task.job.spec.service or not endpoint.fits(step):
@@ -104,15 +112,17 @@
         self.domain = domain
 
 
-def choose(task, endpoints, now):
+def choose(task, endpoints, pressure):
     """Return the `Choice` for ``task`` among ``endpoints``, or ``None``."""
     best = best_elsewhere = None
     best_score = score_elsewhere = float("inf")
     domains = task.job.domains
     for endpoint in endpoints:
-        if not usable(endpoint, task, now):
+        if not usable(endpoint, task):
+            continue
+        value = score(endpoint, task, pressure)
+        if value is None:
             continue
-        value = score(endpoint, task, now)
         if endpoint.domain in domains:
             if value < best_score:
                 best, best_score = endpoint, value
--- a/clementinebay/policy/pacing.py
+++ b/clementinebay/policy/pacing.py
@@ -1,18 +1,21 @@
 """How much fillers may work beside replicas whose tail must stay below a bound.
 
-A replica over its bound has the fillers beside it paused at once, since nothing shows
-which of them disturbs it.  While the replicas hold their bounds the fillers are let
-work again by steps.  A filler that stays paused is moved to another endpoint.
+A replica over its bound has the fillers that are likely to press it paused at once, and
+all fillers beside it if that does not help.  A filler that stays paused is moved to
+another endpoint; others are let work again when the replicas have been calm.
 """
 
-#: Share of the bound above which a tail counts as about to exceed it.
-GUARD_SHARE = 0.85
-#: Share of the bound below which paused fillers may work more.
-CALM_SHARE = 0.6
-#: Percent by which the pace is raised at a time.
-RAISE_PERCENT = 25
-#: Time between two raises, in seconds; readings cover the last half second.
-RAISE_SECONDS = 1.0
+from clementinebay.policy import pressure as pressures
+
+#: Probability of harm from which a filler is paused beside a replica over its bound.
+SUSPECT = 0.3
+#: A replica that is over its bound for so long has all fillers beside it paused, in
+#: seconds; readings cover the last half second.
+ALL_AFTER_SECONDS = 1.2
+#: Share of the bound below which paused fillers may work again.
+CALM_SHARE = 0.7
+#: Replicas must have been calm for so long, in seconds.
+CALM_SECONDS = 0.8
 #: A filler that was paused for so long is moved away, in seconds, if it keeps a
 #: checkpoint, and if it does not.
 MOVE_SECONDS = 0.3
@@ -23,64 +26,63 @@
 
 
 class Pacing:
-    """What was decided for one endpoint.
-
-    ``percent`` holds for all fillers there; ``changed_at`` is when it was set.
-    """
+    """Since when an endpoint's replicas have been over their bounds, or calm."""
 
-    __slots__ = ("percent", "changed_at", "paused_since")
+    __slots__ = ("over_since", "calm_since")
 
     def __init__(self):
-        self.percent = FULL
-        self.changed_at = 0.0
-        self.paused_since = None
+        self.over_since = None
+        self.calm_since = None
 
-    def set(self, percent, now):
-        """Use another pace from ``now`` on."""
-        if percent == PAUSED and self.percent != PAUSED:
-            self.paused_since = now
-        elif percent != PAUSED:
-            self.paused_since = None
-        self.percent = percent
-        self.changed_at = now
+    def follow(self, worst, now):
+        """Take the worst tail, as a share of its bound."""
+        if worst > 1.0:
+            if self.over_since is None:
+                self.over_since = now
+        else:
+            self.over_since = None
+        if worst >= CALM_SHARE:
+            self.calm_since = None
+        elif self.calm_since is None:
+            self.calm_since = now
 
 
-def worst_share(endpoint):
-    """Return the greatest tail of a replica as a share of its bound."""
-    return max(
-        (
-            task.figure / task.step.latency_ms
-            for task in endpoint.tasks.values()
-            if task.step.replica and task.step.latency_ms
-        ),
-        default=0.0,
-    )
+def decide(pacing, endpoint, pressure, now):
+    """Return the percent at which each filler of ``endpoint`` is to work, by task."""
+    by_image = pressures.worst_by_image(endpoint)
+    pacing.follow(max(by_image.values(), default=0.0), now)
+    fillers = endpoint.filler_tasks()
+    if pacing.over_since is not None:
+        over = [image for image, share in by_image.items() if share > 1.0]
+        if now >= pacing.over_since + ALL_AFTER_SECONDS:
+            return dict.fromkeys(fillers, PAUSED)
+        return {task: PAUSED for task in suspects(fillers, over, pressure)}
+    calm = pacing.calm_since is not None and now >= pacing.calm_since + CALM_SECONDS
+    if not calm and by_image:
+        return {}
+    return {
+        task: FULL
+        for task in fillers
+        if pressure.between(by_image, task.step.image) < SUSPECT
+    }
 
 
-def adjust(pacing, endpoint, now):
-    """Choose the pace of an endpoint's fillers from its replicas' newest readings."""
-    if not endpoint.replicas:
-        if pacing.percent != FULL:
-            pacing.set(FULL, now)
-        return
-    share = worst_share(endpoint)
-    if share > GUARD_SHARE:
-        if pacing.percent != PAUSED:
-            pacing.set(PAUSED, now)
-        return
-    due = now >= pacing.changed_at + RAISE_SECONDS
-    if share < CALM_SHARE and pacing.percent < FULL and due:
-        pacing.set(min(FULL, pacing.percent + RAISE_PERCENT), now)
+def suspects(fillers, images, pressure):
+    """Return the fillers that are likely to press replicas of ``images``."""
+    if not fillers:
+        return []
+    harm = {task: pressure.between(images, task.step.image) for task in fillers}
+    limit = min(SUSPECT, max(harm.values()))
+    return [task for task in fillers if harm[task] >= limit]
 
 
-def to_move(pacing, endpoint, now):
+def to_move(endpoint, now):
     """Return the fillers that have been paused for too long."""
-    if pacing.paused_since is None:
-        return []
-    paused = now - pacing.paused_since
     return [
         task
-        for task in endpoint.tasks.values()
-        if task.step.filler
-        and paused >= (MOVE_SECONDS if task.step.checkpoints else MOVE_UNSAVED_SECONDS)
+        for task in endpoint.filler_tasks()
+        if task.paused_since is not None
+        and now
+        >= task.paused_since
+        + (MOVE_SECONDS if task.step.checkpoints else MOVE_UNSAVED_SECONDS)
     ]
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -5,6 +5,7 @@
 """
 
 from clementinebay.policy import dispatch, endpointhealth, pacing
+from clementinebay.policy.pressure import Pressure
 from clementinebay.workflow.fleet import EndpointState
 from clementinebay.workflow.job import Job, JobState, TaskState
 
@@ -15,6 +16,9 @@
 #: First and longest wait before a task that failed is run again, in seconds.
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 5.0
+#: A task waits so long for a better domain to be opened to its job, in seconds; while
+#: the store is away it then takes what there is.
+OPENING_SECONDS = 0.3
 #: A run of a job that is not known is stopped after so long, in seconds: the job may
 #: be on its way here from the store.
 STRAY_SECONDS = 2.0
@@ -127,6 +131,7 @@
         self.stops = {}
         self.unsettled = {}
         self.expected = {}
+        self.pressure = Pressure()
 
     # Jobs
 
@@ -496,17 +501,18 @@
 
     def pace(self, endpoint, now):
         """Return the orders that keep an endpoint's fillers from its replicas."""
-        pacing.adjust(endpoint.pacing, endpoint, now)
-        for task in pacing.to_move(endpoint.pacing, endpoint, now):
+        self.pressure.observe(endpoint, now)
+        paces = pacing.decide(endpoint.pacing, endpoint, self.pressure, now)
+        orders = []
+        for task, percent in paces.items():
+            if task.state is not TaskState.RUNNING or task.pace == percent:
+                continue
+            task.pace = percent
+            task.paused_since = now if percent == pacing.PAUSED else None
+            orders.append(PaceOrder(endpoint, task, percent))
+        for task in pacing.to_move(endpoint, now):
             if task.state is TaskState.RUNNING:
                 self.want_stop(task, "paused")
-        orders = []
-        percent = endpoint.pacing.percent
-        for task in endpoint.tasks.values():
-            running = task.state is TaskState.RUNNING
-            if task.step.filler and running and task.pace != percent:
-                task.pace = percent
-                orders.append(PaceOrder(endpoint, task, percent))
         return orders
 
     def pace_failed(self, order):
@@ -548,23 +554,35 @@
         ):
             if not self.inheritance_settled(job):
                 continue
-            for task in job.waiting():
-                if task.not_before <= now:
-                    order = self.place(task, endpoints, now)
-                    if order is not None:
-                        orders.append(order)
+            for waiting in job.waiting:
+                orders += self.place_step(waiting, endpoints, now)
+        return orders
+
+    def place_step(self, waiting, endpoints, now):
+        """Return orders for the waiting tasks of one step, which are all alike."""
+        orders = []
+        for task in list(waiting):
+            if task.not_before > now:
+                continue
+            order = self.place(task, endpoints, now)
+            if order is not None:
+                orders.append(order)
+            elif task.avoid is None:
+                break
         return orders
 
     def place(self, task, endpoints, now):
         """Return the order for ``task``, or ``None`` if it has to wait."""
-        choice = dispatch.choose(task, endpoints, now)
+        choice = dispatch.choose(task, endpoints, self.pressure)
         if choice is None:
             return None
         job = task.job
         if choice.domain is not None and choice.domain not in job.wanted_domains:
             job.wanted_domains.add(choice.domain)
+            job.wanted_at = now
             self.mark(job, urgent=True)
-        if choice.endpoint is None:
+        opening = choice.domain is not None and now < job.wanted_at + OPENING_SECONDS
+        if choice.endpoint is None or opening:
             return None
         run = max(task.run, self.term * RUNS_PER_TERM) + 1
         task.place(choice.endpoint, run, TaskState.STARTING, now)
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -31,6 +31,9 @@
         "filler_demand",
         "replicas",
         "fillers",
+        "replica_images",
+        "filler_images",
+        "filler_shares",
         "acknowledged",
         "noted",
         "granted_ms",
@@ -55,6 +58,9 @@
         self.filler_demand = 0
         self.replicas = 0
         self.fillers = 0
+        self.replica_images = {}
+        self.filler_images = {}
+        self.filler_shares = {}
         self.listed = True
         self.recorded = False
         self.answered_at = 0.0
@@ -89,6 +95,14 @@
         claimed = self.processors_used + self.filler_demand
         return round(claimed / max(1, self.info.processors_milli), 2)
 
+    def filler_tasks(self):
+        """Return the fillers that have a run here."""
+        return [task for task in self.tasks.values() if task.step.filler]
+
+    def replica_tasks(self):
+        """Return the replicas that have a run here."""
+        return [task for task in self.tasks.values() if task.step.replica]
+
     def add(self, task):
         """Reserve the resources of ``task``."""
         self.tasks[task.name] = task
@@ -106,10 +120,12 @@
         if step.filler:
             self.filler_demand += sign * step.processors_milli
             self.fillers += sign
+            count(self.filler_images, step.image, sign)
         else:
             self.processors_used += sign * step.processors_milli
         if step.replica:
             self.replicas += sign
+            count(self.replica_images, step.image, sign)
 
     def fits(self, step):
         """Return whether one more task of ``step`` stays within the capacity."""
@@ -145,3 +161,10 @@
             return 0.0
         left = max(0, self.granted_ms - self.clock_ms) / 1000
         return self.clock_at + left / (1 - CLOCK_SLOWNESS) + LAPSE_MARGIN_SECONDS
+
+
+def count(counts, image, sign):
+    """Count one more or one less of ``image``; images that are gone have no entry."""
+    counts[image] = counts.get(image, 0) + sign
+    if not counts[image]:
+        del counts[image]
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -57,8 +57,8 @@
     next run resumes from ("" for none).  ``percent`` is how far the run is, and
     ``progressed_at`` when that last grew.  ``figure`` is the endpoint's last reading:
     the tail in milliseconds of a replica, the processors of any other task.
-    ``pace`` is the share of time in percent at which a filler is let work; ``None``
-    while that is not known.
+    ``paused_since`` is when a filler was told to pause.  ``pace`` is the share of time
+    in percent at which a filler is let work; ``None`` while that is not known.
     """
 
     __slots__ = (
@@ -77,7 +77,7 @@
         "progressed_at",
         "figure",
         "pace",
-        "over_since",
+        "paused_since",
         "away_since",
     )
 
@@ -97,7 +97,7 @@
         self.progressed_at = 0.0
         self.figure = 0.0
         self.pace = 100
-        self.over_since = None
+        self.paused_since = None
         self.away_since = 0.0
 
     @property
@@ -107,6 +107,7 @@
 
     def place(self, endpoint, run, state, now):
         """Put a run of the task at ``endpoint``."""
+        self.job.waiting[self.step_number].pop(self, None)
         self.endpoint = endpoint
         self.run = run
         self.state = state
@@ -114,7 +115,7 @@
         self.percent = 0
         self.progressed_at = now
         self.figure = 0.0
-        self.over_since = None
+        self.paused_since = None
         endpoint.add(self)
 
     def free(self, now):
@@ -123,15 +124,16 @@
             self.endpoint.remove(self)
         self.endpoint = None
         self.state = TaskState.WAITING
+        self.job.waiting[self.step_number][self] = None
         self.away_since = now
 
 
 class Job:
     """A job and its tasks.
 
-    ``inherited`` tells that an earlier scheduler may have started tasks that this one
-    has not heard of, in the domains ``inherited_domains``.  Times are seconds of the
-    scheduler's clock.
+    ``waiting`` has for each step the tasks that wait for a run.  An earlier scheduler
+    may have started tasks that this one has not heard of in ``inherited_domains``.
+    Times are seconds of the scheduler's clock.
     """
 
     __slots__ = (
@@ -139,10 +141,12 @@
         "queue",
         "state",
         "tasks",
+        "waiting",
         "left",
         "failures",
         "domains",
         "wanted_domains",
+        "wanted_at",
         "inherited_domains",
         "accepted_at",
         "ended_at",
@@ -158,9 +162,11 @@
         self.state = JobState.QUEUED
         self.domains = {spec.domain}
         self.wanted_domains = set()
+        self.wanted_at = 0.0
         self.inherited_domains = frozenset()
         self.failures = {}
         self.tasks = {}
+        self.waiting = [{} for _step in spec.steps]
         self.left = [step.count for step in spec.steps]
         self.open_steps = set()
         self.accepted_at = now - max(0.0, wall_now - spec.accepted_at)
@@ -193,11 +199,9 @@
             self.open_steps.add(number)
             for index in range(step.count):
                 if (number, index) not in self.tasks:
-                    self.tasks[number, index] = Task(self, number, index)
-
-    def waiting(self):
-        """Return the tasks that wait for a run."""
-        return [task for task in self.tasks.values() if task.state is TaskState.WAITING]
+                    task = Task(self, number, index)
+                    self.tasks[number, index] = task
+                    self.waiting[number][task] = None
 
     def placed(self):
         """Return the tasks that have a run at an endpoint."""
@@ -209,6 +213,7 @@
             return
         task.free(now)
         task.state = TaskState.DONE
+        del self.waiting[task.step_number][task]
         self.left[task.step_number] -= 1
         if not self.left[task.step_number]:
             self.open_ready_steps()
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -5,7 +5,7 @@
 
 from clementinebay import errors
 from clementinebay.clock import SystemClock
-from clementinebay.policy import pacing
+from clementinebay.policy import pressure
 from clementinebay.workflow import jobstore
 from clementinebay.workflow.engine import Engine
 from clementinebay.workflow.mirror import Mirror
@@ -276,7 +276,7 @@
             endpoint=order.endpoint.id,
             fence=self.writer.fence,
             filler=order.task.step.filler,
-            replicas=order.endpoint.replicas,
+            beside=list(order.endpoint.replica_images),
             fillers=order.endpoint.fillers,
             load=order.endpoint.load,
             outcome=outcome,
@@ -330,7 +330,10 @@
             run=order.run,
             endpoint=order.endpoint.id,
             percent=order.percent,
-            tail_share=round(pacing.worst_share(order.endpoint), 2),
+            tails=pressure.worst_by_image(order.endpoint),
+            harm=self.engine.pressure.between(
+                pressure.worst_by_image(order.endpoint), order.task.step.image
+            ),
             replicas=order.endpoint.replicas,
             fillers=order.endpoint.fillers,
         )
