--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -110,12 +110,14 @@
     """Jobs, endpoints, and what follows from events.
 
     ``term`` numbers the schedulers of the installation from 0; ``inherited_until`` is
-    when every lease that an earlier one granted has surely run out.  ``wall`` is a
+    when every lease that an earlier one granted has surely run out, and
+    ``max_lease_seconds`` the longest that endpoints grant.  ``wall`` is a
     `Clock` of the time of day.  ``changed`` holds jobs whose progress must be stored,
     ``urgent`` tells that somebody waits for that.
     """
 
-    def __init__(self, term, log, wall, inherited_until=0.0):
+    def __init__(self, term, log, wall, max_lease_seconds, inherited_until=0.0):
+        self.max_lease_seconds = max_lease_seconds
         self.term = term
         self.wall = wall
         self.log = log
@@ -253,7 +255,8 @@
                 self.lose(task, "lapsed", now)
             if not endpoint.listed and not endpoint.tasks:
                 del self.endpoints[endpoint.id]
-                self.settle(endpoint.id)
+                if endpoint.settled:
+                    self.settle(endpoint.id)
                 self.log.info("endpoint.forgotten", endpoint=endpoint.id)
         if self.inherited_until and now >= self.inherited_until:
             self.inherited_until = 0.0
@@ -285,6 +288,9 @@
         """
         if report.born_ms is not None and report.born_ms != endpoint.info.born_ms:
             return False
+        if endpoint.clock_ms is None:
+            # An earlier scheduler may have granted a lease of any length.
+            endpoint.granted_ms = report.clock_ms + self.max_lease_seconds * 1000
         endpoint.read_clock(report.clock_ms, now)
         endpoint.answered_at = now
         endpoint.failing_since = None
@@ -306,8 +312,8 @@
         """Return the `Task` called ``name``, or ``None``."""
         try:
             job_id, _occurrence, step, index = name.split(".")
-            return self.jobs[job_id].tasks.get((int(step), int(index)))
-        except (KeyError, ValueError):
+            return self.jobs[job_id].task(int(step), int(index))
+        except (LookupError, ValueError):
             return None
 
     def take_end(self, endpoint, end, now):
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -124,7 +124,8 @@
             self.endpoint.remove(self)
         self.endpoint = None
         self.state = TaskState.WAITING
-        self.job.waiting[self.step_number][self] = None
+        if self.step_number in self.job.open_steps:
+            self.job.waiting[self.step_number][self] = None
         self.away_since = now
 
 
@@ -198,11 +199,23 @@
                 continue
             self.open_steps.add(number)
             for index in range(step.count):
-                if (number, index) not in self.tasks:
-                    task = Task(self, number, index)
-                    self.tasks[number, index] = task
+                task = self.task(number, index)
+                if task.state is TaskState.WAITING:
                     self.waiting[number][task] = None
 
+    def task(self, step_number, index):
+        """Return a task, also of a step that is not open yet.
+
+        Endpoints may report runs that an earlier scheduler started before they report
+        the ends that opened the step.  Raises `LookupError` if there is no such task.
+        """
+        task = self.tasks.get((step_number, index))
+        if task is None:
+            if not 0 <= index < self.spec.steps[step_number].count:
+                raise LookupError(index)
+            task = self.tasks[step_number, index] = Task(self, step_number, index)
+        return task
+
     def placed(self):
         """Return the tasks that have a run at an endpoint."""
         return [task for task in self.tasks.values() if task.endpoint is not None]
@@ -213,7 +226,7 @@
             return
         task.free(now)
         task.state = TaskState.DONE
-        del self.waiting[task.step_number][task]
+        self.waiting[task.step_number].pop(task, None)
         self.left[task.step_number] -= 1
         if not self.left[task.step_number]:
             self.open_ready_steps()
@@ -256,10 +269,9 @@
             bits = int(text, 16)
             for index in range(self.spec.steps[number].count):
                 if bits >> index & 1:
-                    task = self.tasks.setdefault(
-                        (number, index), Task(self, number, index)
-                    )
+                    task = self.task(number, index)
                     task.state = TaskState.DONE
+                    self.waiting[number].pop(task, None)
                     self.left[number] -= 1
         self.open_ready_steps()
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -68,7 +68,13 @@
         self.began_at = now
         self.max_lease = deployment.max_lease_seconds - LEASE_MARGIN_SECONDS
         inherited = now + self.max_lease * INHERITED_FACTOR + INHERITED_MARGIN_SECONDS
-        self.engine = Engine(writer.number, log, SystemClock(), inherited)
+        self.engine = Engine(
+            writer.number,
+            log,
+            SystemClock(),
+            deployment.max_lease_seconds,
+            inherited,
+        )
         self.kicked = asyncio.Event()
         self.changed = asyncio.Event()
         self.stored = asyncio.Condition()
