Count runs that are being stopped, end a fenced term, store one write at a time

Change: listed runs that are no task's current run count against the capacity; jobs that are learned of later than the lease can have held wait for its next renewal; a fenced term ends; writes wait for one another.

--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -104,9 +104,9 @@
         self.token = ""
         self.log.info("term.began", term=writer.number, fence=writer.fence)
         self.scheduler = Scheduler(
-            self.settings, self.queues, writer, self.clock, self.log
+            self.settings, self.queues, writer, TTL_SECONDS, self.clock, self.log
         )
-        self.scheduler.confirmed_at = asked_at
+        self.scheduler.confirm(asked_at)
         self.ending = "failed"
         self.running = asyncio.ensure_future(self.run_scheduler())
         try:
@@ -139,7 +139,7 @@
             try:
                 if not await self.store.keep_alive(self.lease):
                     raise errors.NotLeaderError(jobstore.HOLDER)
-                self.scheduler.confirmed_at = asked_at
+                self.scheduler.confirm(asked_at)
             except errors.PlatformError as error:
                 self.log.warning("term.renewal_failed", error=error.code)
 
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -111,7 +111,9 @@
 
     ``term`` numbers the schedulers of the installation from 0; ``inherited_until`` is
     when every lease that an earlier one granted has surely run out, and
-    ``max_lease_seconds`` the longest that endpoints grant.  ``wall`` is a
+    ``max_lease_seconds`` the longest that endpoints grant.  No other scheduler began
+    before ``sole_until``: jobs that were learned of later wait until it moves on, since
+    a successor would not reckon with their runs.  ``wall`` is a
     `Clock` of the time of day.  ``changed`` holds jobs whose progress must be stored,
     ``urgent`` tells that somebody waits for that.
     """
@@ -134,6 +136,7 @@
         self.unsettled = {}
         self.expected = {}
         self.pressure = Pressure()
+        self.sole_until = float("inf")
 
     # Jobs
 
@@ -302,6 +305,7 @@
         for row in report.running:
             seen.add(row.task)
             self.take_running(endpoint, row, now)
+        self.count_unplaced(endpoint, report.running)
         self.find_missing(endpoint, seen, sent_at, now)
         endpoint.settled = True
         endpoint.reported_sent_at = sent_at
@@ -415,6 +419,17 @@
             task.state = TaskState.RUNNING
             self.doubts.pop(task.name, None)
 
+    def count_unplaced(self, endpoint, rows):
+        """Count the listed runs that are no task's current run."""
+        steps, unmeasured = [], False
+        for row in rows:
+            task = self.find_task(row.task)
+            if task is None:
+                unmeasured = True
+            elif task.endpoint is not endpoint or task.run != row.run:
+                steps.append(task.step)
+        endpoint.count_unplaced(steps, unmeasured)
+
     def take_stray(self, endpoint, row, now):
         """Stop the run of a job that stays unknown."""
         first_seen = endpoint.strays.setdefault((row.task, row.run), now)
@@ -558,7 +573,7 @@
         for job in sorted(
             self.active.values(), key=lambda job: dispatch.rank(job, now)
         ):
-            if not self.inheritance_settled(job):
+            if job.learned_at > self.sole_until or not self.inheritance_settled(job):
                 continue
             for waiting in job.waiting:
                 orders += self.place_step(waiting, endpoints, now)
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -45,6 +45,10 @@
         "health",
         "pacing",
         "strays",
+        "unplaced_processors",
+        "unplaced_memory",
+        "unplaced_accelerators",
+        "unmeasured",
     )
 
     def __init__(self, info, health):
@@ -71,6 +75,7 @@
         self.info = info
         self.settled = False
         self.strays = {}
+        self.count_unplaced((), False)
         self.acknowledged = 0
         self.noted = 0
         self.granted_ms = 0
@@ -127,16 +132,33 @@
             self.replicas += sign
             count(self.replica_images, step.image, sign)
 
+    def count_unplaced(self, steps, unmeasured):
+        """Count the runs here that are no task's current run: they are being stopped.
+
+        ``steps`` are theirs; ``unmeasured`` tells of some whose size is not known.
+        """
+        self.unplaced_processors = sum(
+            step.processors_milli for step in steps if not step.filler
+        )
+        self.unplaced_memory = sum(step.memory_mb for step in steps)
+        self.unplaced_accelerators = sum(step.accelerators for step in steps)
+        self.unmeasured = unmeasured
+
     def fits(self, step):
         """Return whether one more task of ``step`` stays within the capacity."""
         info = self.info
-        if self.memory_used + step.memory_mb > info.memory_mb:
+        if self.unmeasured:
+            return False
+        memory = self.memory_used + self.unplaced_memory + step.memory_mb
+        accelerators = self.accelerators_used + self.unplaced_accelerators
+        if memory > info.memory_mb:
             return False
-        if self.accelerators_used + step.accelerators > info.accelerators:
+        if accelerators + step.accelerators > info.accelerators:
             return False
         if step.filler:
             return True
-        return self.processors_used + step.processors_milli <= info.processors_milli
+        processors = self.processors_used + self.unplaced_processors
+        return processors + step.processors_milli <= info.processors_milli
 
     # Clock and lease
 
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -150,6 +150,7 @@
         "wanted_at",
         "inherited_domains",
         "accepted_at",
+        "learned_at",
         "ended_at",
         "objective_at",
         "open_steps",
@@ -171,6 +172,7 @@
         self.left = [step.count for step in spec.steps]
         self.open_steps = set()
         self.accepted_at = now - max(0.0, wall_now - spec.accepted_at)
+        self.learned_at = now
         self.ended_at = 0.0
         self.objective_at = self.accepted_at + objective_seconds(spec, queue)
         self.begun = False
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -50,11 +50,11 @@
 class Scheduler:
     """Runs the engine for one term; `run` ends when the term does.
 
-    ``confirmed_at`` is when the term was last confirmed by the service, in seconds of
-    ``clock``; the owner moves it.
+    ``ttl`` is the time to live of the term's lease in seconds; the owner calls
+    `confirm` after each renewal.
     """
 
-    def __init__(self, deployment, queues, writer, clock, log):
+    def __init__(self, deployment, queues, writer, ttl, clock, log):
         self.deployment = deployment
         self.queues = queues
         self.writer = writer
@@ -64,7 +64,7 @@
         self.store = writer.store
         self.jobs = jobstore.JobStore(self.store)
         now = clock.now()
-        self.confirmed_at = now
+        self.ttl = ttl
         self.began_at = now
         self.max_lease = deployment.max_lease_seconds - LEASE_MARGIN_SECONDS
         inherited = now + self.max_lease * INHERITED_FACTOR + INHERITED_MARGIN_SECONDS
@@ -75,15 +75,23 @@
             deployment.max_lease_seconds,
             inherited,
         )
+        self.confirm(now)
         self.kicked = asyncio.Event()
         self.changed = asyncio.Event()
+        self.fenced = asyncio.Event()
         self.stored = asyncio.Condition()
+        self.writing = asyncio.Lock()
         self.links = {}
         self.tasks = set()
         self.recorded = {}
         self.endpoints_changed = False
         self.pending_counts = {}
 
+    def confirm(self, asked_at):
+        """Note that a renewal of the term's lease, asked at ``asked_at``, succeeded."""
+        self.confirmed_at = asked_at
+        self.engine.sole_until = asked_at + self.ttl
+
     def spawn(self, coroutine):
         """Run ``coroutine`` until the term ends; its failure ends the term."""
         task = asyncio.create_task(coroutine)
@@ -103,10 +111,24 @@
                 group.create_task(self.store_loop())
                 group.create_task(self.pending_loop())
                 group.create_task(self.retention_loop())
+                group.create_task(self.watch_fence())
         finally:
             for task in list(self.tasks):
                 task.cancel()
 
+    async def watch_fence(self):
+        """End the term once an endpoint has obeyed a later scheduler."""
+        await self.fenced.wait()
+        raise errors.NotLeaderError(jobstore.HOLDER)
+
+    def note_refusal(self, endpoint, error):
+        """Look whether a refusal means that the term is over."""
+        if getattr(error, "reason", "") == errors.OrderRefusedError.FENCED:
+            self.log.warning(
+                "term.fenced", endpoint=endpoint.id, fence=self.writer.fence
+            )
+            self.fenced.set()
+
     async def load(self):
         """Read what earlier schedulers stored."""
         self.progress = await self.jobs.all_progress()
@@ -295,6 +317,7 @@
         now = self.clock.now()
         if error.reason == errors.OrderRefusedError.UNHEALTHY:
             order.endpoint.health.bar(now)
+        self.note_refusal(order.endpoint, error)
         self.engine.start_refused(order, now, REPORT_RETRY_SECONDS)
 
     async def send_stop(self, order):
@@ -307,6 +330,7 @@
             outcome = error.code
         except errors.OrderRefusedError as error:
             outcome = error.reason
+            self.note_refusal(order.endpoint, error)
         self.log.info(
             "task.stop_ordered",
             task=order.task,
@@ -382,8 +406,7 @@
             )
         except (errors.CallError, errors.OrderRefusedError) as error:
             self.fail_endpoint(endpoint)
-            if getattr(error, "reason", "") == errors.OrderRefusedError.FENCED:
-                raise errors.NotLeaderError(endpoint.id) from error
+            self.note_refusal(endpoint, error)
             return False
         now = self.clock.now()
         settled = endpoint.settled
@@ -427,7 +450,19 @@
                 await asyncio.sleep(REPORT_RETRY_SECONDS)
 
     async def store_changes(self):
-        """Store the progress of changed jobs, then acknowledge the ends behind it."""
+        """Store the progress of changed jobs, then acknowledge the ends behind it.
+
+        One at a time: ends must not be acknowledged for a write that is still on its
+        way.
+        """
+        async with self.writing:
+            await self.write_changes()
+        async with self.stored:
+            self.stored.notify_all()
+        self.kick()
+
+    async def write_changes(self):
+        """Write what changed since the last write."""
         jobs, ends = self.engine.take_changes()
         records = [(job, job.progress()) for job in jobs]
         endpoints = dict(self.recorded) if self.endpoints_changed else None
@@ -448,9 +483,6 @@
         for endpoint_id in self.recorded:
             if endpoint_id in self.engine.endpoints:
                 self.engine.endpoints[endpoint_id].recorded = True
-        async with self.stored:
-            self.stored.notify_all()
-        self.kick()
 
     async def pending_loop(self):
         """Store the counts of pending jobs when they have changed."""
