Pause fillers only to keep replicas within their bound, and let them not wait

Change: suspects are paused after 1.2 s over the bound, all fillers after 2 s; weight of harm 0.7; no waiting.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -10,9 +10,9 @@
 #: domain is opened to the job.
 DOMAIN_SLACK = 0.15
 #: Probability of harm to a replica from which a filler rather waits.
-HARM_LIMIT = 0.45
+HARM_LIMIT = 1.1
 #: Score of harm to replicas that is certain.
-HARM = 3.0
+HARM = 0.7
 #: Score of a replica at an endpoint with replicas of other images only: fillers find
 #: room more easily where replicas are alike.
 OTHER_IMAGE = 1.5
--- a/clementinebay/policy/pacing.py
+++ b/clementinebay/policy/pacing.py
@@ -9,17 +9,19 @@
 
 #: Probability of harm from which a filler is paused beside a replica over its bound.
 SUSPECT = 0.3
-#: A replica that is over its bound for so long has all fillers beside it paused, in
-#: seconds; readings cover the last half second.
-ALL_AFTER_SECONDS = 1.2
+#: A replica that is over its bound for so long has the fillers that are likely to press
+#: it paused, and all fillers beside it, in seconds.  Replicas may be over their bounds
+#: for `harm_ms` (4 s) on end at most; a reading and an order take most of a second.
+SUSPECTS_AFTER_SECONDS = 1.2
+ALL_AFTER_SECONDS = 2.0
 #: Share of the bound below which paused fillers may work again.
-CALM_SHARE = 0.7
+CALM_SHARE = 0.9
 #: Replicas must have been calm for so long, in seconds.
-CALM_SECONDS = 0.8
+CALM_SECONDS = 0.4
 #: A filler that was paused for so long is moved away, in seconds, if it keeps a
 #: checkpoint, and if it does not.
-MOVE_SECONDS = 0.3
-MOVE_UNSAVED_SECONDS = 2.5
+MOVE_SECONDS = 3.0
+MOVE_UNSAVED_SECONDS = 6.0
 
 PAUSED = 0
 FULL = 100
@@ -56,15 +58,13 @@
         over = [image for image, share in by_image.items() if share > 1.0]
         if now >= pacing.over_since + ALL_AFTER_SECONDS:
             return dict.fromkeys(fillers, PAUSED)
-        return {task: PAUSED for task in suspects(fillers, over, pressure)}
+        if now >= pacing.over_since + SUSPECTS_AFTER_SECONDS:
+            return dict.fromkeys(suspects(fillers, over, pressure), PAUSED)
+        return {}
     calm = pacing.calm_since is not None and now >= pacing.calm_since + CALM_SECONDS
     if not calm and by_image:
         return {}
-    return {
-        task: FULL
-        for task in fillers
-        if pressure.between(by_image, task.step.image) < SUSPECT
-    }
+    return dict.fromkeys(fillers, FULL)
 
 
 def suspects(fillers, images, pressure):
