Learn pairs of images by steps of a noisy-or model, and test the engine

Cause: a simulated truth in tests/policy/test_pressure.py showed that a filler that is harmless is blamed when it often stands beside two harmful ones: blame was shared out in parts that only grew.

Change: a reading over the bound moves each pair towards the probability that it caused the reading.

--- a/clementinebay/policy/pressure.py
+++ b/clementinebay/policy/pressure.py
@@ -17,19 +17,18 @@
 #: A pair is never taken for harmless with more certainty than this leaves.
 LEAST = 0.02
 #: Share of an endpoint's processors at which a filler's work counts in full.
-FULL_SHARE = 0.1
+FULL_SHARE = 0.2
 #: Share below which it does not count.
 LEAST_SHARE = 0.02
 #: Tails below this share of the bound clear the fillers beside them.
 CALM_SHARE = 0.75
-#: How much a calm reading, and one over the bound, changes what is thought.
-CALM_STEP = 0.15
-OVER_STEP = 0.25
+#: How much one reading changes what is thought.
+STEP = 0.1
 #: What is thought of a pair returns to the unknown in about so long, in seconds: a pair
 #: that was blamed wrongly is tried again.
 FORGET_SECONDS = 30.0
-#: Weight of causes other than fillers in a reading over the bound.
-OTHER_CAUSES = 0.002
+#: Probability that a reading over the bound has another cause than fillers.
+OTHER_CAUSES = 0.02
 
 
 class Pressure:
@@ -71,18 +70,18 @@
     def clear(self, image, shares):
         """Take a calm reading beside fillers with these shares of the processors."""
         for filler, share in shares.items():
-            weight = min(1.0, share / FULL_SHARE)
-            known = self.harm[image, filler] * (1 - CALM_STEP * weight)
+            known = self.harm[image, filler] * (1 - STEP * activity(share))
             self.harm[image, filler] = max(LEAST, known)
 
     def blame(self, image, shares):
         """Take a reading over the bound beside fillers with these shares."""
-        total = OTHER_CAUSES + sum(
-            self.harm[image, filler] * share for filler, share in shares.items()
-        )
+        harmless = 1 - OTHER_CAUSES
         for filler, share in shares.items():
-            known = self.harm[image, filler]
-            self.harm[image, filler] += OVER_STEP * known * share / total * (1 - known)
+            harmless *= 1 - self.harm[image, filler] * activity(share)
+        for filler, share in shares.items():
+            known, active = self.harm[image, filler], activity(share)
+            caused = known * active / (1 - harmless)
+            self.harm[image, filler] += STEP * active * max(0.0, caused - known)
 
     def between(self, images, filler):
         """Return the probability that ``filler`` harms any of the replicas' images."""
@@ -99,6 +98,11 @@
         return 1 - harmless
 
 
+def activity(share):
+    """Return how much a filler with ``share`` of the processors counts, up to 1."""
+    return min(1.0, share / FULL_SHARE)
+
+
 def filler_shares(endpoint):
     """Return the share of the processors that fillers of each image use."""
     shares = defaultdict(float)
--- /dev/null
+++ b/tests/workflow/factory.py
@@ -0,0 +1,79 @@
+"""Short ways to make jobs, endpoints and reports for tests."""
+
+from clementinebay.clock import ManualClock
+from clementinebay.eventlog import ERROR, EventLog
+from clementinebay.workflow.engine import End, Engine, Report, RunReport
+from clementinebay.workflow.job import Progress
+from clementinebay.workflow.model import Endpoint, JobSpec, Queue, Step
+
+MAX_LEASE = 6.0
+
+QUEUE = Queue("q", "h", "/q/", "s", attempts=3, stretch=2.0, slack_ms=1000)
+
+
+def quiet_log():
+    """Return a log that writes nothing."""
+    return EventLog(level=ERROR + 1)
+
+
+def make_engine(term=0, inherited_until=0.0):
+    """Return an engine with a clock that stands still."""
+    return Engine(term, quiet_log(), ManualClock(), MAX_LEASE, inherited_until)
+
+
+def make_info(id="e1", **changes):
+    """Return an entry of the registry."""
+    fields = {
+        "born_ms": 1,
+        "service": "s",
+        "address": "127.0.0.1:1",
+        "failure_domain": "a",
+        "leaving": False,
+        "cold_ms": 0,
+        "processors_milli": 8000,
+        "memory_mb": 16000,
+        "accelerators": 0,
+        "labels": ("k", "r1"),
+        "rack": "r1",
+        "remaining_ms": None,
+    }
+    return Endpoint(id, **fields | changes)
+
+
+def make_spec(id="0123456789abcdef", steps=None, domain="a", attempts=3):
+    """Return a job as it is stored."""
+    steps = steps or (Step(count=2, processors_milli=1000, memory_mb=100),)
+    return JobSpec(id, "q", "s", "payload", tuple(steps), 0.0, domain, attempts)
+
+
+def report(running=(), ended=(), clock_ms=0, born_ms=1):
+    """Return an endpoint's report; rows are tuples of the fields' first values."""
+    return Report(
+        born_ms,
+        clock_ms,
+        [RunReport(*(row + ("", 0, 0)[len(row) - 2 :])) for row in running],
+        [End(*(row + ("",) * (5 - len(row)))) for row in ended],
+    )
+
+
+def settle(engine, info, now=0.0, **rest):
+    """Have an endpoint listed, recorded and heard of; return its state."""
+    endpoint = engine.see_endpoint(info, now)
+    endpoint.recorded = True
+    engine.take_report(endpoint, report(**rest), now, now)
+    return endpoint
+
+
+def store(engine):
+    """Store what changed; return the records by job id."""
+    jobs, ends = engine.take_changes()
+    records = [(job, job.progress()) for job in jobs]
+    engine.stored(records, ends)
+    return {job.id: progress for job, progress in records}
+
+
+def reload(progress):
+    """Return a `Progress` as another scheduler reads it."""
+    return Progress(
+        **{name: getattr(progress, name) for name in progress.__struct_fields__}
+    )
--- /dev/null
+++ b/tests/workflow/test_engine.py
@@ -0,0 +1,352 @@
+"""The engine: one run at a time, order of steps, capacity, what successors find."""
+
+import pytest
+
+from clementinebay.workflow.engine import LATE_ORDER_SECONDS, STRAY_SECONDS
+from clementinebay.workflow.job import JobState, TaskState
+from clementinebay.workflow.model import Step
+from tests.workflow import factory
+
+SMALL = Step(count=1, processors_milli=1000, memory_mb=100)
+
+
+def started(engine, now=0.0):
+    """Plan, and have all orders carried out; return the orders."""
+    orders = engine.plan(now)
+    for order in orders:
+        engine.start_answered(order, now)
+    return orders
+
+
+def end(engine, endpoint, order, outcome, number, now):
+    """Have a run end."""
+    row = (number, order.task.name, order.run, outcome)
+    engine.take_report(endpoint, factory.report(ended=[row]), now, now)
+
+
+def test_steps_follow_one_another():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    steps = (SMALL, Step(count=1, processors_milli=1000, after=(0,)))
+    job = engine.add_job(factory.make_spec(steps=steps), factory.QUEUE, 0.0)
+    first = started(engine)
+    assert [order.task.name for order in first] == [f"{job.id}.0.0.0"]
+    end(engine, endpoint, first[0], "done", 1, 1.0)
+    second = started(engine, 1.0)
+    assert [order.task.name for order in second] == [f"{job.id}.0.1.0"]
+    end(engine, endpoint, second[0], "done", 2, 2.0)
+    assert job.state is JobState.COMPLETED
+
+
+def test_ends_are_acknowledged_only_when_stored():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    orders = started(engine)
+    end(engine, endpoint, orders[0], "done", 1, 1.0)
+    assert endpoint.acknowledged == 0
+    jobs, _ends = engine.take_changes()
+    engine.not_stored(jobs)
+    assert endpoint.acknowledged == 0
+    factory.store(engine)
+    assert endpoint.acknowledged == 1
+
+
+def test_capacity_counts_runs_that_are_being_stopped():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info(processors_milli=1000))
+    job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    assert len(started(engine)) == 1
+    engine.cancel(job.id, 1.0)
+    other = factory.make_spec(id="f" * 16, steps=(SMALL,))
+    engine.add_job(other, factory.QUEUE, 1.0)
+    assert engine.plan(1.0) == []
+
+
+def test_capacity_counts_runs_of_ended_jobs_found_by_a_successor():
+    engine = factory.make_engine(term=1, inherited_until=10.0)
+    spec = factory.make_spec(steps=(SMALL,))
+    engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
+    engine.cancel(spec.id, 0.0)
+    info = factory.make_info(processors_milli=1000)
+    factory.settle(engine, info, running=[(f"{spec.id}.0.0.0", 1)])
+    engine.add_job(factory.make_spec(id="f" * 16, steps=(SMALL,)), factory.QUEUE, 0.0)
+    assert engine.plan(0.0) == []
+    assert [order.run for order in engine.due_stops(0.0)] == [1]
+
+
+def test_endpoint_with_run_of_unknown_job_takes_nothing_and_stops_it_later():
+    engine = factory.make_engine(term=1)
+    row = ("e" * 16 + ".0.0.0", 1)
+    endpoint = factory.settle(engine, factory.make_info(), running=[row])
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    assert engine.plan(0.0) == []
+    assert engine.due_stops(0.0) == []
+    later = STRAY_SECONDS + 0.1
+    engine.take_report(endpoint, factory.report(running=[row]), later, later)
+    assert [order.task for order in engine.due_stops(later)] == [row[0]]
+
+
+def test_unanswered_start_keeps_task_and_room_until_its_stop_is_answered():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    order = engine.plan(0.0)[0]
+    engine.start_unanswered(order, 1.0)
+    assert engine.plan(1.0) == []
+    stop = engine.due_stops(1.0)[0]
+    assert (stop.task, stop.run) == (order.task.name, order.run)
+    engine.stop_answered(stop, 1.1)
+    assert engine.plan(1.1) == []
+    engine.take_report(endpoint, factory.report(), 1.2, 1.3)
+    again = engine.plan(1.3)[0]
+    assert again.run > order.run
+
+
+def test_unanswered_start_that_is_listed_is_taken_for_started():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    order = engine.plan(0.0)[0]
+    engine.start_unanswered(order, 1.0)
+    row = (order.task.name, order.run)
+    engine.take_report(endpoint, factory.report(running=[row]), 1.2, 1.3)
+    assert order.task.state is TaskState.RUNNING
+
+
+def test_unanswered_start_at_restarted_endpoint_waits_for_late_order():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    order = engine.plan(0.0)[0]
+    engine.start_unanswered(order, 1.0)
+    reborn = factory.make_info(born_ms=2)
+    factory.settle(engine, reborn, now=2.0, born_ms=2)
+    assert engine.plan(2.0) == []
+    for stop in engine.due_stops(2.0):
+        engine.stop_answered(stop, 2.1)
+    endpoint = engine.endpoints["e1"]
+    engine.take_report(endpoint, factory.report(born_ms=2), 2.2, 2.3)
+    assert len(engine.plan(2.3)) == 1
+
+
+def test_unanswered_start_at_lost_endpoint_waits_for_late_order():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info())
+    factory.settle(engine, factory.make_info("e2", processors_milli=500))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    order = engine.plan(0.0)[0]
+    engine.start_unanswered(order, 1.0)
+    engine.unlist_endpoint("e1")
+    for now in (5.0, factory.MAX_LEASE + 2.0):
+        engine.expire(now)
+    assert order.task.state is TaskState.DOUBTFUL
+    engine.expire(1.0 + LATE_ORDER_SECONDS)
+    assert order.task.state is TaskState.WAITING
+
+
+def test_lost_endpoint_keeps_its_tasks_until_their_leases_have_run_out():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    started(engine)
+    endpoint.grant(0.0, 5.0)
+    engine.unlist_endpoint("e1")
+    engine.expire(5.0)
+    assert len(job.placed()) == 1
+    engine.expire(factory.MAX_LEASE * 1.03 + 0.5)
+    assert job.placed() == []
+
+
+def test_done_after_stop_for_another_run_ends_task_once():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    order = started(engine)[0]
+    end(engine, endpoint, order, "done", 1, 1.0)
+    end(engine, endpoint, order, "done", 1, 2.0)
+    assert job.left == [0]
+
+
+def test_job_fails_after_its_attempts_and_same_end_counts_once():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    spec = factory.make_spec(steps=(SMALL,), attempts=2)
+    job = engine.add_job(spec, factory.QUEUE, 0.0)
+    order = started(engine)[0]
+    end(engine, endpoint, order, "failed", 1, 1.0)
+    assert not job.fail_run(order.task, order.run)
+    assert job.state is JobState.QUEUED
+    second = started(engine, 10.0)[0]
+    end(engine, endpoint, second, "failed", 2, 11.0)
+    assert job.state is JobState.FAILED
+
+
+def test_replica_is_restarted_for_ever():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    steps = (Step(count=1, processors_milli=1000, replica=True),)
+    job = engine.add_job(factory.make_spec(steps=steps, attempts=1), factory.QUEUE, 0.0)
+    for number in range(1, 6):
+        now = 10.0 * number
+        endpoint.health.barred_until = 0.0
+        order = started(engine, now)[0]
+        end(engine, endpoint, order, "failed", number, now + 1)
+    assert not job.ended
+
+
+def test_cancelled_job_starts_nothing_and_stays_cancelled():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    orders = started(engine)
+    engine.cancel(job.id, 0.5)
+    assert {order.task for order in engine.due_stops(0.5)} == {
+        order.task.name for order in orders
+    }
+    for number, order in enumerate(orders, 1):
+        end(engine, endpoint, order, "done", number, 1.0)
+    assert job.state is JobState.CANCELLED
+    assert engine.plan(2.0) == []
+
+
+# What a successor finds
+
+
+def test_successor_adopts_runs_and_keeps_done_tasks():
+    first = factory.make_engine()
+    endpoint = factory.settle(first, factory.make_info())
+    spec = factory.make_spec()
+    first.add_job(spec, factory.QUEUE, 0.0)
+    orders = started(first)
+    end(first, endpoint, orders[0], "done", 1, 1.0)
+    progress = factory.reload(factory.store(first)[spec.id])
+
+    second = factory.make_engine(term=1, inherited_until=20.0)
+    second.expect_endpoint("e1", "a")
+    job = second.add_job(spec, factory.QUEUE, 2.0, progress, inherited=True)
+    factory.settle(second, factory.make_info("e2"), 2.0)
+    assert second.plan(2.0) == []
+    row = (orders[1].task.name, orders[1].run)
+    factory.settle(second, factory.make_info(), 2.0, running=[row])
+    second.expire(2.0)
+    assert second.plan(2.0) == []
+    assert [task.name for task in job.placed()] == [orders[1].task.name]
+
+
+def test_successor_waits_for_endpoint_that_it_cannot_reach():
+    engine = factory.make_engine(term=1, inherited_until=8.0)
+    engine.expect_endpoint("gone", "a")
+    engine.expect_endpoint("e1", "a")
+    job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0, inherited=True)
+    other = factory.make_spec(id="f" * 16, domain="b")
+    engine.add_job(other, factory.QUEUE, 0.0, inherited=True)
+    factory.settle(engine, factory.make_info())
+    factory.settle(engine, factory.make_info("e2", failure_domain="b"))
+    assert {order.task.job.id for order in engine.plan(0.0)} == {other.id}
+    engine.expire(8.0)
+    assert job.id in {order.task.job.id for order in engine.plan(8.0)}
+
+
+def test_unlisted_endpoint_that_never_answered_stays_unsettled():
+    engine = factory.make_engine(term=1, inherited_until=8.0)
+    engine.expect_endpoint("e2", "a")
+    engine.see_endpoint(factory.make_info("e2"), 0.0)
+    engine.unlist_endpoint("e2")
+    engine.expire(1.0)
+    factory.settle(engine, factory.make_info())
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0, inherited=True)
+    assert engine.plan(1.0) == []
+
+
+def test_end_of_step_that_is_not_open_yet_is_kept():
+    engine = factory.make_engine(term=1)
+    steps = (SMALL, Step(count=1, processors_milli=1000, after=(0,)))
+    spec = factory.make_spec(steps=steps)
+    job = engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
+    factory.settle(
+        engine, factory.make_info(), ended=[(1, f"{spec.id}.0.1.0", 1, "done")]
+    )
+    factory.settle(
+        engine, factory.make_info("e2"), ended=[(1, f"{spec.id}.0.0.0", 1, "done")]
+    )
+    assert job.state is JobState.COMPLETED
+
+
+def test_run_of_step_that_is_not_open_yet_is_adopted():
+    engine = factory.make_engine(term=1)
+    steps = (SMALL, Step(count=1, processors_milli=1000, after=(0,)))
+    spec = factory.make_spec(steps=steps)
+    job = engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
+    running = [(f"{spec.id}.0.1.0", 1)]
+    endpoint = factory.settle(engine, factory.make_info(), running=running)
+    ended = [(1, f"{spec.id}.0.0.0", 1, "done")]
+    listed = factory.report(running=running, ended=ended)
+    engine.take_report(endpoint, listed, 1.0, 1.0)
+    assert engine.plan(1.0) == []
+    assert len(job.placed()) == 1
+
+
+def test_lease_of_earlier_scheduler_is_reckoned_with():
+    engine = factory.make_engine(term=1)
+    spec = factory.make_spec(steps=(SMALL,))
+    job = engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
+    factory.settle(engine, factory.make_info(), running=[(f"{spec.id}.0.0.0", 1)])
+    engine.expire(1.0)
+    assert len(job.placed()) == 1
+
+
+def test_jobs_learned_of_after_the_lease_wait_for_its_renewal():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info())
+    engine.sole_until = 1.5
+    engine.add_job(factory.make_spec(), factory.QUEUE, 3.0)
+    assert engine.plan(3.0) == []
+    engine.sole_until = 4.5
+    assert len(engine.plan(3.1)) == 2
+
+
+@pytest.mark.parametrize("term", [0, 3])
+def test_runs_of_later_terms_have_higher_numbers(term):
+    engine = factory.make_engine(term=term)
+    factory.settle(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    assert engine.plan(0.0)[0].run == term * 1000 + 1
+
+
+# Where tasks go
+
+
+def test_leaving_and_out_endpoints_take_nothing():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info(leaving=True))
+    factory.settle(engine, factory.make_info("e2", failure_domain="b"))
+    engine.out = frozenset({"b"})
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    assert engine.plan(0.0) == []
+
+
+def test_limit_of_tasks_on_one_endpoint():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info())
+    step = Step(count=3, processors_milli=100, max_per_endpoint=2)
+    engine.add_job(factory.make_spec(steps=(step,)), factory.QUEUE, 0.0)
+    assert len(engine.plan(0.0)) == 2
+
+
+def test_other_domain_is_used_only_once_it_is_stored():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info(failure_domain="b"))
+    job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    assert engine.plan(0.0) == []
+    progress = factory.store(engine)[job.id]
+    assert progress.domains == ["a", "b"]
+    assert len(engine.plan(0.1)) == 2
+
+
+def test_required_label():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info())
+    step = Step(count=1, required_label="gpu-kind")
+    engine.add_job(factory.make_spec(steps=(step,)), factory.QUEUE, 0.0)
+    assert engine.plan(0.0) == []
