--- /dev/null
+++ b/standins/kvendpoint.py
@@ -0,0 +1,144 @@
+"""A stand-in for an endpoint of the users' platform: runs tasks for a short time."""
+
+import asyncio
+import time
+
+import msgspec
+
+from clementinebay.eventlog import ERROR, EventLog
+from clementinebay.web.server import Response, Server
+
+encode = msgspec.json.Encoder().encode
+decode = msgspec.json.Decoder().decode
+
+
+class EndpointStandIn:
+    """An endpoint that ends each run as done after ``seconds``.
+
+    ``starts`` lists every run that was begun; ``mute`` orders are carried out without
+    an answer; ``fail`` is a set of tasks whose runs fail.
+    """
+
+    def __init__(self, id, port, seconds=0.05, domain="a"):
+        self.id = id
+        self.address = f"127.0.0.1:{port}"
+        self.domain = domain
+        self.seconds = seconds
+        self.born = int(time.time() * 1000)
+        self.server = Server(self.answer, "127.0.0.1", port, EventLog(level=ERROR + 1))
+        self.fence = 0
+        self.running = {}
+        self.ended = []
+        self.number = 0
+        self.barred = {}
+        self.starts = []
+        self.mute = 0
+        self.fail = set()
+        self.tasks = set()
+        self.changed = asyncio.Condition()
+
+    async def __aenter__(self):
+        await self.server.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc):
+        for task in list(self.tasks):
+            task.cancel()
+        await self.server.__aexit__()
+
+    def entry(self, state="ready"):
+        """Return the registry entry."""
+        return {
+            "service": "s",
+            "addr": self.address,
+            "zone": self.domain,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "capacity": {"cpu": 8000, "mem_mb": 16000, "gpu": 0},
+            "labels": ["k", "r1"],
+            "seq": 1,
+            "born": self.born,
+        }
+
+    @property
+    def clock_ms(self):
+        """The steady clock."""
+        return int(time.time() * 1000) - self.born
+
+    async def answer(self, request):
+        """Answer one order."""
+        body = decode(request.body)
+        if request.headers.get("target-instance", self.id) != self.id:
+            return Response(421)
+        if body.get("fence", 0) < self.fence:
+            return self.reply(409, reason="fence")
+        self.fence = body.get("fence", 0)
+        handler = getattr(self, "do_" + request.path[1:].replace("-", "_"))
+        response = await handler(body)
+        if self.mute and request.path == "/run-start":
+            self.mute -= 1
+            await asyncio.sleep(60)
+        return response
+
+    def reply(self, status=200, **fields):
+        """Return an answer with the clock."""
+        return Response(
+            status, encode({"clock_ms": self.clock_ms, "born": self.born} | fields)
+        )
+
+    async def do_run_start(self, body):
+        """Start a run."""
+        task, run = body["task"], body["run"]
+        if body["deadline_ms"] < self.clock_ms:
+            return self.reply(409, reason="late")
+        if self.running.get(task) == run:
+            return self.reply()
+        if run <= self.barred.get(task, 0):
+            return self.reply(409, reason="old")
+        self.running[task] = run
+        self.starts.append((task, run))
+        work = asyncio.create_task(self.work(task, run))
+        self.tasks.add(work)
+        work.add_done_callback(self.tasks.discard)
+        return self.reply()
+
+    async def work(self, task, run):
+        """End a run after its time."""
+        await asyncio.sleep(self.seconds)
+        await self.finish(task, run, "failed" if task in self.fail else "done")
+
+    async def finish(self, task, run, how):
+        """Note the end of a run."""
+        if self.running.get(task) != run:
+            return
+        del self.running[task]
+        self.barred[task] = max(run, self.barred.get(task, 0))
+        self.number += 1
+        self.ended.append([self.number, task, run, how, ""])
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def do_run_stop(self, body):
+        """Stop a run."""
+        task, run = body["task"], body["run"]
+        self.barred[task] = max(run, self.barred.get(task, 0))
+        await self.finish(task, run, "stopped")
+        return self.reply()
+
+    async def do_pace(self, body):
+        """Accept a pace."""
+        return self.reply()
+
+    async def do_hold(self, body):
+        """List runs and ends."""
+        self.ended = [row for row in self.ended if row[0] > body["seen_upto"]]
+        if body.get("wait_ms") and not self.ended:
+            try:
+                async with asyncio.timeout(body["wait_ms"] / 1000), self.changed:
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        running = [[task, run, "", 50, 0] for task, run in self.running.items()]
+        return self.reply(running=running, ended=self.ended)
--- /dev/null
+++ b/standins/kvplatform.py
@@ -0,0 +1,202 @@
+"""A stand-in for the users' platform: its store, operators' keys and endpoints.
+
+It speaks the platform's published protocol over HTTP on loopback, in one loop with the
+test.  Faults are set as attributes: ``refuse`` answers that status to every call,
+``lose`` carries out so many writes without answering them.
+"""
+
+import asyncio
+import base64
+import time
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from clementinebay.eventlog import ERROR, EventLog
+from clementinebay.web.server import Response, Server
+
+encode = msgspec.json.Encoder().encode
+decode = msgspec.json.Decoder().decode
+
+
+class Item:
+    """A key's value and revisions."""
+
+    __slots__ = ("key", "value", "rev", "create_rev", "lease")
+
+    def __init__(self, key, value, rev, create_rev, lease):
+        self.key = key
+        self.value = value
+        self.rev = rev
+        self.create_rev = create_rev
+        self.lease = lease
+
+    def show(self):
+        """Return the item as it stands in answers."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class PlatformStandIn:
+    """The store; an asynchronous context manager that listens on ``port``."""
+
+    PAGE = 3
+
+    def __init__(self, port):
+        self.address = f"127.0.0.1:{port}"
+        self.server = Server(self.answer, "127.0.0.1", port, EventLog(level=ERROR + 1))
+        self.items = {}
+        self.events = []
+        self.rev = 7
+        self.forgotten = 0
+        self.leases = {}
+        self.changed = asyncio.Condition()
+        self.refuse = 0
+        self.lose = 0
+        self.calls = []
+
+    async def __aenter__(self):
+        await self.server.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.server.__aexit__()
+
+    # What operators and endpoints write
+
+    async def put(self, key, document, lease=0):
+        """Write a JSON document under ``key``."""
+        value = base64.b64encode(encode(document)).decode()
+        await self.write([{"key": key, "value": value, "lease": lease}], [])
+
+    async def write(self, puts, removals):
+        """Apply a change and wake watches."""
+        self.rev += 1
+        for put in puts:
+            before = self.items.get(put["key"])
+            item = Item(
+                put["key"],
+                put["value"],
+                self.rev,
+                before.create_rev if before else self.rev,
+                put.get("lease", 0),
+            )
+            self.items[item.key] = item
+            self.events.append((self.rev, item.key, item.show()))
+        for key in removals:
+            if self.items.pop(key, None) is not None:
+                event = {"key": key, "rev": self.rev, "deleted": True}
+                self.events.append((self.rev, key, event))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget_history(self):
+        """Discard all events."""
+        self.forgotten = self.rev
+
+    async def end_lease(self, lease):
+        """End a lease and remove its keys."""
+        self.leases.pop(lease, None)
+        await self.write([], [k for k, i in self.items.items() if i.lease == lease])
+
+    async def expire(self):
+        """End the leases whose time has come."""
+        for lease, (deadline, _ttl) in list(self.leases.items()):
+            if time.monotonic() > deadline:
+                await self.end_lease(lease)
+
+    # Calls
+
+    async def answer(self, request):
+        """Answer one call."""
+        self.calls.append((request.method, request.path))
+        await self.expire()
+        if self.refuse:
+            return Response(self.refuse)
+        query = dict(parse_qsl(request.query))
+        name = request.path.split("/")[1]
+        handler = getattr(self, "do_" + name.replace("-", "_"))
+        response = await handler(request, query)
+        if self.lose and request.method == "POST":
+            self.lose -= 1
+            await asyncio.sleep(60)
+        return response
+
+    async def do_kv_key(self, request, query):
+        """Answer a read of one key."""
+        item = self.items.get(query["key"])
+        if item is None:
+            return Response(404)
+        return Response(200, encode(item.show() | {"as_of": self.rev}))
+
+    async def do_kv_range(self, request, query):
+        """Answer a page of a prefix."""
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        body = {
+            "items": [self.items[key].show() for key in keys[: self.PAGE]],
+            "has_more": len(keys) > self.PAGE,
+            "as_of": self.rev,
+        }
+        return Response(200, encode(body))
+
+    async def do_kv_watch(self, request, query):
+        """Answer a watch once there is an event, or after its wait."""
+        after = int(query["after"])
+        if after < self.forgotten:
+            return Response(410)
+
+        def found():
+            return [
+                event
+                for rev, key, event in self.events
+                if rev > after and key.startswith(query["prefix"])
+            ]
+
+        try:
+            async with asyncio.timeout(int(query["wait_ms"]) / 1000), self.changed:
+                await self.changed.wait_for(found)
+        except TimeoutError:
+            pass
+        return Response(200, encode({"events": found(), "as_of": self.rev}))
+
+    async def do_kv_txn(self, request, query):
+        """Answer a transaction."""
+        body = decode(request.body)
+        entries = body["expected"] + body["set_keys"] + body["remove"]
+        if len(entries) > 32:
+            return Response(400)
+        expected = {row["key"]: row["rev"] for row in body["expected"]}
+        held = {
+            key: self.items[key].rev if key in self.items else 0 for key in expected
+        }
+        if held != expected:
+            items = [self.items[key].show() for key in expected if key in self.items]
+            return Response(412, encode({"items": items}))
+        if any(p["lease"] and p["lease"] not in self.leases for p in body["set_keys"]):
+            return Response(404)
+        await self.write(body["set_keys"], body["remove"])
+        return Response(200, encode({"rev": self.rev}))
+
+    async def do_kv_lease(self, request, query):
+        """Grant a lease."""
+        ttl_ms = decode(request.body)["ttl_ms"]
+        lease = 100 + len(self.calls)
+        self.leases[lease] = (time.monotonic() + ttl_ms / 1000, ttl_ms)
+        return Response(200, encode({"lease": lease, "ttl_ms": ttl_ms}))
+
+    async def do_kv_keep(self, request, query):
+        """Renew a lease."""
+        lease = int(request.path.split("/")[2])
+        if lease not in self.leases:
+            return Response(404)
+        ttl_ms = self.leases[lease][1]
+        self.leases[lease] = (time.monotonic() + ttl_ms / 1000, ttl_ms)
+        return Response(200, encode({"ttl_ms": ttl_ms}))
+
+    async def do_kv_lease_end(self, request, query):
+        """End a lease."""
+        await self.end_lease(int(request.path.split("/")[2]))
+        return Response(200)
--- /dev/null
+++ b/tests/test_eventlog.py
@@ -0,0 +1,72 @@
+"""Structured logs: bounded, and never waiting for their reader."""
+
+import os
+import time
+
+import msgspec
+
+from clementinebay import eventlog
+
+
+def pipe_log():
+    """Return a log that writes to a pipe, and the end to read."""
+    reading, writing = os.pipe()
+    log = eventlog.EventLog("d1", fd=writing, clock=lambda: 1000.0)
+    log.open()
+    os.set_blocking(reading, False)
+    return log, reading
+
+
+def lines(reading):
+    """Return the lines that wait in a pipe."""
+    try:
+        data = os.read(reading, 1_000_000)
+    except BlockingIOError:
+        return []
+    return [msgspec.json.decode(line) for line in data.splitlines()]
+
+
+def test_line_holds_time_level_event_and_fields():
+    log, reading = pipe_log()
+    log.info("job.accepted", job="x", tasks=3)
+    assert lines(reading) == [
+        {
+            "t": 1000.0,
+            "level": "info",
+            "event": "job.accepted",
+            "node": "d1",
+            "job": "x",
+            "tasks": 3,
+        }
+    ]
+
+
+def test_lines_of_a_kind_are_limited_and_counted():
+    log, reading = pipe_log()
+    for _number in range(eventlog.LINES_PER_SECOND + 40):
+        log.info("a")
+    log.info("b")
+    written = lines(reading)
+    assert sum(line["event"] == "a" for line in written) == eventlog.LINES_PER_SECOND
+    assert sum(line["event"] == "b" for line in written) == 1
+    log.clock = lambda: 1001.0
+    log.info("b")
+    assert {"of": "a", "lines": 40}.items() <= lines(reading)[0].items()
+
+
+async def test_reader_that_stops_reading_costs_no_time():
+    log, reading = pipe_log()
+    log.clock = time.time
+    began = time.perf_counter()
+    for number in range(30_000):
+        log.info(f"kind-{number % 1000}", text="x" * 50)
+        if number % 100 == 0:
+            log.flush()
+    assert time.perf_counter() - began < 3.0
+    assert log.dropped > 0
+    assert len(log.waiting) <= eventlog.MAX_WAITING_BYTES
+    while lines_read := os.read(reading, 60_000):
+        if len(lines_read) < 60_000:
+            break
+    log.flush()
+    log.flush()
--- /dev/null
+++ b/tests/web/test_web.py
@@ -0,0 +1,101 @@
+"""The HTTP server and client against each other."""
+
+import asyncio
+
+import pytest
+
+from clementinebay import errors
+from clementinebay.web.client import Client
+from clementinebay.web.server import Response, Server
+from standins.ports import free_range
+from tests.workflow.factory import quiet_log
+
+
+async def echo(request):
+    """Answer with what was asked; "/slow" takes a while, "/raise" fails."""
+    if request.path == "/slow":
+        await asyncio.sleep(0.3)
+    if request.path == "/raise":
+        raise ValueError(request.path)
+    return Response(200, request.body or request.query.encode(), (("x", "y"),))
+
+
+@pytest.fixture
+async def server():
+    async with Server(echo, "127.0.0.1", free_range(1), quiet_log()) as server:
+        yield server
+
+
+@pytest.fixture
+async def client():
+    async with Client() as client:
+        yield client
+
+
+def address(server):
+    return f"127.0.0.1:{server.port}"
+
+
+async def test_calls_share_a_connection(server, client):
+    for number in range(5):
+        body = str(number).encode()
+        answer = await client.call(address(server), "POST", "/", 1.0, body)
+        assert (answer.status, answer.body, answer.headers["x"]) == (200, body, "y")
+    assert client.opened == 1
+
+
+async def test_concurrent_calls_do_not_cross(server, client):
+    calls = [
+        client.call(address(server), "POST", "/slow", 2.0, str(number).encode())
+        for number in range(20)
+    ]
+    answers = await asyncio.gather(*calls)
+    assert [int(answer.body) for answer in answers] == list(range(20))
+
+
+async def test_no_listener_means_not_sent(client):
+    with pytest.raises(errors.CallNotSentError):
+        await client.call(f"127.0.0.1:{free_range(1)}", "GET", "/", 1.0)
+
+
+async def test_late_answer_is_unknown_and_never_given_to_another_call(server, client):
+    with pytest.raises(errors.CallUnansweredError):
+        await client.call(address(server), "POST", "/slow", 0.1, b"late")
+    answer = await client.call(address(server), "POST", "/", 1.0, b"next")
+    assert answer.body == b"next"
+
+
+async def test_handler_that_fails_is_answered(server, client):
+    assert (await client.call(address(server), "GET", "/raise", 1.0)).status == 500
+
+
+async def test_oversize_body_is_refused(server, client):
+    server.max_body_bytes = 100
+    answer = await client.call(address(server), "POST", "/", 1.0, b"x" * 101)
+    assert answer.status == 400
+
+
+async def test_pipelined_requests_are_answered_in_order(server):
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"GET /slow?1 HTTP/1.1\r\n\r\nGET /?2 HTTP/1.1\r\n\r\n")
+    data = b""
+    while data.count(b"HTTP/1.1 200") < 2 or not data.endswith(b"2"):
+        data += await asyncio.wait_for(reader.read(1000), 2)
+    assert data.index(b"\r\n\r\n1") < data.index(b"\r\n\r\n2")
+    writer.close()
+
+
+async def test_request_that_never_ends_is_dropped(server):
+    server.request_seconds = 0.1
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"POST / HTTP/1.1\r\ncontent-length: 9\r\n\r\nx")
+    with pytest.raises(ConnectionResetError):
+        if await asyncio.wait_for(reader.read(), 2) == b"":
+            raise ConnectionResetError
+    writer.close()
+
+
+async def test_draining_server_closes_after_its_answers(server, client):
+    server.draining = True
+    answer = await client.call(address(server), "GET", "/?a", 1.0)
+    assert answer.headers["connection"] == "close"
