--- a/clementinebay/eventlog.py
+++ b/clementinebay/eventlog.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from clementinebay import metrics
+
 #: Lines of one event that are written in one second; the rest are counted.
 LINES_PER_SECOND = 60
 #: Bytes that may wait for a slow reader before lines are dropped.
@@ -73,6 +75,7 @@
         self.counts[event] = count
         if count > LINES_PER_SECOND:
             self.suppressed[event] = self.suppressed.get(event, 0) + 1
+            metrics.LOG_LINES_LEFT_OUT.inc()
             return
         self.append(now, level, event, fields)
 
@@ -93,6 +96,7 @@
         data = self.encoder.encode(line) + b"\n"
         if len(self.waiting) + len(data) > MAX_WAITING_BYTES:
             self.dropped += 1
+            metrics.LOG_LINES_LEFT_OUT.inc()
             return
         self.waiting += data
         self.schedule()
--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -70,3 +70,54 @@
     "clementine_decision_seconds", "Time to decide.", buckets=LATENCY_BUCKETS
 )
 CONFIG_REVISION = Gauge("clementine_config_revision", "Configuration in force.")
+
+# Jobs of steps
+
+JOB_REQUESTS = Counter(
+    "clementine_job_requests",
+    "Clients' requests concerning jobs, by method and status of the answer.",
+    ["method", "status"],
+)
+JOB_REQUEST_SECONDS = Histogram(
+    "clementine_job_request_seconds",
+    "Time from a client's whole request to its answer.",
+    ["method"],
+    buckets=LATENCY_BUCKETS,
+)
+FIRST_START_SECONDS = Histogram(
+    "clementine_first_start_seconds",
+    "Time from a job's acceptance to the order for its first task.",
+    buckets=LATENCY_BUCKETS,
+)
+STORE_CALLS = Counter(
+    "clementine_store_calls",
+    "Calls of the store by kind and result.",
+    ["kind", "result"],
+)
+STORE_SECONDS = Histogram(
+    "clementine_store_seconds",
+    "Time of answered calls of the store; watches are left out.",
+    ["kind"],
+    buckets=LATENCY_BUCKETS,
+)
+ORDERS = Counter(
+    "clementine_orders", "Orders to endpoints by kind and outcome.", ["kind", "outcome"]
+)
+ORDER_SECONDS = Histogram(
+    "clementine_order_seconds",
+    "Time until an order to start was answered, or given up.",
+    buckets=LATENCY_BUCKETS,
+)
+RUN_ENDS = Counter(
+    "clementine_run_ends", "Runs that their endpoints ended, by outcome.", ["outcome"]
+)
+RUNS_LOST = Counter(
+    "clementine_runs_lost", "Runs that were given up without an end.", ["cause"]
+)
+JOBS_ENDED = Counter("clementine_jobs_ended", "Jobs that ended, by state.", ["state"])
+ACTIVE_JOBS = Gauge("clementine_active_jobs", "Jobs at work; 0 without the term.")
+SCHEDULING = Gauge("clementine_scheduling", "Whether this daemon holds the term.")
+TERMS = Counter("clementine_terms", "Terms that this daemon began.")
+LOG_LINES_LEFT_OUT = Counter(
+    "clementine_log_lines_left_out", "Log lines over a limit, or not taken by a reader."
+)
--- a/clementinebay/platform/settings.py
+++ b/clementinebay/platform/settings.py
@@ -16,6 +16,9 @@
 #: What is left of the grace period when the drain ends, in seconds.
 GRACE_MARGIN_SECONDS = 2.0
 
+#: TCP port of the metrics, as `deploy/system.toml` names it.
+METRICS_PORT = 9464
+
 #: Bounds that an installation may leave out, in its own units.
 DEFAULT_BOUNDS = {
     "hold_max_ms": 6000,
@@ -88,7 +91,7 @@
         domains=node.domains,
         front=node.front,
         ready=node.ready,
-        metrics=None,
+        metrics=(node.front[0], METRICS_PORT),
         store=store,
         boundary=boundary,
         gateway=gateway,
--- a/clementinebay/platform/store.py
+++ b/clementinebay/platform/store.py
@@ -1,11 +1,12 @@
 """The platform's key-value store as a `KeyValueStore`."""
 
 import base64
+import time
 from urllib.parse import quote
 
 import msgspec
 
-from clementinebay import errors
+from clementinebay import errors, metrics
 from clementinebay.store.base import Entry, KeyValueStore, prefix_end
 
 #: Longest wait for an answer, in seconds: the store at sixty times its usual 4 ms, and
@@ -15,6 +16,7 @@
 #: is noticed when the watch does not end in time.
 WATCH_SECONDS = 1.5
 
+WATCH = "kv-watch"
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -51,14 +53,23 @@
     async def call(self, method, path, body=None, seconds=CALL_SECONDS):
         """Return the `Answer`; raise `PlatformError` if the store did not serve."""
         data = None if body is None else _encode(body)
+        kind = path.split("?")[0].split("/")[1]
+        began = time.perf_counter()
+        result = "unanswered"
         try:
             answer = await self.client.call(self.address, method, path, seconds, data)
+            result = str(answer.status)
         except errors.CallNotSentError as error:
+            result = "not-sent"
             raise errors.PlatformUnavailableError(str(error)) from error
         except errors.CallUnansweredError as error:
             if method == "GET":
                 raise errors.PlatformUnavailableError(str(error)) from error
             raise errors.PlatformOutcomeUnknownError(str(error)) from error
+        finally:
+            metrics.STORE_CALLS.labels(kind, result).inc()
+        if kind != WATCH:
+            metrics.STORE_SECONDS.labels(kind).observe(time.perf_counter() - began)
         if answer.status in REFUSED:
             raise errors.PlatformUnavailableError(f"{path}: {answer.status}")
         return answer
--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -13,6 +13,10 @@
 HARM_LIMIT = 1.1
 #: Score of harm to replicas that is certain.
 HARM = 0.7
+#: Fillers with more than this share of the processors press replicas whatever their
+#: image, and the score of each share beyond.
+CROWDED_SHARE = 0.4
+CROWDED = 4.0
 #: Score of a replica at an endpoint with replicas of other images only: fillers find
 #: room more easily where replicas are alike.
 OTHER_IMAGE = 1.5
@@ -59,7 +63,12 @@
     harm = pressure.between(endpoint.replica_images, step.image)
     if harm > HARM_LIMIT:
         return None
-    return load_score(endpoint, step) + HARM * harm
+    demand = endpoint.filler_demand + step.processors_milli
+    share = demand / max(1, endpoint.info.processors_milli)
+    value = load_score(endpoint, step) + HARM * harm
+    if endpoint.replicas:
+        value += CROWDED * max(0.0, share - CROWDED_SHARE)
+    return value
 
 
 def score(endpoint, task, pressure):
--- a/clementinebay/services/__init__.py
+++ b/clementinebay/services/__init__.py
@@ -13,6 +13,7 @@
     "dispatcher": ("clementinebay.services.dispatcher", "Dispatcher"),
     "driver": ("clementinebay.services.driver", "DriverService"),
     "eventlog": ("clementinebay.services.eventlog", "EventLogService"),
+    "exporter": ("clementinebay.services.exporter", "Exporter"),
     "fleet": ("clementinebay.services.fleet", "FleetWatcher"),
     "front": ("clementinebay.services.front", "Front"),
     "jobgate": ("clementinebay.services.jobgate", "JobGate"),
@@ -36,7 +37,7 @@
 DAEMON = ("scheduler", "mover", "retention", "adopter", "bootstrap", "front")
 
 #: What a daemon runs that schedules jobs of steps on an installation's platform.
-WORKFLOW_DAEMON = ("jobgate",)
+WORKFLOW_DAEMON = ("exporter", "jobgate")
 
 
 def find_service_class(name):
--- a/clementinebay/services/jobgate.py
+++ b/clementinebay/services/jobgate.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from clementinebay import errors
+from clementinebay import errors, metrics
 from clementinebay.service import Service
 from clementinebay.web.server import Response, Server
 from clementinebay.workflow import jobstore
@@ -23,6 +23,9 @@
 #: How old counts of pending jobs may be when they are shown again, in seconds.
 PENDING_SECONDS = 0.5
 
+#: Methods that metrics name.
+METHODS = frozenset(("GET", "POST", "DELETE"))
+
 OK = 200
 UNAVAILABLE = 503
 
@@ -94,7 +97,12 @@
         if table is not None:
             self.front.max_body_bytes = table.max_body_bytes
             self.front.max_header_bytes = table.max_header_bytes
-        return await self.settings.gateway.answer(request, table, self)
+        response = await self.settings.gateway.answer(request, table, self)
+        method = request.method if request.method in METHODS else "other"
+        seconds = asyncio.get_running_loop().time() - request.received_at
+        metrics.JOB_REQUESTS.labels(method, str(response.status)).inc()
+        metrics.JOB_REQUEST_SECONDS.labels(method).observe(seconds)
+        return response
 
     def home_domain(self):
         """Return the failure domain in which a new job may run from the start."""
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -4,6 +4,7 @@
 sends the orders, reports their outcomes, and stores the progress of changed jobs.
 """
 
+from clementinebay import metrics
 from clementinebay.policy import dispatch, endpointhealth, pacing
 from clementinebay.policy.pressure import Pressure
 from clementinebay.workflow.fleet import EndpointState
@@ -166,6 +167,7 @@
         job.state = state
         job.ended_at = wall_now
         self.active.pop(job.id, None)
+        metrics.JOBS_ENDED.labels(state.value).inc()
         self.mark(job, urgent=True)
         for task in job.placed():
             self.want_stop(task, state.value)
@@ -267,6 +269,7 @@
 
     def lose(self, task, cause, now):
         """Give up a run that ended without being done."""
+        metrics.RUNS_LOST.labels(cause).inc()
         self.log.info(
             "task.lost",
             task=task.name,
@@ -322,6 +325,7 @@
 
     def take_end(self, endpoint, end, now):
         """Take one end of a run."""
+        metrics.RUN_ENDS.labels(end.outcome).inc()
         self.stops.pop((endpoint.id, end.task, end.run), None)
         task = self.find_task(end.task)
         if task is None:
@@ -610,7 +614,7 @@
         task.pace = 100
         if not job.begun:
             job.begun = True
-            job.first_start_at = now
+            metrics.FIRST_START_SECONDS.observe(max(0.0, now - job.accepted_at))
             self.mark(job)
         return StartOrder(choice.endpoint, task)
 
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -155,7 +155,6 @@
         "objective_at",
         "open_steps",
         "begun",
-        "first_start_at",
     )
 
     def __init__(self, spec, queue, now, wall_now):
@@ -176,7 +175,6 @@
         self.ended_at = 0.0
         self.objective_at = self.accepted_at + objective_seconds(spec, queue)
         self.begun = False
-        self.first_start_at = None
         self.open_ready_steps()
 
     @property
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from clementinebay import errors
+from clementinebay import errors, metrics
 from clementinebay.clock import SystemClock
 from clementinebay.policy import pressure
 from clementinebay.workflow import jobstore
@@ -113,6 +113,8 @@
                 group.create_task(self.retention_loop())
                 group.create_task(self.watch_fence())
         finally:
+            metrics.SCHEDULING.set(0)
+            metrics.ACTIVE_JOBS.set(0)
             for task in list(self.tasks):
                 task.cancel()
 
@@ -131,6 +133,8 @@
 
     async def load(self):
         """Read what earlier schedulers stored."""
+        metrics.TERMS.inc()
+        metrics.SCHEDULING.set(1)
         self.progress = await self.jobs.all_progress()
         self.recorded = await self.jobs.used_endpoints()
         for endpoint_id, domain in self.recorded.items():
@@ -297,6 +301,8 @@
         except errors.OrderRefusedError as error:
             outcome = error.reason
             self.start_refused(order, error)
+        metrics.ORDERS.labels("start", outcome).inc()
+        metrics.ORDER_SECONDS.observe(self.clock.now() - now)
         self.log.info(
             "task.start_ordered",
             task=order.task.name,
@@ -331,6 +337,7 @@
         except errors.OrderRefusedError as error:
             outcome = error.reason
             self.note_refusal(order.endpoint, error)
+        metrics.ORDERS.labels("stop", outcome).inc()
         self.log.info(
             "task.stop_ordered",
             task=order.task,
@@ -347,6 +354,7 @@
             await self.driver.pace(order, self.writer.fence)
         except (errors.CallError, errors.OrderRefusedError) as error:
             self.engine.pace_failed(order)
+            metrics.ORDERS.labels("pace", error.code).inc()
             self.log.warning(
                 "task.pace_failed",
                 task=order.task.name,
@@ -354,6 +362,7 @@
                 error=error.code,
             )
             return
+        metrics.ORDERS.labels("pace", "paced").inc()
         self.log.info(
             "task.paced",
             task=order.task.name,
@@ -405,9 +414,11 @@
                 endpoint, deadline_ms, endpoint.acknowledged, wait, self.writer.fence
             )
         except (errors.CallError, errors.OrderRefusedError) as error:
+            metrics.ORDERS.labels("report", error.code).inc()
             self.fail_endpoint(endpoint)
             self.note_refusal(endpoint, error)
             return False
+        metrics.ORDERS.labels("report", "reported").inc()
         now = self.clock.now()
         settled = endpoint.settled
         if not self.engine.take_report(endpoint, report, sent_at, now):
@@ -488,6 +499,7 @@
         """Store the counts of pending jobs when they have changed."""
         while True:
             await asyncio.sleep(PENDING_SECONDS)
+            metrics.ACTIVE_JOBS.set(len(self.engine.active))
             counts = self.engine.pending()
             if counts == self.pending_counts:
                 continue
--- a/tests/platform/helpers.py
+++ b/tests/platform/helpers.py
@@ -67,6 +67,7 @@
         store = PlatformStore(client, node.store)
         boundary = PlatformBoundary(client)
         deployment = settings.deployment(node, store, boundary, Gateway())
+        deployment.metrics = ("127.0.0.1", free_range(1))
         kernel = await self.stack.enter_async_context(Kernel(deployment))
         for service in WORKFLOW_DAEMON:
             await kernel.start(service)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -237,5 +237,23 @@
         assert set(kernel.find("term").scheduler.engine.endpoints) == {"e0"}
 
 
+async def test_metrics_tell_of_requests_orders_and_calls():
+    async with helpers.installation() as stand:
+        kernel, address = await stand.daemon()
+        await until_accepted(stand, address)
+        await until_ended(stand, address)
+        host, port = kernel.settings.metrics
+        answer = await stand.client.call(f"{host}:{port}", "GET", "/metrics", 2.0)
+        text = answer.body.decode()
+        for sample in (
+            'clementine_job_requests_total{method="POST",status="200"}',
+            'clementine_orders_total{kind="start",outcome="started"}',
+            'clementine_store_calls_total{kind="kv-txn",result="200"}',
+            'clementine_run_ends_total{outcome="done"}',
+            "clementine_first_start_seconds_bucket",
+        ):
+            assert sample in text
+
+
 def test_waits_fit_the_watch():
     assert schedule.REPORT_WAIT_SECONDS <= 2.0
