--- a/clementinebay/cmdline.py
+++ b/clementinebay/cmdline.py
@@ -16,6 +16,7 @@
     log,
     operatorclient,
     settings,
+    story,
 )
 from clementinebay.kernel import Kernel
 from clementinebay.operatorclient import EXIT_FAILED, EXIT_OK, EXIT_USAGE
@@ -44,6 +45,7 @@
   clementinectl job submit minutes --count 40 --run-seconds 90 --team summaries
   clementinectl domain out almaty-2
   clementinectl --json status
+  clementinectl story 5c0e7a21d94b36f8 front-a-1.log front-b-1.log
 """
 
 
@@ -111,6 +113,9 @@
     except errors.ConfigInvalidError as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
+    except errors.JobUnknownError as error:
+        print(f"clementinectl: {error}", file=sys.stderr)
+        return EXIT_FAILED
     except OSError as error:
         print(f"clementinectl: {error}", file=sys.stderr)
         return EXIT_USAGE
@@ -226,6 +231,11 @@
     add_command(groups, "status", "Show the daemon's standing.", status)
     command = add_command(groups, "trace", "Show the spans of a request.", trace)
     command.add_argument("id")
+    command = add_command(
+        groups, "story", "Tell from saved logs what became of an id.", tell_story
+    )
+    command.add_argument("id", help="of a job, a task or an endpoint")
+    command.add_argument("file", nargs="+", help="saved standard output of a daemon")
 
 
 def config_describe(arguments, _client):
@@ -369,5 +379,10 @@
     return "\n".join(display.span_lines(spans))
 
 
+def tell_story(arguments, _client):
+    """Return the lines of an id's story."""
+    return "\n".join(story.tell(arguments.file, arguments.id))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -12,7 +12,7 @@
 #: Probability of harm to a replica from which a filler rather waits.
 HARM_LIMIT = 1.1
 #: Score of harm to replicas that is certain.
-HARM = 0.7
+HARM = 2.0
 #: Fillers with more than this share of the processors press replicas whatever their
 #: image, and the score of each share beyond.
 CROWDED_SHARE = 0.4
