--- a/clementinebay/platform/settings.py
+++ b/clementinebay/platform/settings.py
@@ -24,8 +24,6 @@
     "hold_max_ms": 6000,
     "grace_s": 6,
     "status_s": 120,
-    "stop_ms": 900,
-    "harm_ms": 4000,
 }
 
 
@@ -84,21 +82,33 @@
 
 def deployment(node, store, boundary, gateway):
     """Return the `Deployment` that the settings describe."""
-    bounds = node.bounds
     return Deployment(
         node=node.node,
         failure_domain=node.failure_domain,
-        domains=node.domains,
         front=node.front,
         ready=node.ready,
         metrics=(node.front[0], METRICS_PORT),
         store=store,
         boundary=boundary,
         gateway=gateway,
-        max_lease_seconds=bounds["hold_max_ms"] / 1000,
         lease_seconds=LEASE_SECONDS,
-        drain_seconds=max(0.0, bounds["grace_s"] - GRACE_MARGIN_SECONDS),
-        status_seconds=bounds["status_s"],
-        stop_seconds=bounds["stop_ms"] / 1000,
-        harm_seconds=bounds["harm_ms"] / 1000,
+        **changeable(node),
     )
+
+
+def changeable(node):
+    """Return the fields of a `Deployment` that may change while the daemon runs."""
+    bounds = node.bounds
+    return {
+        "domains": node.domains,
+        "max_lease_seconds": bounds["hold_max_ms"] / 1000,
+        "drain_seconds": max(0.0, bounds["grace_s"] - GRACE_MARGIN_SECONDS),
+        "status_seconds": bounds["status_s"],
+    }
+
+
+def update(deployed, node):
+    """Bring a `Deployment` up to changed settings."""
+    deployed.store.address = node.store
+    for name, value in changeable(node).items():
+        setattr(deployed, name, value)
--- a/clementinebay/workflow/boundary.py
+++ b/clementinebay/workflow/boundary.py
@@ -85,8 +85,6 @@
         "lease_seconds",
         "drain_seconds",
         "status_seconds",
-        "stop_seconds",
-        "harm_seconds",
     )
 
     def __init__(self, **fields):
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,77 @@
+"""The platform's settings file, read at the start and when it changes."""
+
+import pytest
+import yaml
+
+from clementinebay import errors
+from clementinebay.platform import settings
+from clementinebay.platform.__main__ import Reloader
+from clementinebay.platform.store import PlatformStore
+from tests.platform import helpers
+from tests.workflow.factory import quiet_log
+
+
+class FakeKernel:
+    """Holds a deployment and a log."""
+
+    def __init__(self, deployed):
+        self.settings = deployed
+        self.log = quiet_log()
+
+    def find(self, _name):
+        return self
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "settings.yaml"
+    write(path, "127.0.0.1:1")
+    return path
+
+
+def write(path, store, **changes):
+    document = helpers.document("d1", "a", store, 1001, 1002) | changes
+    path.write_text(yaml.safe_dump(document))
+
+
+def test_file_is_decoded(path):
+    node = settings.read(path)
+    deployed = settings.deployment(node, PlatformStore(None, node.store), None, None)
+    assert deployed.node == "d1"
+    assert deployed.domains == ("a", "b")
+    assert deployed.front == ("127.0.0.1", 1001)
+    assert deployed.max_lease_seconds == 6.0
+    assert deployed.status_seconds == 120
+
+
+def test_unknown_fields_are_passed_over_and_missing_bounds_have_defaults(path):
+    write(path, "127.0.0.1:1", new_field=[1], bounds=None)
+    assert settings.read(path).bounds == settings.DEFAULT_BOUNDS
+
+
+@pytest.mark.parametrize("text", ["", "[]", "node: x", "{", "listen: 3"])
+def test_wrong_file_is_an_error(path, text):
+    path.write_text(text)
+    with pytest.raises(errors.SettingsError):
+        settings.read(path)
+
+
+def test_no_variable_is_an_error(monkeypatch):
+    monkeypatch.delenv(settings.PATH_VARIABLE, raising=False)
+    with pytest.raises(errors.SettingsError):
+        settings.settings_path()
+
+
+def test_changed_file_is_taken_and_a_wrong_one_is_not(path):
+    node = settings.read(path)
+    store = PlatformStore(None, node.store)
+    deployed = settings.deployment(node, store, None, None)
+    reloader = Reloader(path, FakeKernel(deployed))
+    write(path, "127.0.0.1:2", bounds={"status_s": 60})
+    assert reloader.read_stamp() != reloader.stamp
+    reloader.reload()
+    assert store.address == "127.0.0.1:2"
+    assert deployed.status_seconds == 60
+    path.write_text("{")
+    reloader.reload()
+    assert store.address == "127.0.0.1:2"
