Refuse jobs at once while the store is away, let fillers of young jobs wait

Change: an attempt to store a job ends after 0.45 s; while the store fails, one job in 0.3 s is let try; others are refused at once, truly as not run. Fillers wait for an endpoint with harm below 0.4 for a fifth of their objective's time.

--- a/clementinebay/platform/gateway.py
+++ b/clementinebay/platform/gateway.py
@@ -152,7 +152,24 @@
             return retry_later(1, error.code)
 
     async def submit(self, request, queue, job_id, gate):
-        """Accept a job."""
+        """Accept a job, and log what became of the request."""
+        try:
+            await self.accept(request, queue, job_id, gate)
+        except errors.ClementineError as error:
+            gate.log.info(
+                "job.not_accepted",
+                job=job_id,
+                queue=queue.name,
+                version=gate.queues.table.version,
+                error=error.code,
+                why=str(error),
+                ms=elapsed_ms(request),
+            )
+            raise
+        return Response(OK)
+
+    async def accept(self, request, queue, job_id, gate):
+        """Store a job."""
         payload, steps = decode_job(request.body)
         deadline = request.received_at + wait_seconds(request) * WAIT_SHARE
         new = await gate.submit(queue, job_id, payload, steps, deadline)
@@ -162,9 +179,9 @@
             queue=queue.name,
             tasks=sum(step.count for step in steps),
             new=new,
-            ms=round((asyncio.get_running_loop().time() - request.received_at) * 1000),
+            version=gate.queues.table.version,
+            ms=elapsed_ms(request),
         )
-        return Response(OK)
 
     async def show(self, request, queue, job_id, gate):
         """Show a job's state."""
@@ -191,6 +208,11 @@
 }
 
 
+def elapsed_ms(request):
+    """Return the time since the whole request was read, in milliseconds."""
+    return round((asyncio.get_running_loop().time() - request.received_at) * 1000)
+
+
 def wait_seconds(request):
     """Return how long the client waits for the answer, in seconds."""
     text = request.headers.get("deadline-ms", "")
--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -9,8 +9,10 @@
 #: How much worse, in parts of an endpoint, the job's own domains may be before another
 #: domain is opened to the job.
 DOMAIN_SLACK = 0.15
-#: Probability of harm to a replica from which a filler rather waits.
-HARM_LIMIT = 1.1
+#: Probability of harm to a replica from which a filler of a young job rather waits.
+HARM_LIMIT = 0.4
+#: A job is young for this share of the time that its objective gives it.
+PATIENCE = 0.2
 #: Score of harm to replicas that is certain.
 HARM = 2.0
 #: Fillers with more than this share of the processors press replicas whatever their
@@ -58,10 +60,15 @@
     return value + HARM * pressure.on_replica(step.image, endpoint)
 
 
-def filler_score(endpoint, step, pressure):
+def patient(job, now):
+    """Return whether ``job`` has the time to wait for a better endpoint."""
+    return now < job.accepted_at + PATIENCE * (job.objective_at - job.accepted_at)
+
+
+def filler_score(endpoint, step, pressure, waits):
     """Return how unfit an endpoint is for a filler, or ``None`` if it rather waits."""
     harm = pressure.between(endpoint.replica_images, step.image)
-    if harm > HARM_LIMIT:
+    if waits and harm > HARM_LIMIT:
         return None
     demand = endpoint.filler_demand + step.processors_milli
     share = demand / max(1, endpoint.info.processors_milli)
@@ -71,13 +78,13 @@
     return value
 
 
-def score(endpoint, task, pressure):
+def score(endpoint, task, pressure, waits):
     """Return how unfit ``endpoint`` is for ``task``, or ``None`` if not at all fit."""
     step = task.step
     if step.replica:
         value = replica_score(endpoint, step, pressure)
     elif step.filler:
-        value = filler_score(endpoint, step, pressure)
+        value = filler_score(endpoint, step, pressure, waits)
         if value is None:
             return None
     else:
@@ -121,15 +128,16 @@
         self.domain = domain
 
 
-def choose(task, endpoints, pressure):
+def choose(task, endpoints, pressure, now):
     """Return the `Choice` for ``task`` among ``endpoints``, or ``None``."""
     best = best_elsewhere = None
     best_score = score_elsewhere = float("inf")
     domains = task.job.domains
+    waits = patient(task.job, now)
     for endpoint in endpoints:
         if not usable(endpoint, task):
             continue
-        value = score(endpoint, task, pressure)
+        value = score(endpoint, task, pressure, waits)
         if value is None:
             continue
         if endpoint.domain in domains:
--- a/clementinebay/services/jobgate.py
+++ b/clementinebay/services/jobgate.py
@@ -14,10 +14,13 @@
 REMEMBERED = 2_000
 #: A daemon without contact to the service for so long says that it is not ready.
 READY_SECONDS = 3.5
-#: A job's outcome is not settled beyond this share of the client's time.
-DEADLINE_SHARE = 0.9
 #: Wait before a write whose answer was lost is repeated, in seconds.
 SETTLE_SECONDS = 0.15
+#: Longest wait for one attempt to store a job, in seconds: the store at sixty times its
+#: usual 4 ms, and the way there and back.
+ATTEMPT_SECONDS = 0.45
+#: While the store fails, one job is let try to reach it in so long, in seconds.
+TRIAL_SECONDS = 0.3
 #: When a client that was refused may come again, in seconds.
 RETRY_AFTER_SECONDS = 1
 #: How old counts of pending jobs may be when they are shown again, in seconds.
@@ -49,6 +52,8 @@
         self.counts = {}
         self.counted_at = float("-inf")
         self.stopping = False
+        self.away_since = 0.0
+        self.tried_at = 0.0
         front, ready = self.settings.front, self.settings.ready
         self.front = Server(self.answer, *front, self.log)
         self.ready = Server(self.answer_ready, *ready, self.log)
@@ -128,10 +133,11 @@
             domain=self.home_domain(),
             attempts=queue.attempts,
         )
+        self.refuse_while_away()
         lost = False
         while True:
             try:
-                return await self.jobs.submit(spec)
+                return await self.attempt(spec)
             except errors.PlatformOutcomeUnknownError:
                 lost = True
                 if asyncio.get_running_loop().time() + SETTLE_SECONDS > deadline:
@@ -145,6 +151,42 @@
                     raise errors.PlatformOutcomeUnknownError(job_id) from error
             await asyncio.sleep(SETTLE_SECONDS)
 
+    def refuse_while_away(self):
+        """Refuse a job at once if the store failed just now; some are let try."""
+        now = asyncio.get_running_loop().time()
+        if not self.away_since:
+            return
+        if now < self.tried_at + TRIAL_SECONDS:
+            raise errors.JobRefusedError("store-away", RETRY_AFTER_SECONDS)
+        self.tried_at = now
+
+    async def attempt(self, spec):
+        """Try once to store a job, and note whether the store answers."""
+        try:
+            async with asyncio.timeout(ATTEMPT_SECONDS):
+                accepted = await self.jobs.submit(spec)
+        except TimeoutError as error:
+            self.note_store(False)
+            raise errors.PlatformOutcomeUnknownError(spec.id) from error
+        except errors.PlatformError:
+            self.note_store(False)
+            raise
+        self.note_store(True)
+        return accepted
+
+    def note_store(self, answers):
+        """Note whether the store answered a submission."""
+        now = asyncio.get_running_loop().time()
+        if answers and self.away_since:
+            seconds = round(now - self.away_since, 2)
+            self.log.info("store.regained", seconds=seconds)
+            self.away_since = 0.0
+        elif not answers:
+            if not self.away_since:
+                self.log.warning("store.lost")
+                self.away_since = now
+            self.tried_at = now
+
     async def progress(self, job_id):
         """Return the stored `Progress` of a job; raise `JobUnknownError` if none."""
         known = self.ended.get(job_id)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -76,6 +76,33 @@
         assert stand.endpoints[0].starts == []
 
 
+async def test_store_that_is_away_is_not_asked_for_each_job():
+    async with helpers.installation() as stand:
+        kernel, address = await stand.daemon()
+        await until_accepted(stand, address)
+        stand.platform.refuse = 503
+        assert (await stand.call(address, "POST", helpers.JOB, SPEC)).status == 503
+        before = stand.platform.calls.count(("POST", "/kv-txn"))
+        for _again in range(5):
+            answer = await stand.call(address, "POST", helpers.JOB, SPEC)
+            assert answer.status == 503
+        assert stand.platform.calls.count(("POST", "/kv-txn")) == before
+        stand.platform.refuse = 0
+        await until_accepted(stand, address, "/q/" + "b" * 16)
+
+
+async def test_silent_store_is_answered_before_the_client_gives_up(monkeypatch):
+    async with helpers.installation() as stand:
+        kernel, address = await stand.daemon()
+        await until_accepted(stand, address)
+        await until_ended(stand, address)
+        stand.platform.lose = 100
+        began = asyncio.get_running_loop().time()
+        answer = await stand.call(address, "POST", "/q/" + "c" * 16, SPEC)
+        took = asyncio.get_running_loop().time() - began
+        assert (answer.status, took < 3.0) in ((200, True), (504, True))
+
+
 async def test_lost_answer_of_a_submission_is_settled():
     async with helpers.installation() as stand:
         kernel, address = await stand.daemon()
