--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -9,10 +9,8 @@
 #: How much worse, in parts of an endpoint, the job's own domains may be before another
 #: domain is opened to the job.
 DOMAIN_SLACK = 0.15
-#: Probability of harm to a replica from which a filler of a young job rather waits.
-HARM_LIMIT = 0.4
-#: A job is young for this share of the time that its objective gives it.
-PATIENCE = 0.2
+#: Fillers beside replicas wait rather than claim more than this share of an endpoint.
+MAX_FILLER_SHARE = 0.6
 #: Score of harm to replicas that is certain.
 HARM = 2.0
 #: Fillers with more than this share of the processors press replicas whatever their
@@ -60,31 +58,26 @@
     return value + HARM * pressure.on_replica(step.image, endpoint)
 
 
-def patient(job, now):
-    """Return whether ``job`` has the time to wait for a better endpoint."""
-    return now < job.accepted_at + PATIENCE * (job.objective_at - job.accepted_at)
-
-
-def filler_score(endpoint, step, pressure, waits):
+def filler_score(endpoint, step, pressure):
     """Return how unfit an endpoint is for a filler, or ``None`` if it rather waits."""
     harm = pressure.between(endpoint.replica_images, step.image)
-    if waits and harm > HARM_LIMIT:
-        return None
     demand = endpoint.filler_demand + step.processors_milli
     share = demand / max(1, endpoint.info.processors_milli)
     value = load_score(endpoint, step) + HARM * harm
     if endpoint.replicas:
+        if share > MAX_FILLER_SHARE:
+            return None
         value += CROWDED * max(0.0, share - CROWDED_SHARE)
     return value
 
 
-def score(endpoint, task, pressure, waits):
+def score(endpoint, task, pressure):
     """Return how unfit ``endpoint`` is for ``task``, or ``None`` if not at all fit."""
     step = task.step
     if step.replica:
         value = replica_score(endpoint, step, pressure)
     elif step.filler:
-        value = filler_score(endpoint, step, pressure, waits)
+        value = filler_score(endpoint, step, pressure)
         if value is None:
             return None
     else:
@@ -128,16 +121,15 @@
         self.domain = domain
 
 
-def choose(task, endpoints, pressure, now):
+def choose(task, endpoints, pressure):
     """Return the `Choice` for ``task`` among ``endpoints``, or ``None``."""
     best = best_elsewhere = None
     best_score = score_elsewhere = float("inf")
     domains = task.job.domains
-    waits = patient(task.job, now)
     for endpoint in endpoints:
         if not usable(endpoint, task):
             continue
-        value = score(endpoint, task, pressure, waits)
+        value = score(endpoint, task, pressure)
         if value is None:
             continue
         if endpoint.domain in domains:
--- a/clementinebay/policy/pacing.py
+++ b/clementinebay/policy/pacing.py
@@ -64,7 +64,17 @@
     calm = pacing.calm_since is not None and now >= pacing.calm_since + CALM_SECONDS
     if not calm and by_image:
         return {}
-    return dict.fromkeys(fillers, FULL)
+    return dict.fromkeys(to_resume(fillers, by_image, pressure), FULL)
+
+
+def to_resume(fillers, images, pressure):
+    """Return the half of the paused fillers that is least likely to press replicas.
+
+    All at once would put the replicas over their bounds again.
+    """
+    paused = [task for task in fillers if task.pace != FULL]
+    paused.sort(key=lambda task: pressure.between(images, task.step.image))
+    return paused[: (len(paused) + 1) // 2]
 
 
 def suspects(fillers, images, pressure):
--- a/clementinebay/policy/pressure.py
+++ b/clementinebay/policy/pressure.py
@@ -38,6 +38,15 @@
         self.harm = defaultdict(lambda: UNKNOWN)
         self.forgot_at = 0.0
 
+    def export(self):
+        """Return what is thought, as [replica's image, filler's image, harm] rows."""
+        return [[*pair, round(known, 3)] for pair, known in self.harm.items()]
+
+    def take(self, rows):
+        """Go on from what an earlier scheduler thought."""
+        for replica, filler, known in rows:
+            self.harm[replica, filler] = known
+
     def observe(self, endpoint, now):
         """Learn from an endpoint's newest readings.
 
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -598,7 +598,7 @@
 
     def place(self, task, endpoints, now):
         """Return the order for ``task``, or ``None`` if it has to wait."""
-        choice = dispatch.choose(task, endpoints, self.pressure, now)
+        choice = dispatch.choose(task, endpoints, self.pressure)
         if choice is None:
             return None
         job = task.job
--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -6,6 +6,7 @@
     clementine/term/holder      the scheduler, under a lease
     clementine/term/number      the number of the term and of the last write in it
     clementine/term/endpoints   endpoints that the scheduler may have used
+    clementine/learned          which fillers press which replicas, for a successor
     clementine/pending          jobs of each queue that have begun no task
 
 The scheduler's writes follow one another: each compares the version that its
@@ -30,6 +31,7 @@
 NUMBER = TERM + "number"
 ENDPOINTS = TERM + "endpoints"
 PENDING = "clementine/pending"
+LEARNED = "clementine/learned"
 
 #: Records of one transaction of the scheduler; the service takes 32 entries in all.
 RECORDS_PER_WRITE = 24
@@ -58,6 +60,7 @@
 _holder_decoder = msgspec.json.Decoder(Holder)
 _number_decoder = msgspec.json.Decoder(TermNumber)
 _counts_decoder = msgspec.json.Decoder(dict[str, int])
+_learned_decoder = msgspec.json.Decoder(list[tuple[str, str, float]])
 _domains_decoder = msgspec.json.Decoder(dict[str, str])
 
 
@@ -133,6 +136,11 @@
             for entry in entries
         }
 
+    async def learned(self):
+        """Return rows of `Pressure.export`."""
+        entry = await self.store.get(LEARNED)
+        return [] if entry is None else _learned_decoder.decode(entry.value)
+
     async def used_endpoints(self):
         """Return the failure domains of endpoints that schedulers may have used."""
         entry = await self.store.get(ENDPOINTS)
@@ -208,6 +216,11 @@
     return [Put(PENDING, _encode(counts))]
 
 
+def learned_puts(rows):
+    """Return the writes of rows of `Pressure.export`."""
+    return [Put(LEARNED, _encode(rows))]
+
+
 def job_spans(job_ids):
     """Return the ranges of keys that hold what is stored of jobs."""
     keys = []
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -31,6 +31,8 @@
 UNSTORED_SECONDS = 0.25
 #: Between two writes of the counts of pending jobs, in seconds.
 PENDING_SECONDS = 1.0
+#: Between two writes of what was learned, in seconds.
+LEARNED_SECONDS = 4.0
 #: Between two searches for jobs to forget, in seconds.
 RETENTION_SECONDS = 10.0
 #: Ended jobs are kept longer than promised by so much, in seconds.
@@ -110,6 +112,7 @@
                 group.create_task(self.tick_loop())
                 group.create_task(self.store_loop())
                 group.create_task(self.pending_loop())
+                group.create_task(self.learning_loop())
                 group.create_task(self.retention_loop())
                 group.create_task(self.watch_fence())
         finally:
@@ -137,6 +140,7 @@
         metrics.SCHEDULING.set(1)
         self.progress = await self.jobs.all_progress()
         self.recorded = await self.jobs.used_endpoints()
+        self.engine.pressure.take(await self.jobs.learned())
         for endpoint_id, domain in self.recorded.items():
             self.engine.expect_endpoint(endpoint_id, domain)
         self.job_mirror = Mirror(
@@ -501,18 +505,32 @@
             await asyncio.sleep(PENDING_SECONDS)
             metrics.ACTIVE_JOBS.set(len(self.engine.active))
             counts = self.engine.pending()
-            if counts == self.pending_counts:
-                continue
-            try:
-                await self.store.commit(
-                    [(jobstore.HOLDER, self.writer.fence)],
-                    jobstore.pending_puts(counts),
-                )
+            changed = counts != self.pending_counts
+            if changed and await self.put_aside(jobstore.pending_puts(counts)):
                 self.pending_counts = counts
-            except errors.CompareFailedError as error:
-                raise errors.NotLeaderError(jobstore.HOLDER) from error
-            except errors.PlatformError as error:
-                self.log.warning("pending.write_failed", error=error.code)
+
+    async def learning_loop(self):
+        """Store what was learned, for a successor."""
+        while True:
+            await asyncio.sleep(LEARNED_SECONDS)
+            rows = self.engine.pressure.export()
+            if rows:
+                await self.put_aside(jobstore.learned_puts(rows))
+
+    async def put_aside(self, puts, deletes=()):
+        """Write what no later write rests on; return whether that succeeded.
+
+        Raises `NotLeaderError` if the term is over.
+        """
+        compares = [(jobstore.HOLDER, self.writer.fence)]
+        try:
+            await self.store.commit(compares, puts, deletes)
+        except errors.CompareFailedError as error:
+            raise errors.NotLeaderError(jobstore.HOLDER) from error
+        except errors.PlatformError as error:
+            self.log.warning("term.side_write_failed", error=error.code)
+            return False
+        return True
 
     async def retention_loop(self):
         """Delete what is stored of jobs that ended long ago."""
@@ -531,15 +549,6 @@
 
     async def forget(self, job_ids):
         """Delete what is stored of ended jobs."""
-        try:
-            await self.store.commit(
-                [(jobstore.HOLDER, self.writer.fence)],
-                deletes=jobstore.job_spans(job_ids),
-            )
-        except errors.CompareFailedError as error:
-            raise errors.NotLeaderError(jobstore.HOLDER) from error
-        except errors.PlatformError as error:
-            self.log.warning("retention.failed", error=error.code)
-            return
-        for job_id in job_ids:
-            self.engine.forget_job(job_id)
+        if await self.put_aside((), jobstore.job_spans(job_ids)):
+            for job_id in job_ids:
+                self.engine.forget_job(job_id)
--- a/tests/policy/test_pressure.py
+++ b/tests/policy/test_pressure.py
@@ -118,3 +118,11 @@
     pacing.decide(state, endpoint, engine.pressure, 0.0)
     later = pacing.decide(state, endpoint, engine.pressure, pacing.CALM_SECONDS)
     assert later == {task: pacing.FULL}
+
+
+def test_successor_goes_on_from_what_was_learned():
+    learned, successor = pressure.Pressure(), pressure.Pressure()
+    learned.harm["r1", "f1"] = 0.9
+    successor.take(learned.export())
+    assert successor.harm["r1", "f1"] == 0.9
+    assert successor.harm["r1", "f2"] == pressure.UNKNOWN
