--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -8,8 +8,8 @@
 
 from clementinebay import errors
 from clementinebay.workflow.boundary import EndpointDriver
-from clementinebay.workflow.engine import End, Report, RunReport
 from clementinebay.workflow.model import Endpoint
+from clementinebay.workflow.orders import End, Report, RunReport
 
 #: Longest wait for the answer to an order, in seconds.
 ORDER_SECONDS = 0.8
@@ -53,7 +53,6 @@
     cold_left_ms: float = 0
     labels: list[str] = []
     born: int = 0
-    remaining_ms: float | None = None
 
 
 class HoldAnswer(msgspec.Struct):
@@ -93,7 +92,6 @@
         accelerators=entry.capacity.gpu,
         labels=tuple(entry.labels),
         rack=entry.labels[1] if len(entry.labels) > 1 else "",
-        remaining_ms=entry.remaining_ms,
     )
 
 
--- a/clementinebay/platform/operator.py
+++ b/clementinebay/platform/operator.py
@@ -29,13 +29,6 @@
     stretch: float = 1.0
 
 
-class Service(msgspec.Struct):
-    """A group of endpoints."""
-
-    name: str
-    enforces_capacity: bool = False
-
-
 class Limits(msgspec.Struct):
     """Limits of clients' requests, in bytes."""
 
@@ -48,7 +41,6 @@
 
     version: int
     routes: list[Route] = []
-    services: list[Service] = []
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
@@ -81,7 +73,6 @@
     return QueueTable(
         config.version,
         queues,
-        {service.name: service.enforces_capacity for service in config.services},
         config.limits.max_body_bytes,
         config.limits.max_header_bytes,
     )
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -9,6 +9,13 @@
 from clementinebay.policy.pressure import Pressure
 from clementinebay.workflow.fleet import EndpointState
 from clementinebay.workflow.job import Job, JobState, TaskState
+from clementinebay.workflow.orders import (
+    End,
+    PaceOrder,
+    PendingStop,
+    StartOrder,
+    StopOrder,
+)
 
 #: Runs of one term are numbered from its term's number times this.
 RUNS_PER_TERM = 1000
@@ -27,86 +34,6 @@
 STOP_REPEAT_SECONDS = 1.0
 
 
-class End:
-    """How a run ended, as its endpoint reports it."""
-
-    __slots__ = ("number", "task", "run", "outcome", "checkpoint")
-
-    DONE = "done"
-    FAILED = "failed"
-
-    def __init__(self, number, task, run, outcome, checkpoint):
-        self.number = number
-        self.task = task
-        self.run = run
-        self.outcome = outcome
-        self.checkpoint = checkpoint
-
-
-class RunReport:
-    """A run at work, as its endpoint reports it.
-
-    ``percent`` is the run's progress, ``figure`` the tail in ms or the processors used.
-    """
-
-    __slots__ = ("task", "run", "checkpoint", "percent", "figure")
-
-    def __init__(self, task, run, checkpoint, percent, figure):
-        self.task = task
-        self.run = run
-        self.checkpoint = checkpoint
-        self.percent = percent
-        self.figure = figure
-
-
-class Report:
-    """An endpoint's list of its runs and ends; ``clock_ms`` is its steady clock."""
-
-    __slots__ = ("born_ms", "clock_ms", "running", "ended")
-
-    def __init__(self, born_ms, clock_ms, running, ended):
-        self.born_ms = born_ms
-        self.clock_ms = clock_ms
-        self.running = running
-        self.ended = ended
-
-
-class StartOrder:
-    """Start ``run`` of ``task`` at ``endpoint``."""
-
-    __slots__ = ("endpoint", "task", "run", "checkpoint")
-
-    def __init__(self, endpoint, task):
-        self.endpoint = endpoint
-        self.task = task
-        self.run = task.run
-        self.checkpoint = task.checkpoint
-
-
-class StopOrder:
-    """Stop a run at ``endpoint`` and refuse it from now on; ``task`` is a name."""
-
-    __slots__ = ("endpoint", "task", "run", "reason")
-
-    def __init__(self, endpoint, task, run, reason):
-        self.endpoint = endpoint
-        self.task = task
-        self.run = run
-        self.reason = reason
-
-
-class PaceOrder:
-    """Let a filler's run work at ``percent`` of the time."""
-
-    __slots__ = ("endpoint", "task", "run", "percent")
-
-    def __init__(self, endpoint, task, percent):
-        self.endpoint = endpoint
-        self.task = task
-        self.run = task.run
-        self.percent = percent
-
-
 class Engine:
     """Jobs, endpoints, and what follows from events.
 
@@ -129,7 +56,6 @@
         self.active = {}
         self.endpoints = {}
         self.out = frozenset()
-        self.guarded = {}
         self.changed = {}
         self.urgent = False
         self.doubts = {}
@@ -147,7 +73,7 @@
             return self.jobs[spec.id]
         job = Job(spec, queue, now, self.wall.now())
         if progress is not None:
-            job.restore(progress, now)
+            job.restore(progress)
         if inherited:
             job.inherited_domains = frozenset(job.domains)
         self.jobs[spec.id] = job
@@ -155,7 +81,7 @@
             self.active[spec.id] = job
         return job
 
-    def cancel(self, job_id, now):
+    def cancel(self, job_id):
         """End a job at its client's wish; its runs are stopped."""
         job = self.jobs.get(job_id)
         if job is None or job.ended:
@@ -235,7 +161,7 @@
             if task.state in (TaskState.STARTING, TaskState.DOUBTFUL):
                 self.doubt(task, now)
             else:
-                self.lose(task, "restarted", now)
+                self.lose(task, "restarted")
         endpoint.reset(info)
 
     def unlist_endpoint(self, endpoint_id):
@@ -257,7 +183,7 @@
             for task in list(endpoint.tasks.values()):
                 if now < self.doubts.get(task.name, 0.0):
                     continue
-                self.lose(task, "lapsed", now)
+                self.lose(task, "lapsed")
             if not endpoint.listed and not endpoint.tasks:
                 del self.endpoints[endpoint.id]
                 if endpoint.settled:
@@ -267,7 +193,7 @@
             self.inherited_until = 0.0
             self.unsettled.clear()
 
-    def lose(self, task, cause, now):
+    def lose(self, task, cause):
         """Give up a run that ended without being done."""
         metrics.RUNS_LOST.labels(cause).inc()
         self.log.info(
@@ -277,13 +203,13 @@
             endpoint=task.endpoint.id,
             cause=cause,
         )
-        self.release(task, now)
+        self.release(task)
 
-    def release(self, task, now):
+    def release(self, task):
         """Take a task from its endpoint after its run has ended or is barred."""
         self.doubts.pop(task.name, None)
         self.stops.pop((task.endpoint.id, task.name, task.run), None)
-        task.free(now)
+        task.free()
 
     # Reports of endpoints
 
@@ -298,7 +224,6 @@
             # An earlier scheduler may have granted a lease of any length.
             endpoint.granted_ms = report.clock_ms + self.max_lease_seconds * 1000
         endpoint.read_clock(report.clock_ms, now)
-        endpoint.answered_at = now
         endpoint.failing_since = None
         for end in report.ended:
             if end.number > endpoint.noted:
@@ -309,9 +234,8 @@
             seen.add(row.task)
             self.take_running(endpoint, row, now)
         self.count_unplaced(endpoint, report.running)
-        self.find_missing(endpoint, seen, sent_at, now)
+        self.find_missing(endpoint, seen, sent_at)
         endpoint.settled = True
-        endpoint.reported_sent_at = sent_at
         self.settle(endpoint.id)
         return True
 
@@ -343,14 +267,14 @@
         )
         if end.outcome == End.DONE:
             endpoint.health.succeeded()
-            self.take_done(task, current, now)
+            self.take_done(task, current)
         else:
             if end.outcome == End.FAILED:
                 self.take_failure(endpoint, task, end.run, now)
             if current:
-                self.release(task, now)
+                self.release(task)
 
-    def take_done(self, task, current, now):
+    def take_done(self, task, current):
         """Finish the task of a run that is done, and perhaps its job."""
         job = task.job
         if task.state is TaskState.DONE:
@@ -360,9 +284,9 @@
                 self.add_stop(task.endpoint, task.name, task.run, "duplicate")
             self.doubts.pop(task.name, None)
         if job.ended:
-            task.free(now)
+            task.free()
             return
-        job.finish_task(task, now)
+        job.finish_task(task)
         if job.state is JobState.COMPLETED:
             self.end_job(job, JobState.COMPLETED, self.wall.now())
         else:
@@ -440,17 +364,17 @@
         if now > first_seen + STRAY_SECONDS:
             self.add_stop(endpoint, row.task, row.run, "unknown-job")
 
-    def find_missing(self, endpoint, seen, sent_at, now):
+    def find_missing(self, endpoint, seen, sent_at):
         """Free tasks that the endpoint does not list although it should."""
         for task in list(endpoint.tasks.values()):
             if task.name in seen:
                 continue
             if task.state is TaskState.RUNNING and task.started_at < sent_at:
-                self.lose(task, "missing", now)
+                self.lose(task, "missing")
             elif task.state is TaskState.STOPPING:
                 stop = self.stops.get((endpoint.id, task.name, task.run))
                 if stop is None or (stop.answered_at and stop.answered_at < sent_at):
-                    self.release(task, now)
+                    self.release(task)
 
     # Orders
 
@@ -486,7 +410,7 @@
         """Note that an order to start surely had no effect."""
         task = order.task
         if task.endpoint is order.endpoint and task.run == order.run:
-            self.release(task, now)
+            self.release(task)
             task.not_before = now + wait
 
     def start_unanswered(self, order, now):
@@ -658,17 +582,3 @@
             if not job.begun:
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
-
-
-class PendingStop:
-    """An order to stop that has not had its effect yet."""
-
-    __slots__ = ("endpoint", "task", "run", "reason", "next_at", "answered_at")
-
-    def __init__(self, endpoint, task, run, reason):
-        self.endpoint = endpoint
-        self.task = task
-        self.run = run
-        self.reason = reason
-        self.next_at = 0.0
-        self.answered_at = 0.0
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -39,9 +39,7 @@
         "granted_ms",
         "clock_ms",
         "clock_at",
-        "answered_at",
         "failing_since",
-        "reported_sent_at",
         "health",
         "pacing",
         "strays",
@@ -67,7 +65,6 @@
         self.filler_shares = {}
         self.listed = True
         self.recorded = False
-        self.answered_at = 0.0
         self.reset(info)
 
     def reset(self, info):
@@ -82,7 +79,6 @@
         self.clock_ms = None
         self.clock_at = 0.0
         self.failing_since = None
-        self.reported_sent_at = 0.0
 
     @property
     def id(self):
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -78,7 +78,6 @@
         "figure",
         "pace",
         "paused_since",
-        "away_since",
     )
 
     def __init__(self, job, step_number, index):
@@ -98,7 +97,6 @@
         self.figure = 0.0
         self.pace = 100
         self.paused_since = None
-        self.away_since = 0.0
 
     @property
     def step(self):
@@ -118,7 +116,7 @@
         self.paused_since = None
         endpoint.add(self)
 
-    def free(self, now):
+    def free(self):
         """Take the task from its endpoint; it waits for its next run."""
         if self.endpoint is not None:
             self.endpoint.remove(self)
@@ -126,7 +124,6 @@
         self.state = TaskState.WAITING
         if self.step_number in self.job.open_steps:
             self.job.waiting[self.step_number][self] = None
-        self.away_since = now
 
 
 class Job:
@@ -220,11 +217,11 @@
         """Return the tasks that have a run at an endpoint."""
         return [task for task in self.tasks.values() if task.endpoint is not None]
 
-    def finish_task(self, task, now):
+    def finish_task(self, task):
         """Record that ``task`` is done; open the steps that waited for it."""
         if task.state is TaskState.DONE:
             return
-        task.free(now)
+        task.free()
         task.state = TaskState.DONE
         self.waiting[task.step_number].pop(task, None)
         self.left[task.step_number] -= 1
@@ -258,7 +255,7 @@
             ended_at=self.ended_at,
         )
 
-    def restore(self, progress, now):
+    def restore(self, progress):
         """Take up what an earlier scheduler stored."""
         self.state = progress.state
         self.begun = progress.state is not JobState.QUEUED
--- a/clementinebay/workflow/model.py
+++ b/clementinebay/workflow/model.py
@@ -80,27 +80,21 @@
 
 
 class QueueTable:
-    """One version of the queues, with the limits of clients' requests in bytes.
-
-    ``guarded`` maps a service to whether its endpoints refuse what exceeds their
-    capacity.
-    """
+    """One version of the queues, with the limits of clients' requests in bytes."""
 
     __slots__ = (
         "version",
         "queues",
         "by_name",
-        "guarded",
         "max_body_bytes",
         "max_header_bytes",
     )
 
-    def __init__(self, version, queues, guarded, max_body_bytes, max_header_bytes):
+    def __init__(self, version, queues, max_body_bytes, max_header_bytes):
         self.version = version
         # The longest prefix of a host is met first.
         self.queues = sorted(queues, key=lambda queue: -len(queue.prefix))
         self.by_name = {queue.name: queue for queue in queues}
-        self.guarded = guarded
         self.max_body_bytes = max_body_bytes
         self.max_header_bytes = max_header_bytes
 
@@ -133,7 +127,6 @@
         "accelerators",
         "labels",
         "rack",
-        "remaining_ms",
     )
 
     def __init__(self, id, **fields):
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -16,8 +16,6 @@
 RELAXED_SECONDS = 0.4
 #: Time between two looks for what time alone brings about, in seconds.
 TICK_SECONDS = 0.1
-#: Longest wait for the answer to an order, in seconds.
-ORDER_SECONDS = 0.8
 #: How long an endpoint's report may wait for an end, in seconds.
 REPORT_WAIT_SECONDS = 1.0
 #: The same for an endpoint with fillers beside replicas, whose readings cover the last
@@ -193,7 +191,7 @@
         job_id, cancelled = jobstore.job_id_of(entry.key)
         now = self.clock.now()
         if cancelled:
-            self.engine.cancel(job_id, now)
+            self.engine.cancel(job_id)
             self.changed.set()
         elif job_id not in self.engine.jobs:
             spec = jobstore.decode_spec(entry.value)
@@ -435,11 +433,11 @@
             self.spawn(self.send_pace(order))
         if endpoint.noted > endpoint.acknowledged:
             self.changed.set()
-            await self.wait_stored(endpoint)
+            await self.wait_stored()
         return True
 
-    async def wait_stored(self, endpoint):
-        """Wait for a while until what was noted of an endpoint is stored."""
+    async def wait_stored(self):
+        """Wait for a while until what was noted is stored."""
         try:
             async with asyncio.timeout(UNSTORED_SECONDS), self.stored:
                 await self.stored.wait()
--- a/tests/policy/test_pressure.py
+++ b/tests/policy/test_pressure.py
@@ -62,7 +62,7 @@
     learned = pressure.Pressure()
     endpoint = make_endpoint(engine, ["r1"], ["f1"])
     learned.observe(endpoint, 0.0)
-    endpoint.filler_tasks()[0].free(0.4)
+    endpoint.filler_tasks()[0].free()
     for task in endpoint.replica_tasks():
         task.figure = HIGH_TAIL
     learned.observe(endpoint, 0.5)
--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -2,9 +2,10 @@
 
 from clementinebay.clock import ManualClock
 from clementinebay.eventlog import ERROR, EventLog
-from clementinebay.workflow.engine import End, Engine, Report, RunReport
+from clementinebay.workflow.engine import Engine
 from clementinebay.workflow.job import Progress
 from clementinebay.workflow.model import Endpoint, JobSpec, Queue, Step
+from clementinebay.workflow.orders import End, Report, RunReport
 
 MAX_LEASE = 6.0
 
@@ -35,7 +36,6 @@
         "accelerators": 0,
         "labels": ("k", "r1"),
         "rack": "r1",
-        "remaining_ms": None,
     }
     return Endpoint(id, **fields | changes)
 
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -57,7 +57,7 @@
     factory.settle(engine, factory.make_info(processors_milli=1000))
     job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
     assert len(started(engine)) == 1
-    engine.cancel(job.id, 1.0)
+    engine.cancel(job.id)
     other = factory.make_spec(id="f" * 16, steps=(SMALL,))
     engine.add_job(other, factory.QUEUE, 1.0)
     assert engine.plan(1.0) == []
@@ -67,7 +67,7 @@
     engine = factory.make_engine(term=1, inherited_until=10.0)
     spec = factory.make_spec(steps=(SMALL,))
     engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
-    engine.cancel(spec.id, 0.0)
+    engine.cancel(spec.id)
     info = factory.make_info(processors_milli=1000)
     factory.settle(engine, info, running=[(f"{spec.id}.0.0.0", 1)])
     engine.add_job(factory.make_spec(id="f" * 16, steps=(SMALL,)), factory.QUEUE, 0.0)
@@ -200,7 +200,7 @@
     endpoint = factory.settle(engine, factory.make_info())
     job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
     orders = started(engine)
-    engine.cancel(job.id, 0.5)
+    engine.cancel(job.id)
     assert {order.task for order in engine.due_stops(0.5)} == {
         order.task.name for order in orders
     }
