--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -79,7 +79,7 @@
 
         A new life has forgotten fences and stops, so orders to the life before, which
         may come late, must have a lower fence.  Each life writes its entry to the
-        store, whose revisions are the fences of terms: the next term's is higher still.
+        store, whose revisions are the fences of terms: the next term has a higher one.
         """
         return term_fence + self.lives
 
