--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -13,8 +13,8 @@
 
     ``lives`` counts the restarts in this term.  ``settled`` tells that the endpoint has
     answered this scheduler, so that older schedulers' orders are refused there;
-    ``recorded`` that the store names it as in use.  ``acknowledged`` is the number of the last end whose effect is stored,
-    ``noted`` the last that was processed.
+    ``recorded`` that the store names it as in use.  ``acknowledged`` is the number of
+    the last end whose effect is stored, ``noted`` the last that was processed.
     ``granted_ms`` is the latest lease deadline, on the endpoint's clock, that was ever
     sent; ``clock_ms`` was read at ``clock_at`` of the scheduler's clock.
     """
