Count requests before the one that a test waits for is sent

Cause: test_refusal_of_another_request failed once in a whole run beside other work and once in six runs by itself (waited 20 s for requests in progress). in_progress counted the requests that had run in a thread beside the one that sends; if the request was faster, it was counted as old, and the test waited for another that never came.

Change: the count is taken before the threads begin. The check is as strict: it waits for a request that is sent after the count.

--- a/tests/system/test_not_run.py
+++ b/tests/system/test_not_run.py
@@ -69,19 +69,21 @@
     answers = helpers.in_parallel(
         [
             lambda: send(cluster, 16),
-            lambda: in_progress(
-                cluster, lambda: cluster.proxy("endpoint:a-0", sever=True)
-            ),
+            in_progress(cluster, lambda: cluster.proxy("endpoint:a-0", sever=True)),
         ]
     )[0]
     assert "unknown" in check(cluster, answers)
 
 
 def in_progress(cluster, action):
-    """Call ``action`` once a new request runs."""
+    """Return a call of ``action`` once a request runs that is sent from now on."""
     before = len(cluster.requests_run())
-    wait_for("requests in progress", lambda: len(cluster.requests_run()) > before)
-    action()
+
+    def call():
+        wait_for("requests in progress", lambda: len(cluster.requests_run()) > before)
+        action()
+
+    return call
 
 
 def test_refusal_of_another_request(cluster):
@@ -91,7 +93,7 @@
     running, _refused = helpers.in_parallel(
         [
             lambda: send(cluster, 1),
-            lambda: in_progress(cluster, lambda: refuse_one(cluster)),
+            in_progress(cluster, lambda: refuse_one(cluster)),
         ]
     )
     assert check(cluster, running) == {"unknown"}
@@ -134,7 +136,7 @@
     answers = helpers.in_parallel(
         [
             lambda: send(cluster, 8),
-            lambda: in_progress(cluster, peer.process.kill),
+            in_progress(cluster, peer.process.kill),
         ]
     )[0]
     assert "unknown" in check(cluster, answers)
