Pace and place fillers by the headroom of the replicas beside them

Fillers are slowed as far as the headroom asks for, as soon as they start and with each reading; those of young jobs wait for endpoints where they take little headroom; paced orders are sent for changes of 20% or more.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -11,8 +11,18 @@
 DOMAIN_SLACK = 0.15
 #: Fillers beside replicas wait rather than claim more than this share of an endpoint.
 MAX_FILLER_SHARE = 0.6
-#: Score of harm to replicas that is certain.
-HARM = 2.0
+#: Score of a filler that replicas let work at no speed; it waits where it could work at
+#: less than the second, a share of full speed.
+SLOWED = 2.0
+LEAST_SPEED = 0.25
+#: Score of a filler that takes all headroom that replicas have on average.
+TAKEN = 2.0
+#: Fillers of new jobs wait rather than take more than this share of an average
+#: headroom; so much more is allowed for each objective's time that has passed.
+MAX_TAKEN = 0.2
+MAX_TAKEN_BY_AGE = 0.4
+#: Score of a replica beside fillers for each unit of headroom that they take.
+PRESSED = 1.0
 #: Fillers with more than this share of the processors press replicas whatever their
 #: image, and the score of each share beyond.
 CROWDED_SHARE = 0.4
@@ -37,8 +47,7 @@
     priority = job.queue.priority if job.queue is not None else 0
     if job.replica:
         return (0, priority, job.accepted_at)
-    span = max(0.001, job.objective_at - job.accepted_at)
-    age = (now - job.accepted_at) / span
+    age = job.age(now)
     lateness = 0 if age < 1.0 else 1 if age < WORTHLESS_AFTER else 2
     return (1 + lateness, priority, job.objective_at)
 
@@ -55,29 +64,36 @@
     images = endpoint.replica_images
     if images and step.image not in images:
         value += OTHER_IMAGE
-    return value + HARM * pressure.on_replica(step.image, endpoint)
+    return value + PRESSED * pressure.on_replica(step.image, endpoint)
 
 
-def filler_score(endpoint, step, pressure):
+def filler_score(endpoint, task, pressure, now):
     """Return how unfit an endpoint is for a filler, or ``None`` if it rather waits."""
-    harm = pressure.between(endpoint.replica_images, step.image)
+    step = task.step
     demand = endpoint.filler_demand + step.processors_milli
     share = demand / max(1, endpoint.info.processors_milli)
-    value = load_score(endpoint, step) + HARM * harm
+    value = load_score(endpoint, step)
     if endpoint.replicas:
+        speed = pressure.speed(endpoint, step)
+        taken = pressure.taken(endpoint, step)
+        if speed < LEAST_SPEED:
+            return None
+        if taken > MAX_TAKEN + MAX_TAKEN_BY_AGE * task.job.age(now):
+            return None
+        value += SLOWED * (1 - speed) + TAKEN * taken
         if share > MAX_FILLER_SHARE:
             return None
         value += CROWDED * max(0.0, share - CROWDED_SHARE)
     return value
 
 
-def score(endpoint, task, pressure):
+def score(endpoint, task, pressure, now):
     """Return how unfit ``endpoint`` is for ``task``, or ``None`` if not at all fit."""
     step = task.step
     if step.replica:
         value = replica_score(endpoint, step, pressure)
     elif step.filler:
-        value = filler_score(endpoint, step, pressure)
+        value = filler_score(endpoint, task, pressure, now)
         if value is None:
             return None
     else:
@@ -121,7 +137,7 @@
         self.domain = domain
 
 
-def choose(task, endpoints, pressure):
+def choose(task, endpoints, pressure, now):
     """Return the `Choice` for ``task`` among ``endpoints``, or ``None``."""
     best = best_elsewhere = None
     best_score = score_elsewhere = float("inf")
@@ -129,7 +145,7 @@
     for endpoint in endpoints:
         if not usable(endpoint, task):
             continue
-        value = score(endpoint, task, pressure)
+        value = score(endpoint, task, pressure, now)
         if value is None:
             continue
         if endpoint.domain in domains:
--- a/clementinebay/policy/pacing.py
+++ b/clementinebay/policy/pacing.py
@@ -1,89 +1,94 @@
 """How much fillers may work beside replicas whose tail must stay below a bound.
 
-A replica over its bound has the fillers that are likely to press it paused at once, and
-all fillers beside it if that does not help.  A filler that stays paused is moved to
-another endpoint; others are let work again when the replicas have been calm.
+Fillers are slowed as far as the replicas' headroom asks for, those that press the most
+first.  Where replicas stay over their bounds all the same, all fillers pause.  A filler
+that stays paused is moved to another endpoint.
 """
 
 from clementinebay.policy import pressure as pressures
+from clementinebay.policy.pressure import FULL
 
-#: Probability of harm from which a filler is paused beside a replica over its bound.
-SUSPECT = 0.3
-#: A replica that is over its bound for so long has the fillers that are likely to press
-#: it paused, and all fillers beside it, in seconds.  Replicas may be over their bounds
-#: for `harm_ms` (4 s) on end at most; a reading and an order take most of a second.
-SUSPECTS_AFTER_SECONDS = 1.2
+#: A replica that is over its bound for so long has all fillers beside it paused, in
+#: seconds.  Replicas may be over their bounds for `harm_ms` (4 s) on end at most; a
+#: reading and an order take most of a second.
 ALL_AFTER_SECONDS = 2.0
-#: Share of the bound below which paused fillers may work again.
-CALM_SHARE = 0.9
-#: Replicas must have been calm for so long, in seconds.
-CALM_SECONDS = 0.4
 #: A filler that was paused for so long is moved away, in seconds, if it keeps a
 #: checkpoint, and if it does not.
 MOVE_SECONDS = 3.0
 MOVE_UNSAVED_SECONDS = 6.0
+#: Paces are multiples of this, in percent, and change by at least the second but for a
+#: pause and its end.
+PACE_UNIT = 10
+LEAST_CHANGE = 20
 
 PAUSED = 0
-FULL = 100
 
 
 class Pacing:
-    """Since when an endpoint's replicas have been over their bounds, or calm."""
+    """Since when a replica of an endpoint has been over its bound."""
 
-    __slots__ = ("over_since", "calm_since")
+    __slots__ = ("over_since",)
 
     def __init__(self):
         self.over_since = None
-        self.calm_since = None
 
     def follow(self, worst, now):
         """Take the worst tail, as a share of its bound."""
-        if worst > 1.0:
-            if self.over_since is None:
-                self.over_since = now
-        else:
+        if worst <= 1.0:
             self.over_since = None
-        if worst >= CALM_SHARE:
-            self.calm_since = None
-        elif self.calm_since is None:
-            self.calm_since = now
+        elif self.over_since is None:
+            self.over_since = now
 
 
 def decide(pacing, endpoint, pressure, now):
-    """Return the percent at which each filler of ``endpoint`` is to work, by task."""
+    """Return the percent at which each filler is to work, for those to change."""
     by_image = pressures.worst_by_image(endpoint)
     pacing.follow(max(by_image.values(), default=0.0), now)
     fillers = endpoint.filler_tasks()
-    if pacing.over_since is not None:
-        over = [image for image, share in by_image.items() if share > 1.0]
-        if now >= pacing.over_since + ALL_AFTER_SECONDS:
-            return dict.fromkeys(fillers, PAUSED)
-        if now >= pacing.over_since + SUSPECTS_AFTER_SECONDS:
-            return dict.fromkeys(suspects(fillers, over, pressure), PAUSED)
-        return {}
-    calm = pacing.calm_since is not None and now >= pacing.calm_since + CALM_SECONDS
-    if not calm and by_image:
-        return {}
-    return dict.fromkeys(to_resume(fillers, by_image, pressure), FULL)
-
-
-def to_resume(fillers, images, pressure):
-    """Return the half of the paused fillers that is least likely to press replicas.
-
-    All at once would put the replicas over their bounds again.
+    if pacing.over_since is not None and now >= pacing.over_since + ALL_AFTER_SECONDS:
+        return dict.fromkeys(fillers, PAUSED)
+    speeds = fit(fillers, endpoint, pressure)
+    return {
+        task: percent
+        for task, percent in ((t, to_percent(s)) for t, s in speeds.items())
+        if notable(task.pace, percent)
+    }
+
+
+def fit(fillers, endpoint, pressure):
+    """Return the share of time for each filler that leaves replicas their headroom.
+
+    Those that press a replica most give way first, among alike those that are least
+    far.
     """
-    paused = [task for task in fillers if task.pace != FULL]
-    paused.sort(key=lambda task: pressure.between(images, task.step.image))
-    return paused[: (len(paused) + 1) // 2]
-
-
-def suspects(fillers, images, pressure):
-    """Return the fillers that are likely to press replicas of ``images``."""
-    if not fillers:
-        return []
-    harm = {task: pressure.between(images, task.step.image) for task in fillers}
-    limit = min(SUSPECT, max(harm.values()))
-    return [task for task in fillers if harm[task] >= limit]
+    speeds = dict.fromkeys(fillers, 1.0)
+    shares = {task: pressures.full_share(endpoint, task) for task in fillers}
+    for image, room in pressure.rooms(endpoint):
+        weights = {task: pressure.weight(image, task.step.image) for task in fillers}
+        excess = sum(weights[t] * shares[t] * speeds[t] for t in fillers) - room
+        for task in sorted(fillers, key=lambda t: (-weights[t], t.percent)):
+            lost = weights[task] * shares[task]
+            if excess <= 0 or lost <= 0:
+                break
+            cut = min(speeds[task], excess / lost)
+            speeds[task] -= cut
+            excess -= cut * lost
+    return speeds
+
+
+def to_percent(speed):
+    """Return a share of time as a pace, rounded down."""
+    return int(speed * FULL + 0.01) // PACE_UNIT * PACE_UNIT
+
+
+def notable(before, percent):
+    """Return whether a change of pace is worth an order."""
+    if before is None:
+        return True
+    if before == percent:
+        return False
+    edges = (PAUSED, FULL)
+    return percent in edges or before in edges or abs(before - percent) >= LEAST_CHANGE
 
 
 def to_move(endpoint, now):
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -93,6 +93,7 @@
         job.state = state
         job.ended_at = wall_now
         self.active.pop(job.id, None)
+        self.pressure.forget_job(job.id)
         metrics.JOBS_ENDED.labels(state.value).inc()
         self.mark(job, urgent=True)
         for task in job.placed():
@@ -234,6 +235,7 @@
             seen.add(row.task)
             self.take_running(endpoint, row, now)
         self.count_unplaced(endpoint, report.running)
+        self.pressure.observe(endpoint, now)
         self.find_missing(endpoint, seen, sent_at)
         endpoint.settled = True
         self.settle(endpoint.id)
@@ -450,7 +452,6 @@
 
     def pace(self, endpoint, now):
         """Return the orders that keep an endpoint's fillers from its replicas."""
-        self.pressure.observe(endpoint, now)
         paces = pacing.decide(endpoint.pacing, endpoint, self.pressure, now)
         orders = []
         for task, percent in paces.items():
@@ -462,6 +463,7 @@
         for task in pacing.to_move(endpoint, now):
             if task.state is TaskState.RUNNING:
                 self.want_stop(task, "paused")
+        endpoint.rooms_left = self.pressure.rooms_left(endpoint)
         return orders
 
     def pace_failed(self, order):
@@ -522,7 +524,7 @@
 
     def place(self, task, endpoints, now):
         """Return the order for ``task``, or ``None`` if it has to wait."""
-        choice = dispatch.choose(task, endpoints, self.pressure)
+        choice = dispatch.choose(task, endpoints, self.pressure, now)
         if choice is None:
             return None
         job = task.job
@@ -535,7 +537,9 @@
             return None
         run = max(task.run, self.term * RUNS_PER_TERM) + 1
         task.place(choice.endpoint, run, TaskState.STARTING, now)
-        task.pace = 100
+        task.pace = pacing.FULL
+        if task.step.filler or task.step.replica:
+            choice.endpoint.rooms_left = self.pressure.rooms_left(choice.endpoint)
         if not job.begun:
             job.begun = True
             metrics.FIRST_START_SECONDS.observe(max(0.0, now - job.accepted_at))
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -15,6 +15,7 @@
     answered this scheduler, so that older schedulers' orders are refused there;
     ``recorded`` that the store names it as in use.  ``acknowledged`` is the number of
     the last end whose effect is stored, ``noted`` the last that was processed.
+    ``last_readings``, ``local_levels`` and ``rooms_left`` belong to `policy.pressure`.
     ``granted_ms`` is the latest lease deadline, on the endpoint's clock, that was ever
     sent; ``clock_ms`` was read at ``clock_at`` of the scheduler's clock.
     """
@@ -33,8 +34,9 @@
         "replicas",
         "fillers",
         "replica_images",
-        "filler_images",
-        "filler_shares",
+        "last_readings",
+        "local_levels",
+        "rooms_left",
         "acknowledged",
         "noted",
         "granted_ms",
@@ -62,8 +64,9 @@
         self.replicas = 0
         self.fillers = 0
         self.replica_images = {}
-        self.filler_images = {}
-        self.filler_shares = {}
+        self.last_readings = None
+        self.local_levels = {}
+        self.rooms_left = ()
         self.lives = 0
         self.listed = True
         self.recorded = False
@@ -120,6 +123,10 @@
         """Return the replicas that have a run here."""
         return [task for task in self.tasks.values() if task.step.replica]
 
+    def replica_jobs(self):
+        """Return the images of the replicas here by their job's id."""
+        return {task.job.id: task.step.image for task in self.replica_tasks()}
+
     def add(self, task):
         """Reserve the resources of ``task``."""
         self.tasks[task.name] = task
@@ -137,7 +144,6 @@
         if step.filler:
             self.filler_demand += sign * step.processors_milli
             self.fillers += sign
-            count(self.filler_images, step.image, sign)
         else:
             self.processors_used += sign * step.processors_milli
         if step.replica:
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -184,6 +184,11 @@
         """Whether the job is in a state that it does not leave."""
         return self.state in ENDED
 
+    def age(self, now):
+        """Return the time since the job was accepted, as a share of its objective."""
+        span = max(0.001, self.objective_at - self.accepted_at)
+        return (now - self.accepted_at) / span
+
     @property
     def replica(self):
         """Whether a step of the job runs until the job is cancelled."""
--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -60,7 +60,7 @@
 _holder_decoder = msgspec.json.Decoder(Holder)
 _number_decoder = msgspec.json.Decoder(TermNumber)
 _counts_decoder = msgspec.json.Decoder(dict[str, int])
-_learned_decoder = msgspec.json.Decoder(list[tuple[str, str, float]])
+_learned_decoder = msgspec.json.Decoder(list[tuple[str, str, float, float]])
 _domains_decoder = msgspec.json.Decoder(dict[str, str])
 
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -296,6 +296,8 @@
         try:
             await self.driver.start(order, deadline_ms, fence)
             self.engine.start_answered(order, self.clock.now())
+            if order.task.step.filler:
+                self.pace(order.endpoint)
         except errors.CallNotSentError:
             outcome = "not-sent"
             self.fail_endpoint(order.endpoint)
@@ -354,6 +356,11 @@
         )
         self.kick()
 
+    def pace(self, endpoint):
+        """Send the orders that fit an endpoint's fillers to its replicas."""
+        for order in self.engine.pace(endpoint, self.clock.now()):
+            self.spawn(self.send_pace(order))
+
     async def send_pace(self, order):
         """Send an order to pace."""
         try:
@@ -376,9 +383,9 @@
             endpoint=order.endpoint.id,
             percent=order.percent,
             tails=pressure.worst_by_image(order.endpoint),
-            harm=self.engine.pressure.between(
-                pressure.worst_by_image(order.endpoint), order.task.step.image
-            ),
+            rooms=[
+                [i, round(r, 2)] for i, r in self.engine.pressure.rooms(order.endpoint)
+            ],
             replicas=order.endpoint.replicas,
             fillers=order.endpoint.fillers,
         )
@@ -434,8 +441,7 @@
             self.log.info("endpoint.regained", endpoint=endpoint.id)
         if not settled or report.ended or lost:
             self.kick()
-        for order in self.engine.pace(endpoint, now):
-            self.spawn(self.send_pace(order))
+        self.pace(endpoint)
         if endpoint.noted > endpoint.acknowledged:
             self.changed.set()
             await self.wait_stored()
