Keep a task at the endpoint that may still start an earlier run of it late

Change: until the order cannot come any more the task runs at that endpoint only, where a restart ends the second run too.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -109,11 +109,13 @@
     return value
 
 
-def usable(endpoint, task):
+def usable(endpoint, task, now):
     """Return whether ``task`` may be started at ``endpoint`` at all."""
     step = task.step
     if endpoint.info.service != task.job.spec.service or not endpoint.fits(step):
         return False
+    if not task.may_run_at(endpoint, now):
+        return False
     if step.required_label and step.required_label not in endpoint.info.labels:
         return False
     if endpoint.health.probation and endpoint.tasks:
@@ -143,7 +145,7 @@
     best_score = score_elsewhere = float("inf")
     domains = task.job.domains
     for endpoint in endpoints:
-        if not usable(endpoint, task):
+        if not usable(endpoint, task, now):
             continue
         value = score(endpoint, task, pressure, now)
         if value is None:
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -398,6 +398,8 @@
             return
         task.state = TaskState.DOUBTFUL
         self.doubts[task.name] = now + LATE_ORDER_SECONDS
+        task.bound_to = task.endpoint
+        task.bound_until = now + LATE_ORDER_SECONDS
         self.add_stop(task.endpoint, task.name, task.run, "unanswered")
 
     def start_answered(self, order, now):
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -58,7 +58,9 @@
     ``progressed_at`` when that last grew.  ``figure`` is the endpoint's last reading:
     the tail in milliseconds of a replica, the processors of any other task.
     ``paused_since`` is when a filler was told to pause.  ``pace`` is the share of time
-    in percent at which a filler is let work; ``None`` while that is not known.
+    in percent at which a filler is let work; ``None`` while that is not known.  An order
+    that was not answered may be carried out until ``bound_until``; till then the task runs
+    at no other endpoint than ``bound_to``, which refuses the order unless it forgets.
     """
 
     __slots__ = (
@@ -78,6 +80,8 @@
         "figure",
         "pace",
         "paused_since",
+        "bound_to",
+        "bound_until",
     )
 
     def __init__(self, job, step_number, index):
@@ -97,12 +101,18 @@
         self.figure = 0.0
         self.pace = 100
         self.paused_since = None
+        self.bound_to = None
+        self.bound_until = 0.0
 
     @property
     def step(self):
         """The `Step` of the task."""
         return self.job.spec.steps[self.step_number]
 
+    def may_run_at(self, endpoint, now):
+        """Return whether no late order can start the task elsewhere meanwhile."""
+        return now >= self.bound_until or self.bound_to is endpoint
+
     def place(self, endpoint, run, state, now):
         """Put a run of the task at ``endpoint``."""
         self.job.waiting[self.step_number].pop(self, None)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from clementinebay.policy import dispatch
 from clementinebay.workflow.engine import LATE_ORDER_SECONDS, STRAY_SECONDS
 from clementinebay.workflow.job import JobState, TaskState
 from clementinebay.workflow.model import Step
@@ -103,6 +104,23 @@
     assert again.run > order.run
 
 
+def test_unanswered_start_that_was_barred_binds_its_task_to_the_endpoint():
+    """An endpoint that restarts forgets the stop; the order may come after that."""
+    engine = factory.make_engine()
+    first = factory.settle(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    order = engine.plan(0.0)[0]
+    engine.start_unanswered(order, 0.1)
+    [stop] = engine.due_stops(0.1)
+    engine.stop_answered(stop, 0.2)
+    engine.take_report(first, factory.report(), 0.3, 0.3)
+    assert order.task.state is TaskState.WAITING
+    second = factory.settle(engine, factory.make_info("e2", processors_milli=64000))
+    assert not dispatch.usable(second, order.task, 1.0)
+    assert dispatch.usable(first, order.task, 1.0)
+    assert dispatch.usable(second, order.task, 0.1 + LATE_ORDER_SECONDS)
+
+
 def test_unanswered_start_that_is_listed_is_taken_for_started():
     engine = factory.make_engine()
     endpoint = factory.settle(engine, factory.make_info())
--- a/tests/workflow/test_model.py
+++ b/tests/workflow/test_model.py
@@ -19,7 +19,11 @@
     world.finish()
 
 
-@pytest.mark.parametrize("seed", range(30))
+#: Worlds of a few hundred more that broke a promise once.
+FOUND = (1031, 1093, 1132, 1218, 1291, 1360)
+
+
+@pytest.mark.parametrize("seed", [*range(30), *FOUND])
 def test_promises_hold_under_random_faults(seed):
     play(seed, faults=0.06)
 
