Split storing and sending from the scheduler; a failure ends its term

Found on the way: a task spawned for an order or a link that failed with an unexpected error was dropped in silence until garbage collection. Now any such failure ends the term, is logged with its trace (term.broken), and the next term reads everything afresh; a test breaks the plan and an order.

--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import traceback
 import uuid
 
 from clementinebay import errors
@@ -130,6 +131,10 @@
             self.ending = "not-leader"
         except* errors.PlatformError as group:
             self.ending = str(group.exceptions[0])
+        except* Exception as group:
+            # What this term believes may be wrong; the next one reads it afresh.
+            self.ending = repr(group.exceptions[0])
+            self.log.error("term.broken", trace=traceback.format_exception(group))
 
     async def renew(self):
         """Renew the lease until it is gone."""
@@ -154,7 +159,7 @@
         if self.scheduler is None:
             return
         with contextlib.suppress(errors.PlatformError, errors.NotLeaderError):
-            await self.scheduler.store_changes()
+            await self.scheduler.storing.store_changes()
         self.end_term("leaving")
         try:
             await self.store.revoke(self.lease)
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -58,9 +58,10 @@
     ``progressed_at`` when that last grew.  ``figure`` is the endpoint's last reading:
     the tail in milliseconds of a replica, the processors of any other task.
     ``paused_since`` is when a filler was told to pause.  ``pace`` is the share of time
-    in percent at which a filler is let work; ``None`` while that is not known.  An order
-    that was not answered may be carried out until ``bound_until``; till then the task runs
-    at no other endpoint than ``bound_to``, which refuses the order unless it forgets.
+    in percent at which a filler is let work; ``None`` while that is not known.
+
+    An order that was not answered may be carried out until ``bound_until``.  Till then
+    the task runs at no endpoint but ``bound_to``, which refuses it unless it restarts.
     """
 
     __slots__ = (
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -6,6 +6,8 @@
 import pytest
 
 from clementinebay.workflow import schedule
+from clementinebay.workflow.engine import Engine
+from clementinebay.workflow.sending import Sender
 from tests.platform import helpers
 
 STEPS = [{"count": 2, "cpu": 500, "mem_mb": 10}, {"count": 1, "cpu": 500, "after": [0]}]
@@ -184,6 +186,27 @@
         assert len(stand.endpoints[0].starts) == 3
 
 
+@pytest.mark.parametrize("owner, name", [(Engine, "plan"), (Sender, "lease_seconds")])
+async def test_failure_within_a_term_begins_the_next(monkeypatch, owner, name):
+    """What the failed one believed is read afresh; nothing is lost."""
+    whole, failures = getattr(owner, name), []
+
+    def broken(self, *args):
+        active = getattr(self, "engine", self).active
+        if active and not failures:
+            failures.append(name)
+            raise RuntimeError(name)
+        return whole(self, *args)
+
+    monkeypatch.setattr(owner, name, broken)
+    async with helpers.installation() as stand:
+        kernel, address = await stand.daemon()
+        await until_accepted(stand, address)
+        assert await until_ended(stand, address) == "completed"
+        assert failures
+        assert kernel.find("term").scheduler.writer.number == 1
+
+
 async def test_answers_to_what_cannot_be_served():
     async with helpers.installation() as stand:
         kernel, address = await stand.daemon()
