Stop runs that stand still; try barred endpoints again beside replicas

Cause: tasks on hanging endpoints were waited for, and new ones started there. Reading the bar's rule showed a second fault: an endpoint on probation had to be empty, which one with replicas never is, so endpoints that once failed two jobs took no batch work again.

Change: a run without progress for 1.5 s (by percent; not replicas, not slowed fillers) is stopped, and its endpoint barred like one that fails tasks. Replicas do not count against the probation.

Tried and reverted: replicas and saving tasks moved off endpoints that leave.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -118,7 +118,7 @@
         return False
     if step.required_label and step.required_label not in endpoint.info.labels:
         return False
-    if endpoint.health.probation and endpoint.tasks:
+    if endpoint.health.probation and len(endpoint.tasks) > endpoint.replicas:
         return False
     if step.max_per_endpoint:
         beside = sum(
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -6,6 +6,7 @@
 
 from clementinebay import metrics
 from clementinebay.policy import dispatch, endpointhealth, pacing
+from clementinebay.policy import progress as progresses
 from clementinebay.policy.pressure import Pressure
 from clementinebay.workflow.fleet import EndpointState
 from clementinebay.workflow.job import Job, JobState, TaskState
@@ -237,6 +238,7 @@
         self.count_unplaced(endpoint, report.running)
         self.pressure.observe(endpoint, now)
         self.find_missing(endpoint, seen, sent_at)
+        self.free_stuck(endpoint, now)
         endpoint.settled = True
         self.settle(endpoint.id)
         return True
@@ -460,6 +462,7 @@
             if task.state is not TaskState.RUNNING or task.pace == percent:
                 continue
             task.pace = percent
+            task.paced_at = now
             task.paused_since = now if percent == pacing.PAUSED else None
             orders.append(PaceOrder(endpoint, task, percent))
         for task in pacing.to_move(endpoint, now):
@@ -511,6 +514,25 @@
                 orders += self.place_step(waiting, endpoints, now)
         return orders
 
+    def free_stuck(self, endpoint, now):
+        """Stop the runs of an endpoint that stand still; it takes nothing meanwhile."""
+        tasks = [
+            task
+            for task in endpoint.tasks.values()
+            if task.state is TaskState.RUNNING and progresses.stuck(task, now)
+        ]
+        if tasks and not endpoint.health.barred(now):
+            endpoint.health.bar(now)
+            self.log.warning(
+                "endpoint.stuck",
+                endpoint=endpoint.id,
+                tasks=[task.name for task in tasks],
+                until=round(endpoint.health.barred_until - now, 2),
+            )
+        for task in tasks:
+            task.avoid = (task.avoid or frozenset()) | {endpoint.id}
+            self.want_stop(task, "stuck")
+
     def place_step(self, waiting, endpoints, now):
         """Return orders for the waiting tasks of one step, which are all alike."""
         orders = []
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -58,7 +58,8 @@
     ``progressed_at`` when that last grew.  ``figure`` is the endpoint's last reading:
     the tail in milliseconds of a replica, the processors of any other task.
     ``paused_since`` is when a filler was told to pause.  ``pace`` is the share of time
-    in percent at which a filler is let work; ``None`` while that is not known.
+    in percent at which a filler is let work, since ``paced_at``; ``None`` while that is
+    not known.
 
     An order that was not answered may be carried out until ``bound_until``.  Till then
     the task runs at no endpoint but ``bound_to``, which refuses it unless it restarts.
@@ -80,6 +81,7 @@
         "progressed_at",
         "figure",
         "pace",
+        "paced_at",
         "paused_since",
         "bound_to",
         "bound_until",
@@ -101,6 +103,7 @@
         self.progressed_at = 0.0
         self.figure = 0.0
         self.pace = 100
+        self.paced_at = 0.0
         self.paused_since = None
         self.bound_to = None
         self.bound_until = 0.0
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -62,7 +62,7 @@
         if task in self.runs:
             return self.runs[task][0] == run
         seconds = self.world.random.uniform(0.3, 3.0)
-        self.runs[task] = (run, step, now + seconds)
+        self.runs[task] = (run, step, now + seconds, seconds)
         self.world.check_start(task, self, now)
         return True
 
@@ -83,7 +83,7 @@
 
     def end(self, task, outcome):
         """Note the end of a run."""
-        run, _step, _until = self.runs.pop(task)
+        run = self.runs.pop(task)[0]
         self.barred[task] = max(run, self.barred.get(task, 0))
         self.number += 1
         self.ended.append(End(self.number, task, run, outcome, ""))
@@ -99,12 +99,21 @@
             if end.number <= acknowledged and end.outcome == End.DONE:
                 self.world.noted.add(end.task)
         self.ended = [end for end in self.ended if end.number > acknowledged]
-        running = [RunReport(t, r[0], "", 50, 0) for t, r in self.runs.items()]
+        running = [
+            RunReport(task, run[0], "", self.percent(run, now), 0)
+            for task, run in self.runs.items()
+        ]
         return Report(self.born, self.clock_ms(now), running, list(self.ended))
 
+    @staticmethod
+    def percent(run, now):
+        """Return how far a run is."""
+        _number, _step, until, seconds = run
+        return min(99, max(0, int(100 - (until - now) * 100 / seconds)))
+
     def work(self, now):
         """End the runs whose time or lease is over."""
-        for task, (_run, _step, until) in list(self.runs.items()):
+        for task, (_run, _step, until, _seconds) in list(self.runs.items()):
             if self.clock_ms(now) > self.deadline_ms:
                 self.end(task, "lapsed")
             elif now >= until:
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from clementinebay.policy import dispatch
+from clementinebay.policy import dispatch, progress
 from clementinebay.workflow.engine import LATE_ORDER_SECONDS, STRAY_SECONDS
 from clementinebay.workflow.job import JobState, TaskState
 from clementinebay.workflow.model import Step
@@ -163,6 +163,39 @@
     assert order.task.state is TaskState.WAITING
 
 
+def test_run_that_stands_still_is_stopped_and_its_endpoint_takes_nothing():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    for id in ("e2", "e3"):
+        factory.settle(engine, factory.make_info(id, service="x"))
+    engine.add_job(factory.make_spec(steps=[SMALL]), factory.QUEUE, 0.0)
+    [order] = started(engine)
+    row = (order.task.name, order.run, "", 20, 1000)
+    engine.take_report(endpoint, factory.report(running=[row]), 0.5, 0.5)
+    engine.take_report(endpoint, factory.report(running=[row]), 1.9, 1.9)
+    assert order.task.state is TaskState.RUNNING
+    later = 0.6 + progress.STILL_SECONDS
+    engine.take_report(endpoint, factory.report(running=[row]), later, later)
+    [stop] = engine.due_stops(later)
+    assert (stop.task, stop.reason) == (order.task.name, "stuck")
+    assert endpoint not in engine.available(later)
+
+
+def test_endpoint_with_replicas_alone_is_tried_again_after_its_bar():
+    engine = factory.make_engine()
+    endpoint = factory.settle(engine, factory.make_info())
+    for id in ("e2", "e3"):
+        factory.settle(engine, factory.make_info(id, service="x"))
+    replica = Step(count=1, processors_milli=1000, replica=True)
+    engine.add_job(factory.make_spec("a" * 16, steps=[replica]), factory.QUEUE, 0.0)
+    started(engine)
+    endpoint.health.bar(0.0)
+    engine.add_job(factory.make_spec("b" * 16), factory.QUEUE, 0.0)
+    assert engine.plan(0.1) == []
+    orders = started(engine, endpoint.health.barred_until)
+    assert [order.endpoint for order in orders] == [endpoint]
+
+
 def test_lost_endpoint_keeps_its_tasks_until_their_leases_have_run_out():
     engine = factory.make_engine()
     endpoint = factory.settle(engine, factory.make_info())
