Have the scheduler's daemon serve clients of daemons without the store

Cause: where the store turns some machines away, their daemons refused every job although others could store it (docs/PLATFORM.md listed that as not built).

Weighed: a list of all daemons in the store (one more key for each, read by all), the seeds of the settings (three at most, perhaps cut off as well), and the holder of the term, which all follow already and which had the store last. The third needs one field more in its record.

Change: a request that would be answered 503 or 504 for the store's sake is passed on once to the scheduler's daemon.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -78,6 +78,11 @@
     "Clients' requests concerning jobs, by method and status of the answer.",
     ["method", "status"],
 )
+RELAYED = Counter(
+    "clementine_relayed_requests",
+    "Requests passed on to the scheduler's daemon, by outcome.",
+    ["outcome"],
+)
 JOB_REQUEST_SECONDS = Histogram(
     "clementine_job_request_seconds",
     "Time from a client's whole request to its answer.",
--- a/clementinebay/platform/__main__.py
+++ b/clementinebay/platform/__main__.py
@@ -80,6 +80,7 @@
     async with Client() as client:
         deployment = settings.deployment(
             node,
+            client,
             PlatformStore(client, node.store),
             PlatformBoundary(client),
             Gateway(),
--- a/clementinebay/platform/settings.py
+++ b/clementinebay/platform/settings.py
@@ -80,7 +80,7 @@
     return NodeSettings(document)
 
 
-def deployment(node, store, boundary, gateway):
+def deployment(node, client, store, boundary, gateway):
     """Return the `Deployment` that the settings describe."""
     return Deployment(
         node=node.node,
@@ -88,6 +88,7 @@
         front=node.front,
         ready=node.ready,
         metrics=(node.front[0], METRICS_PORT),
+        client=client,
         store=store,
         boundary=boundary,
         gateway=gateway,
--- a/clementinebay/services/jobgate.py
+++ b/clementinebay/services/jobgate.py
@@ -5,6 +5,7 @@
 
 from clementinebay import errors, metrics
 from clementinebay.service import Service
+from clementinebay.services import relay
 from clementinebay.web.server import Response, Server
 from clementinebay.workflow import jobstore
 from clementinebay.workflow.job import ENDED
@@ -48,6 +49,7 @@
         self.log = self.kernel.find("eventlog").log
         self.queues = self.kernel.find("queues")
         self.jobs = jobstore.JobStore(self.settings.store)
+        self.relay = relay.Relay(self.settings.client, self.settings.node, self.log)
         self.ended = {}
         self.counts = {}
         self.counted_at = float("-inf")
@@ -103,6 +105,9 @@
             self.front.max_body_bytes = table.max_body_bytes
             self.front.max_header_bytes = table.max_header_bytes
         response = await self.settings.gateway.answer(request, table, self)
+        if response.status in relay.UNSERVED and table is not None:
+            holder = self.kernel.find("term").last_holder
+            response = await self.relay.answer(request, response, holder)
         method = request.method if request.method in METHODS else "other"
         seconds = asyncio.get_running_loop().time() - request.received_at
         metrics.JOB_REQUESTS.labels(method, str(response.status)).inc()
--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -37,6 +37,7 @@
         self.clock = BootClock()
         self.vacant = asyncio.Event()
         self.holder = None
+        self.last_holder = None
         self.token = ""
         self.lease = 0
         self.scheduler = None
@@ -66,6 +67,7 @@
         if self.holder is None:
             self.vacant.set()
         else:
+            self.last_holder = self.holder
             self.vacant.clear()
         self.log.info(
             "term.holder_seen", holder=None if entry is None else self.holder.node
@@ -100,7 +102,11 @@
         self.token = self.token or uuid.uuid4().hex
         asked_at = self.clock.now()
         writer, self.lease = await jobstore.begin_term(
-            self.store, self.settings.node, self.token, TTL_SECONDS
+            self.store,
+            self.settings.node,
+            "{}:{}".format(*self.settings.front),
+            self.token,
+            TTL_SECONDS,
         )
         self.token = ""
         self.log.info("term.began", term=writer.number, fence=writer.fence)
--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -195,7 +195,9 @@
 
 def encode_call(address, method, path, body, headers):
     """Return the bytes of a request."""
-    lines = [f"{method} {path} HTTP/1.1", f"host: {address}"]
+    lines = [f"{method} {path} HTTP/1.1"]
+    if not any(name.lower() == "host" for name, _value in headers):
+        lines.append(f"host: {address}")
     lines.extend(f"{name}: {value}" for name, value in headers)
     if body is not None:
         lines.append("content-type: application/json")
--- a/clementinebay/workflow/boundary.py
+++ b/clementinebay/workflow/boundary.py
@@ -64,7 +64,7 @@
 
 
 class Deployment:
-    """Where and how one daemon runs.
+    """Where and how one daemon runs; ``client`` is its HTTP client.
 
     Addresses are (host, port).  ``lease_seconds`` is how far ahead endpoints' leases
     are granted; ``max_lease_seconds`` what endpoints grant at most.
@@ -78,6 +78,7 @@
         "front",
         "ready",
         "metrics",
+        "client",
         "store",
         "boundary",
         "gateway",
--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -40,10 +40,14 @@
 
 
 class Holder(msgspec.Struct):
-    """Who schedules; ``token`` is new with each try to become it."""
+    """Who schedules; ``token`` is new with each try to become it.
+
+    ``front`` is the "host:port" at which its daemon serves clients.
+    """
 
     node: str
     token: str
+    front: str = ""
 
 
 class TermNumber(msgspec.Struct):
@@ -229,7 +233,7 @@
     return [(key, key + "\0") for key in keys]
 
 
-async def begin_term(store, node, token, ttl):
+async def begin_term(store, node, front, token, ttl):
     """Become the scheduler; return the `TermWriter` and the lease.
 
     Raises `NotLeaderError` if another is, and errors of `KeyValueStore`.
@@ -247,7 +251,7 @@
     lease = await store.grant(ttl)
     compares = [(HOLDER, 0), (NUMBER, 0 if last is None else last.version)]
     puts = [
-        Put(HOLDER, _encode(Holder(node, token)), lease),
+        Put(HOLDER, _encode(Holder(node, token, front)), lease),
         Put(NUMBER, _encode(TermNumber(number, token, 0))),
     ]
     try:
--- a/tests/platform/helpers.py
+++ b/tests/platform/helpers.py
@@ -66,7 +66,7 @@
         client = await self.stack.enter_async_context(Client())
         store = PlatformStore(client, node.store)
         boundary = PlatformBoundary(client)
-        deployment = settings.deployment(node, store, boundary, Gateway())
+        deployment = settings.deployment(node, client, store, boundary, Gateway())
         deployment.metrics = ("127.0.0.1", free_range(1))
         kernel = await self.stack.enter_async_context(Kernel(deployment))
         for service in WORKFLOW_DAEMON:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,7 +36,9 @@
 
 def test_file_is_decoded(path):
     node = settings.read(path)
-    deployed = settings.deployment(node, PlatformStore(None, node.store), None, None)
+    deployed = settings.deployment(
+        node, None, PlatformStore(None, node.store), None, None
+    )
     assert deployed.node == "d1"
     assert deployed.domains == ("a", "b")
     assert deployed.front == ("127.0.0.1", 1001)
@@ -65,7 +67,7 @@
 def test_changed_file_is_taken_and_a_wrong_one_is_not(path):
     node = settings.read(path)
     store = PlatformStore(None, node.store)
-    deployed = settings.deployment(node, store, None, None)
+    deployed = settings.deployment(node, None, store, None, None)
     reloader = Reloader(path, FakeKernel(deployed))
     write(path, "127.0.0.1:2", bounds={"status_s": 60})
     assert reloader.read_stamp() != reloader.stamp
