Let machines with room for the scheduler become it first

Cause: any daemon may become the scheduler.

Change: a daemon that is granted less than 0.0065 processors for each listed endpoint waits 0.5 s more before it tries. On the sites of today (0.43 and 24 endpoints, 1.07 and 33) nobody waits.

--- a/clementinebay/platform/settings.py
+++ b/clementinebay/platform/settings.py
@@ -30,7 +30,8 @@
 class NodeSettings:
     """What the settings file says, in this package's terms.
 
-    Addresses are (host, port); ``store`` and ``advice`` are "host:port".
+    Addresses are (host, port); ``store`` is "host:port".  ``processors`` is what the
+    machine grants.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         "front",
         "ready",
         "store",
+        "processors",
         "bounds",
     )
 
@@ -51,6 +53,8 @@
             self.front = parse_address(document["listen"]["front"])
             self.ready = parse_address(document["listen"]["ready"])
             self.store = document["platform"]["addr"]
+            limits = document.get("limits") or {}
+            self.processors = limits.get("cpu_share", 1.0) * limits.get("cores", 1)
             self.bounds = DEFAULT_BOUNDS | (document.get("bounds") or {})
         except (KeyError, TypeError, ValueError) as error:
             raise errors.SettingsError([f"settings file: {error!r}"]) from error
@@ -102,6 +106,7 @@
     bounds = node.bounds
     return {
         "domains": node.domains,
+        "processors": node.processors,
         "max_lease_seconds": bounds["hold_max_ms"] / 1000,
         "drain_seconds": max(0.0, bounds["grace_s"] - GRACE_MARGIN_SECONDS),
         "status_seconds": bounds["status_s"],
--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -9,6 +9,7 @@
 from clementinebay import errors
 from clementinebay.clock import BootClock
 from clementinebay.service import Service
+from clementinebay.store.base import prefix_end
 from clementinebay.workflow import jobstore
 from clementinebay.workflow.mirror import Mirror
 from clementinebay.workflow.schedule import Scheduler
@@ -21,6 +22,12 @@
 JITTER_SECONDS = 0.15
 #: Wait after a try that failed, in seconds.
 RETRY_SECONDS = 0.3
+#: Processor time that the scheduler takes for each endpoint, in seconds a second:
+#: measured 1.14 at most with 176 endpoints.
+PROCESSORS_PER_ENDPOINT = 0.0065
+#: A daemon that is granted less than that leaves the others so long to become the
+#: scheduler first, in seconds.
+WEAK_SECONDS = 0.5
 
 
 class Term(Service):
@@ -88,7 +95,10 @@
                 await asyncio.sleep(JITTER_SECONDS)
                 continue
             try:
-                await self.hold_term()
+                if await self.weak():
+                    await asyncio.sleep(WEAK_SECONDS)
+                if self.vacant.is_set() and not self.leaving:
+                    await self.hold_term()
             except errors.NotLeaderError:
                 self.vacant.clear()
             except errors.PlatformError as error:
@@ -97,6 +107,12 @@
             if self.holder is None:
                 self.vacant.set()
 
+    async def weak(self):
+        """Return whether the endpoints ask for more than this daemon is granted."""
+        prefix = self.settings.boundary.endpoint_prefix
+        entries, _revision = await self.store.scan(prefix, prefix_end(prefix))
+        return self.settings.processors < PROCESSORS_PER_ENDPOINT * len(entries)
+
     async def hold_term(self):
         """Become the scheduler and schedule until the term ends."""
         self.token = self.token or uuid.uuid4().hex
--- a/clementinebay/workflow/boundary.py
+++ b/clementinebay/workflow/boundary.py
@@ -68,6 +68,7 @@
 
     Addresses are (host, port).  ``lease_seconds`` is how far ahead endpoints' leases
     are granted; ``max_lease_seconds`` what endpoints grant at most.
+    ``processors`` is the processor time that the daemon is granted in a second.
     ``drain_seconds`` is the time from the request to stop to the process' end.
     """
 
@@ -84,6 +85,7 @@
         "gateway",
         "max_lease_seconds",
         "lease_seconds",
+        "processors",
         "drain_seconds",
         "status_seconds",
     )
--- a/tests/platform/helpers.py
+++ b/tests/platform/helpers.py
@@ -57,7 +57,7 @@
         self.endpoints = endpoints
         self.client = client
 
-    async def daemon(self, name="d1", zone="a"):
+    async def daemon(self, name="d1", zone="a", processors=1.0):
         """Start a daemon; return its kernel and its address for clients."""
         front, ready = free_range(1), free_range(1)
         node = settings.NodeSettings(
@@ -67,6 +67,7 @@
         store = PlatformStore(client, node.store)
         boundary = PlatformBoundary(client)
         deployment = settings.deployment(node, client, store, boundary, Gateway())
+        deployment.processors = processors
         deployment.metrics = ("127.0.0.1", free_range(1))
         kernel = await self.stack.enter_async_context(Kernel(deployment))
         for service in WORKFLOW_DAEMON:
