Split planning, stops and inheritance from the engine

Found on the way: a task that waits for its endpoint to be heard of held up the other tasks of its step, since the first that cannot be placed ended the search; a test shows it.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -5,34 +5,24 @@
 """
 
 from clementinebay import metrics
-from clementinebay.policy import dispatch, endpointhealth, pacing
+from clementinebay.policy import endpointhealth, pacing
 from clementinebay.policy import progress as progresses
 from clementinebay.policy.pressure import Pressure
+from clementinebay.workflow import planning
 from clementinebay.workflow.fleet import EndpointState
+from clementinebay.workflow.inheritance import Inheritance
 from clementinebay.workflow.job import Job, JobState, TaskState
-from clementinebay.workflow.orders import (
-    End,
-    PaceOrder,
-    PendingStop,
-    StartOrder,
-    StopOrder,
-)
-
-#: Runs of one term are numbered from its term's number times this.
-RUNS_PER_TERM = 1000
+from clementinebay.workflow.orders import End, PaceOrder
+from clementinebay.workflow.stops import Stops
+
 #: An order without an answer is carried out at the latest after so long, in seconds.
 LATE_ORDER_SECONDS = 13.0
 #: First and longest wait before a task that failed is run again, in seconds.
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 5.0
-#: A task waits so long for a better domain to be opened to its job, in seconds; while
-#: the store is away it then takes what there is.
-OPENING_SECONDS = 0.3
 #: A run of a job that is not known is stopped after so long, in seconds: the job may
 #: be on its way here from the store.
 STRAY_SECONDS = 2.0
-#: An order to stop that had no effect yet is repeated after so long, in seconds.
-STOP_REPEAT_SECONDS = 1.0
 
 
 class Engine:
@@ -52,7 +42,7 @@
         self.term = term
         self.wall = wall
         self.log = log
-        self.inherited_until = inherited_until
+        self.inheritance = Inheritance(inherited_until)
         self.jobs = {}
         self.active = {}
         self.endpoints = {}
@@ -60,9 +50,7 @@
         self.changed = {}
         self.urgent = False
         self.doubts = {}
-        self.stops = {}
-        self.unsettled = {}
-        self.expected = {}
+        self.stops = Stops()
         self.pressure = Pressure()
         self.sole_until = float("inf")
 
@@ -118,18 +106,6 @@
 
     # Endpoints
 
-    def expect_endpoint(self, endpoint_id, domain):
-        """Reckon with runs at an endpoint that an earlier scheduler used."""
-        if endpoint_id not in self.expected:
-            self.expected[endpoint_id] = domain
-            self.unsettled.setdefault(domain, set()).add(endpoint_id)
-
-    def settle(self, endpoint_id):
-        """Note that an endpoint holds no run that this scheduler does not know of."""
-        domain = self.expected.get(endpoint_id)
-        if domain is not None:
-            self.unsettled.get(domain, set()).discard(endpoint_id)
-
     def see_endpoint(self, info, now):
         """Take an entry of the registry; return the endpoint's state."""
         endpoint = self.endpoints.get(info.id)
@@ -189,11 +165,9 @@
             if not endpoint.listed and not endpoint.tasks:
                 del self.endpoints[endpoint.id]
                 if endpoint.settled:
-                    self.settle(endpoint.id)
+                    self.inheritance.settle(endpoint.id)
                 self.log.info("endpoint.forgotten", endpoint=endpoint.id)
-        if self.inherited_until and now >= self.inherited_until:
-            self.inherited_until = 0.0
-            self.unsettled.clear()
+        self.inheritance.expire(now)
 
     def lose(self, task, cause):
         """Give up a run that ended without being done."""
@@ -210,7 +184,7 @@
     def release(self, task):
         """Take a task from its endpoint after its run has ended or is barred."""
         self.doubts.pop(task.name, None)
-        self.stops.pop((task.endpoint.id, task.name, task.run), None)
+        self.stops.drop(task.endpoint, task.name, task.run)
         task.free()
 
     # Reports of endpoints
@@ -240,7 +214,7 @@
         self.find_missing(endpoint, seen, sent_at)
         self.free_stuck(endpoint, now)
         endpoint.settled = True
-        self.settle(endpoint.id)
+        self.inheritance.settle(endpoint.id)
         return True
 
     def find_task(self, name):
@@ -254,7 +228,7 @@
     def take_end(self, endpoint, end, now):
         """Take one end of a run."""
         metrics.RUN_ENDS.labels(end.outcome).inc()
-        self.stops.pop((endpoint.id, end.task, end.run), None)
+        self.stops.drop(endpoint, end.task, end.run)
         task = self.find_task(end.task)
         if task is None:
             return
@@ -285,7 +259,7 @@
             return
         if task.endpoint is not None:
             if not current:
-                self.add_stop(task.endpoint, task.name, task.run, "duplicate")
+                self.stops.add(task.endpoint, task.name, task.run, "duplicate")
             self.doubts.pop(task.name, None)
         if job.ended:
             task.free()
@@ -326,7 +300,7 @@
         if task is None or task.state is TaskState.DONE or task.job.ended:
             known = task is not None and task.endpoint is endpoint
             if not known or task.run != row.run:
-                self.add_stop(endpoint, row.task, row.run, "unknown")
+                self.stops.add(endpoint, row.task, row.run, "unknown")
             elif task.state is not TaskState.STOPPING:
                 self.want_stop(task, "ended")
             return
@@ -339,7 +313,7 @@
                 "task.adopted", task=row.task, run=row.run, endpoint=endpoint.id
             )
         elif task.endpoint is not endpoint or task.run != row.run:
-            self.add_stop(endpoint, row.task, row.run, "duplicate")
+            self.stops.add(endpoint, row.task, row.run, "duplicate")
             return
         if row.checkpoint:
             task.checkpoint = row.checkpoint
@@ -366,7 +340,7 @@
         """Stop the run of a job that stays unknown."""
         first_seen = endpoint.strays.setdefault((row.task, row.run), now)
         if now > first_seen + STRAY_SECONDS:
-            self.add_stop(endpoint, row.task, row.run, "unknown-job")
+            self.stops.add(endpoint, row.task, row.run, "unknown-job")
 
     def find_missing(self, endpoint, seen, sent_at):
         """Free tasks that the endpoint does not list although it should."""
@@ -376,7 +350,7 @@
             if task.state is TaskState.RUNNING and task.started_at < sent_at:
                 self.lose(task, "missing")
             elif task.state is TaskState.STOPPING:
-                stop = self.stops.get((endpoint.id, task.name, task.run))
+                stop = self.stops.find(endpoint, task.name, task.run)
                 if stop is None or (stop.answered_at and stop.answered_at < sent_at):
                     self.release(task)
 
@@ -386,13 +360,7 @@
         """Order the end of the run of ``task``, which keeps its resources till then."""
         if task.state is not TaskState.STOPPING:
             task.state = TaskState.STOPPING
-            self.add_stop(task.endpoint, task.name, task.run, reason)
-
-    def add_stop(self, endpoint, name, run, reason):
-        """Order the end of a run, again and again until it has an effect."""
-        key = (endpoint.id, name, run)
-        if key not in self.stops:
-            self.stops[key] = PendingStop(endpoint, name, run, reason)
+            self.stops.add(task.endpoint, task.name, task.run, reason)
 
     def doubt(self, task, now):
         """Bar the run of an unanswered order before the task is free."""
@@ -402,7 +370,7 @@
         self.doubts[task.name] = now + LATE_ORDER_SECONDS
         task.bound_to = task.endpoint
         task.bound_until = now + LATE_ORDER_SECONDS
-        self.add_stop(task.endpoint, task.name, task.run, "unanswered")
+        self.stops.add(task.endpoint, task.name, task.run, "unanswered")
 
     def start_answered(self, order, now):
         """Note that an order to start was carried out."""
@@ -428,32 +396,19 @@
 
     def stop_answered(self, order, now):
         """Note that an endpoint refuses the run from now on, and ends it soon."""
-        stop = self.stops.get((order.endpoint.id, order.task, order.run))
+        stop = self.stops.find(order.endpoint, order.task, order.run)
         if stop is None:
             return
         stop.answered_at = now
         task = self.find_task(order.task)
         if task is None or task.endpoint is not order.endpoint or task.run != order.run:
-            del self.stops[order.endpoint.id, order.task, order.run]
+            self.stops.drop(order.endpoint, order.task, order.run)
             return
         if task.state is TaskState.DOUBTFUL:
             # Listed in the next report if it is at work, else free.
             task.state = TaskState.STOPPING
             self.doubts.pop(task.name, None)
 
-    def due_stops(self, now):
-        """Return the stop orders to send now."""
-        orders = []
-        for key, stop in list(self.stops.items()):
-            if stop.endpoint.id not in self.endpoints:
-                del self.stops[key]
-            elif now >= stop.next_at:
-                stop.next_at = now + STOP_REPEAT_SECONDS
-                orders.append(
-                    StopOrder(stop.endpoint, stop.task, stop.run, stop.reason)
-                )
-        return orders
-
     def pace(self, endpoint, now):
         """Return the orders that keep an endpoint's fillers from its replicas."""
         paces = pacing.decide(endpoint.pacing, endpoint, self.pressure, now)
@@ -476,43 +431,9 @@
         if order.task.run == order.run:
             order.task.pace = None
 
-    def available(self, now):
-        """Return the endpoints that may be given tasks."""
-        sound = [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if endpoint.listed
-            and endpoint.settled
-            and endpoint.recorded
-            and not endpoint.info.leaving
-            and endpoint.failing_since is None
-            and endpoint.domain not in self.out
-        ]
-        healths = [endpoint.health for endpoint in sound]
-        if endpointhealth.too_many_barred(healths, now):
-            return sound
-        return [e for e in sound if not e.health.barred(now)]
-
-    def inheritance_settled(self, job):
-        """Return whether no unknown run of ``job`` can be at work anywhere."""
-        if not job.inherited_domains:
-            return True
-        return not any(self.unsettled.get(name) for name in job.inherited_domains)
-
     def plan(self, now):
         """Return the orders to start that can be given now."""
-        orders = []
-        endpoints = self.available(now)
-        if not endpoints:
-            return orders
-        for job in sorted(
-            self.active.values(), key=lambda job: dispatch.rank(job, now)
-        ):
-            if job.learned_at > self.sole_until or not self.inheritance_settled(job):
-                continue
-            for waiting in job.waiting:
-                orders += self.place_step(waiting, endpoints, now)
-        return orders
+        return planning.plan(self, now)
 
     def free_stuck(self, endpoint, now):
         """Stop the runs of an endpoint that stand still; it takes nothing meanwhile."""
@@ -533,43 +454,6 @@
             task.avoid = (task.avoid or frozenset()) | {endpoint.id}
             self.want_stop(task, "stuck")
 
-    def place_step(self, waiting, endpoints, now):
-        """Return orders for the waiting tasks of one step, which are all alike."""
-        orders = []
-        for task in list(waiting):
-            if task.not_before > now:
-                continue
-            order = self.place(task, endpoints, now)
-            if order is not None:
-                orders.append(order)
-            elif task.avoid is None:
-                break
-        return orders
-
-    def place(self, task, endpoints, now):
-        """Return the order for ``task``, or ``None`` if it has to wait."""
-        choice = dispatch.choose(task, endpoints, self.pressure, now)
-        if choice is None:
-            return None
-        job = task.job
-        if choice.domain is not None and choice.domain not in job.wanted_domains:
-            job.wanted_domains.add(choice.domain)
-            job.wanted_at = now
-            self.mark(job, urgent=True)
-        opening = choice.domain is not None and now < job.wanted_at + OPENING_SECONDS
-        if choice.endpoint is None or opening:
-            return None
-        run = max(task.run, self.term * RUNS_PER_TERM) + 1
-        task.place(choice.endpoint, run, TaskState.STARTING, now)
-        task.pace = pacing.FULL
-        if task.step.filler or task.step.replica:
-            choice.endpoint.rooms_left = self.pressure.rooms_left(choice.endpoint)
-        if not job.begun:
-            job.begun = True
-            metrics.FIRST_START_SECONDS.observe(max(0.0, now - job.accepted_at))
-            self.mark(job)
-        return StartOrder(choice.endpoint, task)
-
     # Storing
 
     def take_changes(self):
--- a/clementinebay/workflow/orders.py
+++ b/clementinebay/workflow/orders.py
@@ -79,17 +79,3 @@
         self.task = task
         self.run = task.run
         self.percent = percent
-
-
-class PendingStop:
-    """An order to stop that has not had its effect yet."""
-
-    __slots__ = ("endpoint", "task", "run", "reason", "next_at", "answered_at")
-
-    def __init__(self, endpoint, task, run, reason):
-        self.endpoint = endpoint
-        self.task = task
-        self.run = run
-        self.reason = reason
-        self.next_at = 0.0
-        self.answered_at = 0.0
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -94,7 +94,7 @@
         self.storing.recorded = await self.jobs.used_endpoints()
         self.engine.pressure.take(await self.jobs.learned())
         for endpoint_id, domain in self.storing.recorded.items():
-            self.engine.expect_endpoint(endpoint_id, domain)
+            self.engine.inheritance.expect(endpoint_id, domain)
         self.job_mirror = Mirror(
             self.store,
             jobstore.JOBS,
@@ -204,7 +204,7 @@
             self.sender.kicked.clear()
             now = self.clock.now()
             self.engine.expire(now)
-            for order in self.engine.due_stops(now):
+            for order in self.engine.stops.due(now, self.engine.endpoints):
                 self.sender.spawn(self.sender.send_stop(order))
             for order in self.engine.plan(now):
                 self.sender.spawn(self.sender.send_start(order))
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -135,7 +135,7 @@
         self.began_at = now
         self.cut = set()
         for endpoint_id, domain in world.used.items():
-            self.engine.expect_endpoint(endpoint_id, domain)
+            self.engine.inheritance.expect(endpoint_id, domain)
         for job_id in list(world.submitted):
             self.learn(job_id, now, inherited=term > 0)
 
@@ -176,7 +176,7 @@
             if not endpoint.settled or self.world.random.random() < 0.5:
                 self.ask(model, endpoint, now)
         engine.expire(now)
-        for order in engine.due_stops(now):
+        for order in engine.stops.due(now, engine.endpoints):
             self.send_stop(order, now)
         for order in engine.plan(now):
             self.send_start(order, now)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from clementinebay.policy import dispatch, progress
+from clementinebay.workflow import planning
 from clementinebay.workflow.engine import LATE_ORDER_SECONDS, STRAY_SECONDS
 from clementinebay.workflow.job import JobState, TaskState
 from clementinebay.workflow.model import Step
@@ -73,7 +74,7 @@
     factory.settle(engine, info, running=[(f"{spec.id}.0.0.0", 1)])
     engine.add_job(factory.make_spec(id="f" * 16, steps=(SMALL,)), factory.QUEUE, 0.0)
     assert engine.plan(0.0) == []
-    assert [order.run for order in engine.due_stops(0.0)] == [1]
+    assert [order.run for order in engine.stops.due(0.0, engine.endpoints)] == [1]
 
 
 def test_endpoint_with_run_of_unknown_job_takes_nothing_and_stops_it_later():
@@ -82,10 +83,12 @@
     endpoint = factory.settle(engine, factory.make_info(), running=[row])
     engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
     assert engine.plan(0.0) == []
-    assert engine.due_stops(0.0) == []
+    assert engine.stops.due(0.0, engine.endpoints) == []
     later = STRAY_SECONDS + 0.1
     engine.take_report(endpoint, factory.report(running=[row]), later, later)
-    assert [order.task for order in engine.due_stops(later)] == [row[0]]
+    assert [order.task for order in engine.stops.due(later, engine.endpoints)] == [
+        row[0]
+    ]
 
 
 def test_unanswered_start_keeps_task_and_room_until_its_stop_is_answered():
@@ -95,7 +98,7 @@
     order = engine.plan(0.0)[0]
     engine.start_unanswered(order, 1.0)
     assert engine.plan(1.0) == []
-    stop = engine.due_stops(1.0)[0]
+    stop = engine.stops.due(1.0, engine.endpoints)[0]
     assert (stop.task, stop.run) == (order.task.name, order.run)
     engine.stop_answered(stop, 1.1)
     assert engine.plan(1.1) == []
@@ -111,7 +114,7 @@
     engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
     order = engine.plan(0.0)[0]
     engine.start_unanswered(order, 0.1)
-    [stop] = engine.due_stops(0.1)
+    [stop] = engine.stops.due(0.1, engine.endpoints)
     engine.stop_answered(stop, 0.2)
     engine.take_report(first, factory.report(), 0.3, 0.3)
     assert order.task.state is TaskState.WAITING
@@ -121,6 +124,15 @@
     assert dispatch.usable(second, order.task, 0.1 + LATE_ORDER_SECONDS)
 
 
+def test_task_that_waits_for_its_endpoint_holds_up_no_other():
+    engine = factory.make_engine()
+    factory.settle(engine, factory.make_info())
+    job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    first = job.task(0, 0)
+    first.bound_to, first.bound_until = object(), 10.0
+    assert [order.task for order in engine.plan(0.0)] == [job.task(0, 1)]
+
+
 def test_unanswered_start_that_is_listed_is_taken_for_started():
     engine = factory.make_engine()
     endpoint = factory.settle(engine, factory.make_info())
@@ -141,7 +153,7 @@
     reborn = factory.make_info(born_ms=2)
     factory.settle(engine, reborn, now=2.0, born_ms=2)
     assert engine.plan(2.0) == []
-    for stop in engine.due_stops(2.0):
+    for stop in engine.stops.due(2.0, engine.endpoints):
         engine.stop_answered(stop, 2.1)
     endpoint = engine.endpoints["e1"]
     engine.take_report(endpoint, factory.report(born_ms=2), 2.2, 2.3)
@@ -176,9 +188,9 @@
     assert order.task.state is TaskState.RUNNING
     later = 0.6 + progress.STILL_SECONDS
     engine.take_report(endpoint, factory.report(running=[row]), later, later)
-    [stop] = engine.due_stops(later)
+    [stop] = engine.stops.due(later, engine.endpoints)
     assert (stop.task, stop.reason) == (order.task.name, "stuck")
-    assert endpoint not in engine.available(later)
+    assert endpoint not in planning.available(engine, later)
 
 
 def test_endpoint_with_replicas_alone_is_tried_again_after_its_bar():
@@ -252,7 +264,7 @@
     job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
     orders = started(engine)
     engine.cancel(job.id)
-    assert {order.task for order in engine.due_stops(0.5)} == {
+    assert {order.task for order in engine.stops.due(0.5, engine.endpoints)} == {
         order.task.name for order in orders
     }
     for number, order in enumerate(orders, 1):
@@ -274,7 +286,7 @@
     progress = factory.reload(factory.store(first)[spec.id])
 
     second = factory.make_engine(term=1, inherited_until=20.0)
-    second.expect_endpoint("e1", "a")
+    second.inheritance.expect("e1", "a")
     job = second.add_job(spec, factory.QUEUE, 2.0, progress, inherited=True)
     factory.settle(second, factory.make_info("e2"), 2.0)
     assert second.plan(2.0) == []
@@ -287,8 +299,8 @@
 
 def test_successor_waits_for_endpoint_that_it_cannot_reach():
     engine = factory.make_engine(term=1, inherited_until=8.0)
-    engine.expect_endpoint("gone", "a")
-    engine.expect_endpoint("e1", "a")
+    engine.inheritance.expect("gone", "a")
+    engine.inheritance.expect("e1", "a")
     job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0, inherited=True)
     other = factory.make_spec(id="f" * 16, domain="b")
     engine.add_job(other, factory.QUEUE, 0.0, inherited=True)
@@ -301,7 +313,7 @@
 
 def test_unlisted_endpoint_that_never_answered_stays_unsettled():
     engine = factory.make_engine(term=1, inherited_until=8.0)
-    engine.expect_endpoint("e2", "a")
+    engine.inheritance.expect("e2", "a")
     engine.see_endpoint(factory.make_info("e2"), 0.0)
     engine.unlist_endpoint("e2")
     engine.expire(1.0)
