Take an endpoint for stored only once it is; let fillers run on half-empty ones

An endpoint that was listed while a write was under way was marked as stored with that write, although the write did not name it: a successor would not have reckoned with its runs.

Fillers waited for headroom whatever was free. The platform wants every job to run while under half of a service's capacity is in use, so none waits where under half of an endpoint's processors is reserved.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -21,6 +21,9 @@
 #: headroom; so much more is allowed for each objective's time that has passed.
 MAX_TAKEN = 0.2
 MAX_TAKEN_BY_AGE = 0.4
+#: No filler waits where less than this share of the processors is reserved: the
+#: platform wants every job to run while under half of a service's capacity is in use.
+FREE_SHARE = 0.5
 #: Score of a replica beside fillers for each unit of headroom that they take.
 PRESSED = 1.0
 #: Fillers with more than this share of the processors press replicas whatever their
@@ -34,6 +37,8 @@
 TAKES_FROM_FILLERS = 0.1
 #: Score of an endpoint that is still slow after its start.
 COLD = 0.5
+#: Score of an endpoint in another rack than the task's data.
+FAR_FROM_DATA = 1.0
 #: Score of an endpoint that failed the task before, or is being tried again.
 DISTRUSTED = 2.0
 
@@ -70,21 +75,19 @@
 def filler_score(endpoint, task, pressure, now):
     """Return how unfit an endpoint is for a filler, or ``None`` if it rather waits."""
     step = task.step
-    demand = endpoint.filler_demand + step.processors_milli
-    share = demand / max(1, endpoint.info.processors_milli)
     value = load_score(endpoint, step)
-    if endpoint.replicas:
-        speed = pressure.speed(endpoint, step)
-        taken = pressure.taken(endpoint, step)
-        if speed < LEAST_SPEED:
+    if not endpoint.replicas:
+        return value
+    capacity = max(1, endpoint.info.processors_milli)
+    share = (endpoint.filler_demand + step.processors_milli) / capacity
+    speed = pressure.speed(endpoint, step)
+    taken = pressure.taken(endpoint, step)
+    if endpoint.processors_used >= FREE_SHARE * capacity:
+        most_taken = MAX_TAKEN + MAX_TAKEN_BY_AGE * task.job.age(now)
+        if share > MAX_FILLER_SHARE or speed < LEAST_SPEED or taken > most_taken:
             return None
-        if taken > MAX_TAKEN + MAX_TAKEN_BY_AGE * task.job.age(now):
-            return None
-        value += SLOWED * (1 - speed) + TAKEN * taken
-        if share > MAX_FILLER_SHARE:
-            return None
-        value += CROWDED * max(0.0, share - CROWDED_SHARE)
-    return value
+    value += SLOWED * (1 - speed) + TAKEN * taken
+    return value + CROWDED * max(0.0, share - CROWDED_SHARE)
 
 
 def score(endpoint, task, pressure, now):
@@ -105,7 +108,7 @@
     if task.avoid is not None and endpoint.id in task.avoid:
         value += DISTRUSTED
     if step.data_rack and endpoint.info.rack != step.data_rack:
-        value += 1.0
+        value += FAR_FROM_DATA
     return value
 
 
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -108,7 +108,9 @@
         """Write what changed since the last write."""
         jobs, ends = self.engine.take_changes()
         records = [(job, job.progress()) for job in jobs]
-        endpoints = dict(self.recorded) if self.endpoints_changed else None
+        # More may be recorded while this is written.
+        known = dict(self.recorded)
+        endpoints = known if self.endpoints_changed else None
         self.endpoints_changed = False
         stored = 0
         try:
@@ -118,12 +120,12 @@
                 endpoints = None
                 stored += len(part)
         except BaseException:
-            self.endpoints_changed = endpoints is not None
+            self.endpoints_changed = self.endpoints_changed or endpoints is not None
             self.engine.not_stored(job for job, _progress in records[stored:])
             raise
         finally:
             self.engine.stored(records[:stored], ends if stored == len(records) else ())
-        for endpoint_id in self.recorded:
+        for endpoint_id in known:
             if endpoint_id in self.engine.endpoints:
                 self.engine.endpoints[endpoint_id].recorded = True
 
