Have fillers wait by what the whole service has reserved

Cause: the last change let fillers run on every endpoint that was under half reserved.

Change: fillers do not wait while under half of the service's processors is reserved, which is what the platform's rule is about; else they do.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -21,8 +21,8 @@
 #: headroom; so much more is allowed for each objective's time that has passed.
 MAX_TAKEN = 0.2
 MAX_TAKEN_BY_AGE = 0.4
-#: No filler waits where less than this share of the processors is reserved: the
-#: platform wants every job to run while under half of a service's capacity is in use.
+#: No filler waits while less than this share of a service's processors is reserved: the
+#: platform wants every job to run while under half of its capacity is in use.
 FREE_SHARE = 0.5
 #: Score of a replica beside fillers for each unit of headroom that they take.
 PRESSED = 1.0
@@ -72,8 +72,15 @@
     return value + PRESSED * pressure.on_replica(step.image, endpoint)
 
 
-def filler_score(endpoint, task, pressure, now):
-    """Return how unfit an endpoint is for a filler, or ``None`` if it rather waits."""
+def may_wait(service, endpoints):
+    """Return whether fillers of a service may wait for better endpoints."""
+    own = [endpoint for endpoint in endpoints if endpoint.info.service == service]
+    reserved = sum(endpoint.processors_used for endpoint in own)
+    return reserved >= FREE_SHARE * sum(e.info.processors_milli for e in own)
+
+
+def filler_score(endpoint, task, pressure, now, waits):
+    """Return how unfit an endpoint is for a filler, or ``None`` if it ``waits``."""
     step = task.step
     value = load_score(endpoint, step)
     if not endpoint.replicas:
@@ -82,7 +89,7 @@
     share = (endpoint.filler_demand + step.processors_milli) / capacity
     speed = pressure.speed(endpoint, step)
     taken = pressure.taken(endpoint, step)
-    if endpoint.processors_used >= FREE_SHARE * capacity:
+    if waits:
         most_taken = MAX_TAKEN + MAX_TAKEN_BY_AGE * task.job.age(now)
         if share > MAX_FILLER_SHARE or speed < LEAST_SPEED or taken > most_taken:
             return None
@@ -90,13 +97,13 @@
     return value + CROWDED * max(0.0, share - CROWDED_SHARE)
 
 
-def score(endpoint, task, pressure, now):
+def score(endpoint, task, pressure, now, waits):
     """Return how unfit ``endpoint`` is for ``task``, or ``None`` if not at all fit."""
     step = task.step
     if step.replica:
         value = replica_score(endpoint, step, pressure)
     elif step.filler:
-        value = filler_score(endpoint, task, pressure, now)
+        value = filler_score(endpoint, task, pressure, now, waits)
         if value is None:
             return None
     else:
@@ -142,15 +149,18 @@
         self.domain = domain
 
 
-def choose(task, endpoints, pressure, now):
-    """Return the `Choice` for ``task`` among ``endpoints``, or ``None``."""
+def choose(task, endpoints, pressure, now, waits=True):
+    """Return the `Choice` for ``task`` among ``endpoints``, or ``None``.
+
+    ``waits`` tells whether a filler may wait for better endpoints, see `may_wait`.
+    """
     best = best_elsewhere = None
     best_score = score_elsewhere = float("inf")
     domains = task.job.domains
     for endpoint in endpoints:
         if not usable(endpoint, task, now):
             continue
-        value = score(endpoint, task, pressure, now)
+        value = score(endpoint, task, pressure, now, waits)
         if value is None:
             continue
         if endpoint.domain in domains:
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -36,21 +36,26 @@
     endpoints = available(engine, now)
     if not endpoints:
         return orders
+    waits = {
+        service: dispatch.may_wait(service, endpoints)
+        for service in {endpoint.info.service for endpoint in endpoints}
+    }
     for job in sorted(engine.active.values(), key=lambda job: dispatch.rank(job, now)):
         if job.learned_at > engine.sole_until or not engine.inheritance.settled(job):
             continue
         for waiting in job.waiting:
-            orders += place_step(engine, waiting, endpoints, now)
+            wait = waits.get(job.spec.service, True)
+            orders += place_step(engine, waiting, endpoints, now, wait)
     return orders
 
 
-def place_step(engine, waiting, endpoints, now):
+def place_step(engine, waiting, endpoints, now, waits):
     """Return orders for the waiting tasks of one step, which are all alike."""
     orders = []
     for task in list(waiting):
         if task.not_before > now:
             continue
-        order = place(engine, task, endpoints, now)
+        order = place(engine, task, endpoints, now, waits)
         if order is not None:
             orders.append(order)
         elif task.avoid is None and now >= task.bound_until:
@@ -58,9 +63,9 @@
     return orders
 
 
-def place(engine, task, endpoints, now):
+def place(engine, task, endpoints, now, waits):
     """Return the order for ``task``, or ``None`` if it has to wait."""
-    choice = dispatch.choose(task, endpoints, engine.pressure, now)
+    choice = dispatch.choose(task, endpoints, engine.pressure, now, waits)
     if choice is None:
         return None
     job = task.job
