Count a run that became needless until its endpoint reports its end

The second run is told to stop, but its task is freed at once, and with it the room at the second endpoint, which runs it until the stop has its effect. The next start there went beyond the capacity.

Change: the run counts as unplaced from that moment until a report of its endpoint leaves it out; a test fails before and passes after.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -260,6 +260,7 @@
         if task.endpoint is not None:
             if not current:
                 self.stops.add(task.endpoint, task.name, task.run, "duplicate")
+                task.endpoint.add_unplaced(task.step)
             self.doubts.pop(task.name, None)
         if job.ended:
             task.free()
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -162,6 +162,13 @@
         self.unplaced_accelerators = sum(step.accelerators for step in steps)
         self.unmeasured = unmeasured
 
+    def add_unplaced(self, step):
+        """Count a run that is no task's current run any more, until the next report."""
+        if not step.filler:
+            self.unplaced_processors += step.processors_milli
+        self.unplaced_memory += step.memory_mb
+        self.unplaced_accelerators += step.accelerators
+
     def fits(self, step):
         """Return whether one more task of ``step`` stays within the capacity."""
         info = self.info
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -231,6 +231,28 @@
     assert job.left == [0]
 
 
+def test_run_that_became_needless_keeps_its_room_until_its_end_is_reported():
+    """Its endpoint was asked to stop it, and may have one more report under way."""
+    engine = factory.make_engine()
+    first = factory.settle(engine, factory.make_info("e1"))
+    spec = factory.make_spec(steps=[Step(count=1, processors_milli=6000)])
+    engine.add_job(spec, factory.QUEUE, 0.0)
+    [order] = started(engine)
+    row = (order.task.name, order.run, "done")
+    engine.lose(order.task, "lapsed")
+    first.failing_since = 1.0
+    second = factory.settle(engine, factory.make_info("e2"))
+    [again] = started(engine, 1.0)
+    assert again.endpoint is second
+    engine.take_report(first, factory.report(ended=[(1, *row)]), 2.0, 2.0)
+    assert not second.fits(spec.steps[0])
+    running = [(again.task.name, again.run, "", 50, 6000)]
+    engine.take_report(second, factory.report(running=running), 2.1, 2.1)
+    assert not second.fits(spec.steps[0])
+    engine.take_report(second, factory.report(), 2.5, 2.5)
+    assert second.fits(spec.steps[0])
+
+
 def test_job_fails_after_its_attempts_and_same_end_counts_once():
     engine = factory.make_engine()
     endpoint = factory.settle(engine, factory.make_info())
