Keep the room of a needless run whose start may still be under way

The last change counted the second run until the next report. A report can overtake the start, does not list it, and the room was given away before the start came.

Change: such a run counts until it ends, or until a report that was asked for after its stop was answered leaves it out; from then on it is barred. A test brings about the overtaking; it fails before and passes after.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -209,7 +209,7 @@
         for row in report.running:
             seen.add(row.task)
             self.take_running(endpoint, row, now)
-        self.count_unplaced(endpoint, report.running)
+        self.count_unplaced(endpoint, report.running, sent_at)
         self.pressure.observe(endpoint, now)
         self.find_missing(endpoint, seen, sent_at)
         self.free_stuck(endpoint, now)
@@ -229,6 +229,7 @@
         """Take one end of a run."""
         metrics.RUN_ENDS.labels(end.outcome).inc()
         self.stops.drop(endpoint, end.task, end.run)
+        endpoint.needless.pop((end.task, end.run), None)
         task = self.find_task(end.task)
         if task is None:
             return
@@ -260,7 +261,7 @@
         if task.endpoint is not None:
             if not current:
                 self.stops.add(task.endpoint, task.name, task.run, "duplicate")
-                task.endpoint.add_unplaced(task.step)
+                task.endpoint.add_needless(task)
             self.doubts.pop(task.name, None)
         if job.ended:
             task.free()
@@ -326,9 +327,10 @@
             task.state = TaskState.RUNNING
             self.doubts.pop(task.name, None)
 
-    def count_unplaced(self, endpoint, rows):
-        """Count the listed runs that are no task's current run."""
-        steps, unmeasured = [], False
+    def count_unplaced(self, endpoint, rows, sent_at):
+        """Count the runs that are, or may come to be, no task's current run."""
+        listed = {(row.task, row.run) for row in rows}
+        steps, unmeasured = endpoint.steps_of_needless(listed, sent_at), False
         for row in rows:
             task = self.find_task(row.task)
             if task is None:
@@ -401,6 +403,9 @@
         if stop is None:
             return
         stop.answered_at = now
+        needless = order.endpoint.needless.get((order.task, order.run))
+        if needless is not None:
+            needless.barred_at = now
         task = self.find_task(order.task)
         if task is None or task.endpoint is not order.endpoint or task.run != order.run:
             self.stops.drop(order.endpoint, order.task, order.run)
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -8,6 +8,16 @@
 LAPSE_MARGIN_SECONDS = 0.3
 
 
+class Needless:
+    """A run whose task another run has done; its stop was answered at ``barred_at``."""
+
+    __slots__ = ("step", "barred_at")
+
+    def __init__(self, step):
+        self.step = step
+        self.barred_at = 0.0
+
+
 class EndpointState:
     """An endpoint in its newest life.
 
@@ -15,6 +25,7 @@
     answered this scheduler, so that older schedulers' orders are refused there;
     ``recorded`` that the store names it as in use.  ``acknowledged`` is the number of
     the last end whose effect is stored, ``noted`` the last that was processed.
+    ``needless`` has the runs by (task, run) that are being stopped unneeded.
     ``last_readings``, ``local_levels`` and ``rooms_left`` belong to `policy.pressure`.
     ``granted_ms`` is the latest lease deadline, on the endpoint's clock, that was ever
     sent; ``clock_ms`` was read at ``clock_at`` of the scheduler's clock.
@@ -50,6 +61,7 @@
         "unplaced_memory",
         "unplaced_accelerators",
         "unmeasured",
+        "needless",
     )
 
     def __init__(self, info, health):
@@ -91,6 +103,7 @@
         self.info = info
         self.settled = False
         self.strays = {}
+        self.needless = {}
         self.count_unplaced((), False)
         self.acknowledged = 0
         self.noted = 0
@@ -162,12 +175,30 @@
         self.unplaced_accelerators = sum(step.accelerators for step in steps)
         self.unmeasured = unmeasured
 
-    def add_unplaced(self, step):
-        """Count a run that is no task's current run any more, until the next report."""
-        if not step.filler:
-            self.unplaced_processors += step.processors_milli
-        self.unplaced_memory += step.memory_mb
-        self.unplaced_accelerators += step.accelerators
+    def add_needless(self, task):
+        """Count the run of ``task``, needed no more, until it is surely over."""
+        self.needless[task.name, task.run] = Needless(task.step)
+        if not task.step.filler:
+            self.unplaced_processors += task.step.processors_milli
+        self.unplaced_memory += task.step.memory_mb
+        self.unplaced_accelerators += task.step.accelerators
+
+    def steps_of_needless(self, listed, sent_at):
+        """Return the steps of needless runs that may yet begin.
+
+        ``listed`` are the runs in a report asked for at ``sent_at``.  One that it does
+        not list is over if its stop was answered before; else its start may be under
+        way.
+        """
+        steps = []
+        for key, needless in list(self.needless.items()):
+            if key in listed:
+                continue
+            if needless.barred_at and needless.barred_at < sent_at:
+                del self.needless[key]
+            else:
+                steps.append(needless.step)
+        return steps
 
     def fits(self, step):
         """Return whether one more task of ``step`` stays within the capacity."""
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -249,10 +249,35 @@
     running = [(again.task.name, again.run, "", 50, 6000)]
     engine.take_report(second, factory.report(running=running), 2.1, 2.1)
     assert not second.fits(spec.steps[0])
+    [stop] = engine.stops.due(2.2, engine.endpoints)
+    engine.stop_answered(stop, 2.3)
     engine.take_report(second, factory.report(), 2.5, 2.5)
     assert second.fits(spec.steps[0])
 
 
+def test_start_on_its_way_keeps_its_room_when_the_task_is_done_elsewhere():
+    """A report may overtake it; only an answered stop bars it."""
+    engine = factory.make_engine()
+    first = factory.settle(engine, factory.make_info("e1"))
+    spec = factory.make_spec(steps=[Step(count=1, processors_milli=6000)])
+    engine.add_job(spec, factory.QUEUE, 0.0)
+    [order] = started(engine)
+    row = (order.task.name, order.run, "done")
+    engine.lose(order.task, "lapsed")
+    first.failing_since = 1.0
+    second = factory.settle(engine, factory.make_info("e2"))
+    [again] = engine.plan(1.0)
+    assert again.endpoint is second
+    engine.take_report(first, factory.report(ended=[(1, *row)]), 1.1, 1.1)
+    engine.take_report(second, factory.report(), 1.2, 1.2)
+    assert not second.fits(spec.steps[0])
+    [stop] = engine.stops.due(1.2, engine.endpoints)
+    engine.stop_answered(stop, 1.3)
+    assert not second.fits(spec.steps[0])
+    engine.take_report(second, factory.report(), 1.4, 1.4)
+    assert second.fits(spec.steps[0])
+
+
 def test_job_fails_after_its_attempts_and_same_end_counts_once():
     engine = factory.make_engine()
     endpoint = factory.settle(engine, factory.make_info())
