--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -231,8 +231,11 @@
     assert job.left == [0]
 
 
-def test_run_that_became_needless_keeps_its_room_until_its_end_is_reported():
-    """Its endpoint was asked to stop it, and may have one more report under way."""
+def lose_first_run():
+    """Lose a run with its endpoint; return what its end and the next run need.
+
+    The engine, both endpoints, the job, and the row of the first run's end.
+    """
     engine = factory.make_engine()
     first = factory.settle(engine, factory.make_info("e1"))
     spec = factory.make_spec(steps=[Step(count=1, processors_milli=6000)])
@@ -242,6 +245,12 @@
     engine.lose(order.task, "lapsed")
     first.failing_since = 1.0
     second = factory.settle(engine, factory.make_info("e2"))
+    return engine, first, second, spec, row
+
+
+def test_run_that_became_needless_keeps_its_room_until_its_end_is_reported():
+    """Its endpoint was asked to stop it, and may have one more report under way."""
+    engine, first, second, spec, row = lose_first_run()
     [again] = started(engine, 1.0)
     assert again.endpoint is second
     engine.take_report(first, factory.report(ended=[(1, *row)]), 2.0, 2.0)
@@ -257,15 +266,7 @@
 
 def test_start_on_its_way_keeps_its_room_when_the_task_is_done_elsewhere():
     """A report may overtake it; only an answered stop bars it."""
-    engine = factory.make_engine()
-    first = factory.settle(engine, factory.make_info("e1"))
-    spec = factory.make_spec(steps=[Step(count=1, processors_milli=6000)])
-    engine.add_job(spec, factory.QUEUE, 0.0)
-    [order] = started(engine)
-    row = (order.task.name, order.run, "done")
-    engine.lose(order.task, "lapsed")
-    first.failing_since = 1.0
-    second = factory.settle(engine, factory.make_info("e2"))
+    engine, first, second, spec, row = lose_first_run()
     [again] = engine.plan(1.0)
     assert again.endpoint is second
     engine.take_report(first, factory.report(ended=[(1, *row)]), 1.1, 1.1)
