Keep answers that arrived while the event loop was late

What callers could see: SHORT and LOST under load. With a scheduler short of processor time, orders, reports and renewals of its own lease count as unanswered although their answers are there.

Cause: a call's deadline cancels the task that waits for the answer. If the loop is late, it reads the answer and runs the timer in the same pass, and the cancellation wins. The call then closes its connection and all idle ones to that address, marks the endpoint unreachable or the start unanswered, which pins its task for seconds, and connects again: more work for a loop that is late already.

Evidence: test_answer_that_arrived_in_time_is_lost_to_a_late_event_loop failed before with CallUnansweredError.

Change: the deadline fails the future of the answer instead, which does nothing once the answer is set. The loop reads sockets before it runs timers, so an answer that has arrived wins. A timer is also cheaper than a task's cancellation scope.

--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -100,16 +100,25 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(error)
 
-    async def exchange(self, data):
-        """Send the encoded call ``data`` and return its `Answer`."""
+    async def exchange(self, data, deadline):
+        """Send the encoded call ``data`` and return its `Answer`.
+
+        Raises `TimeoutError` if there is none at ``deadline``, a time of the event
+        loop.
+        """
+        loop = asyncio.get_running_loop()
         self.parser = httptools.HttpResponseParser(self)
         self.headers = {}
         self.body = []
-        self.waiter = asyncio.get_running_loop().create_future()
+        self.waiter = loop.create_future()
+        # The loop reads sockets before it runs timers, so an answer that has arrived
+        # counts even if the loop itself is late.
+        timer = loop.call_at(deadline, self.fail, TimeoutError())
         try:
             self.transport.write(data)
             return await self.waiter
         finally:
+            timer.cancel()
             self.waiter = None
 
     @property
@@ -152,8 +161,7 @@
         connection = await self.connect(address, deadline)
         data = encode_call(address, method, path, body, headers)
         try:
-            async with asyncio.timeout_at(deadline):
-                answer = await connection.exchange(data)
+            answer = await connection.exchange(data, deadline)
         except BaseException as error:
             connection.transport.abort()
             if isinstance(error, TimeoutError):
