Test bed for whole terms of the scheduler in virtual time

It cuts links, loses calls of the store, kills schedulers, unlists and restarts endpoints, and checks that no job waits for 3 s while a task is due, has room for two, under half of the capacity is in use and no disturbance was active in the 4 s before.

--- /dev/null
+++ b/tests/workflow/testbed.py
@@ -0,0 +1,470 @@
+"""Daemons that run the real `Scheduler` on an in-memory store, in virtual time.
+
+Disturbances may overlap: links cut, calls of the store lost, schedulers killed,
+endpoints unlisted or restarted.  The monitor checks runs at the endpoints themselves:
+no task runs twice, and none waits without cause once the disturbances are over.  Late
+orders to a restarted endpoint are left to `tests.workflow.model`.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+from types import SimpleNamespace
+
+import msgspec
+
+from clementinebay import errors
+from clementinebay.services.term import RENEW_SHARE, TTL_SECONDS
+from clementinebay.store.base import Put
+from clementinebay.store.keyspace import KeySpace, MemoryStore
+from clementinebay.workflow import jobstore
+from clementinebay.workflow.boundary import Boundary, EndpointDriver
+from clementinebay.workflow.model import QueueTable
+from clementinebay.workflow.schedule import Scheduler
+from tests.workflow import factory
+from tests.workflow.model import CAPACITY, MAX_DELAY_SECONDS, ModelEndpoint
+from tests.workflow.virtualtime import LoopClock
+
+PREFIX = "servers/"
+CALL_SECONDS = 0.01
+ORDER_TIMEOUT_SECONDS = 0.8
+POLL_SECONDS = 0.05
+#: Longest time for which a job may wait without cause, and the time without a
+#: disturbance before it, in seconds.
+MAX_STARVED_SECONDS = 3.0
+CALM_SECONDS = 4.0
+
+
+class FaultyStore(MemoryStore):
+    """One daemon's access to the store; ``away`` and ``lossy`` are its faults.
+
+    A ``lossy`` store loses every second answer to a write, after or before its effect.
+    """
+
+    def __init__(self, bed):
+        super().__init__(bed.space)
+        self.bed = bed
+        self.away = False
+        self.lossy = False
+
+    async def pass_link(self):
+        """Wait for the round trip; raise an error if the store is away."""
+        await asyncio.sleep(CALL_SECONDS)
+        if self.away:
+            raise errors.PlatformUnavailableError("away")
+
+    async def get(self, key):
+        """See `KeyValueStore`."""
+        await self.pass_link()
+        return self.space.get(key)
+
+    async def scan(self, start, end, limit=0):
+        """See `KeyValueStore`."""
+        await self.pass_link()
+        return self.space.range(start, end, limit), self.space.revision
+
+    async def commit(self, compares, puts=(), deletes=()):
+        """See `KeyValueStore`."""
+        await self.pass_link()
+        is_lost = self.lossy and self.bed.random.random() < 0.5
+        if is_lost and self.bed.random.random() < 0.5:
+            raise errors.PlatformOutcomeUnknownError("lost before its effect")
+        revision = self.space.commit(compares, puts, deletes)
+        if is_lost:
+            raise errors.PlatformOutcomeUnknownError("lost after its effect")
+        return revision
+
+    async def keep_alive(self, lease):
+        """See `KeyValueStore`."""
+        await self.pass_link()
+        return self.space.keep_alive(lease)
+
+    async def watch(self, start, end, revision):
+        """See `KeyValueStore`."""
+        while True:
+            await self.pass_link()
+            entries = self.space.changes(start, end, revision)
+            revision = self.space.revision
+            if entries:
+                yield entries, revision
+            await asyncio.sleep(POLL_SECONDS)
+
+
+class Driver(EndpointDriver):
+    """Sends orders to the bed's endpoints, over links that may be cut."""
+
+    def __init__(self, bed):
+        self.bed = bed
+
+    async def call(self, endpoint, action, *args):
+        """Execute an order after a round trip; raise the error of a cut link."""
+        model = self.bed.by_id[endpoint.id]
+        await asyncio.sleep(CALL_SECONDS)
+        how = self.bed.cuts.get(model.id) or ("refused" if not model.up else None)
+        if how == "refused":
+            raise errors.CallNotSentError(model.id, "refused")
+        if how == "reset":
+            self.bed.execute_late(model, action, args)
+            raise errors.CallUnansweredError(model.id, "/", "reset")
+        if how == "silent":
+            await asyncio.sleep(ORDER_TIMEOUT_SECONDS)
+            raise errors.CallUnansweredError(model.id, "/", "timeout")
+        fence = args[-1]
+        if fence < model.fence:
+            reason = errors.OrderRefusedError.FENCED
+            raise errors.OrderRefusedError(model.id, reason)
+        result = action(self.bed.now(), *args)
+        await asyncio.sleep(CALL_SECONDS)
+        if model.id in self.bed.cuts or not model.up:
+            raise errors.CallUnansweredError(model.id, "/", "reset")
+        return result
+
+    async def start(self, order, deadline_ms, fence):
+        """See `EndpointDriver`."""
+        model = self.bed.by_id[order.endpoint.id]
+        task = order.task
+        args = (task.name, order.run, task.step, deadline_ms, fence)
+        if not await self.call(order.endpoint, model.start, *args):
+            reason = errors.OrderRefusedError.SUPERSEDED
+            raise errors.OrderRefusedError(model.id, reason)
+
+    async def stop(self, order, fence):
+        """See `EndpointDriver`."""
+        model = self.bed.by_id[order.endpoint.id]
+        await self.call(order.endpoint, model.stop, order.task, order.run, fence)
+
+    async def pace(self, order, fence):
+        """See `EndpointDriver`."""
+
+    async def report(self, endpoint, deadline_ms, acknowledged, wait, fence):
+        """See `EndpointDriver`."""
+        model = self.bed.by_id[endpoint.id]
+        args = (deadline_ms, acknowledged, fence)
+        report = await self.call(endpoint, model.report, *args)
+        until = self.bed.now() + wait
+        while self.bed.now() < until and not report.ended:
+            await asyncio.sleep(POLL_SECONDS)
+            report = await self.call(endpoint, model.report, None, acknowledged, fence)
+        return report
+
+
+class BedBoundary(Boundary):
+    """Decodes the bed's registry entries."""
+
+    endpoint_prefix = PREFIX
+
+    def __init__(self, bed):
+        self.driver = Driver(bed)
+
+    def decode_endpoint(self, key, value):
+        """See `Boundary`."""
+        return factory.make_info(key[len(PREFIX) :], **json.loads(value))
+
+    def decode_operator_item(self, key, value):
+        """See `Boundary`."""
+
+
+class Daemon:
+    """A daemon that becomes the scheduler whenever there is none."""
+
+    def __init__(self, bed, name):
+        self.bed = bed
+        self.name = name
+        self.store = FaultyStore(bed)
+        self.scheduler = None
+        self.process = asyncio.create_task(self.serve())
+
+    async def serve(self):
+        """Stand for election and schedule, until killed."""
+        while True:
+            with contextlib.suppress(errors.NotLeaderError, errors.PlatformError):
+                await self.run_term()
+            self.scheduler = None
+            await asyncio.sleep(0.1)
+
+    async def run_term(self):
+        """Acquire the term and schedule until it ends."""
+        token = f"{self.name}-{self.bed.now()}"
+        requested_at = self.bed.now()
+        writer, lease = await jobstore.acquire_term(
+            self.store, self.name, "", token, TTL_SECONDS
+        )
+        self.scheduler = Scheduler(
+            self.bed.deployment,
+            self.bed.queues,
+            writer,
+            TTL_SECONDS,
+            self.bed.clock,
+            factory.quiet_log(),
+        )
+        self.scheduler.engine.wall_clock = self.bed.clock
+        self.scheduler.confirm(requested_at)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.scheduler.run())
+                group.create_task(self.renew(lease))
+        except* (errors.NotLeaderError, errors.PlatformError):
+            pass
+        except* Exception as failures:
+            self.bed.failures += failures.exceptions
+
+    async def renew(self, lease):
+        """Renew the term's lease until it is lost."""
+        while True:
+            await asyncio.sleep(TTL_SECONDS * RENEW_SHARE)
+            requested_at = self.bed.now()
+            with contextlib.suppress(errors.PlatformError):
+                if not await self.store.keep_alive(lease):
+                    raise errors.NotLeaderError(jobstore.HOLDER)
+                self.scheduler.confirm(requested_at)
+
+    async def kill(self):
+        """Kill the daemon and start it again."""
+        self.process.cancel()
+        await asyncio.wait([self.process])
+        self.scheduler = None
+        self.process = asyncio.create_task(self.serve())
+
+
+class TestBed:
+    """Endpoints, a store and daemons; use it with ``async with``.
+
+    ``cuts`` maps the ids of endpoints whose links are cut to "refused", "silent" or
+    "reset".  ``done`` has the names of the tasks that ended done, ``failures`` what
+    ended a term unexpectedly.
+    """
+
+    __test__ = False
+
+    def __init__(self, seed=0, endpoints=4, daemons=1):
+        random.seed(seed)
+        self.random = random.Random(seed)
+        self.clock = LoopClock()
+        self.now = self.clock.now
+        self.space = KeySpace(self.clock)
+        self.cuts = {}
+        self.done = set()
+        self.acknowledged_tasks = set()
+        self.failures = []
+        self.specs = {}
+        self.starved_since = {}
+        self.active_disturbances = 0
+        self.calm_since = 0.0
+        self.endpoints = [
+            ModelEndpoint(f"e{number}", "ab"[number % 2], self)
+            for number in range(endpoints)
+        ]
+        self.by_id = {model.id: model for model in self.endpoints}
+        for model in self.endpoints:
+            self.list(model)
+        self.queues = SimpleNamespace(
+            out=frozenset(),
+            listener=None,
+            table=QueueTable(1, [factory.QUEUE], 1000, 1000),
+        )
+        self.deployment = SimpleNamespace(
+            boundary=BedBoundary(self),
+            max_lease_seconds=factory.MAX_LEASE,
+            lease_seconds=5.0,
+            status_seconds=1e12,
+        )
+        self.daemon_count = daemons
+
+    async def __aenter__(self):
+        self.daemons = [Daemon(self, f"d{n}") for n in range(self.daemon_count)]
+        self.monitor = asyncio.create_task(self.run_monitor())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        tasks = [self.monitor, *(daemon.process for daemon in self.daemons)]
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+    async def run(self, seconds):
+        """Let the bed work for ``seconds``; raise what the monitor found."""
+        await asyncio.wait([self.monitor], timeout=seconds)
+        if self.monitor.done():
+            self.monitor.result()
+        assert not self.failures, self.failures
+
+    @property
+    def scheduler(self):
+        """The scheduler of the newest term, or ``None``."""
+        schedulers = [d.scheduler for d in self.daemons if d.scheduler is not None]
+        return max(schedulers, key=lambda s: s.writer.number, default=None)
+
+    # Registry, jobs and orders
+
+    def list(self, model):
+        """Write the registry entry of an endpoint."""
+        fields = {
+            "born_ms": model.born,
+            "failure_domain": model.domain,
+            "processors_milli": CAPACITY,
+        }
+        value = json.dumps(fields).encode()
+        self.space.commit((), [Put(PREFIX + model.id, value)])
+
+    def unlist(self, model):
+        """Remove the registry entry of an endpoint."""
+        key = PREFIX + model.id
+        self.space.commit((), (), [(key, key + "\0")])
+
+    def submit(self, domain="a", steps=None):
+        """Submit a job; return the name of its first task."""
+        job_id = f"{self.random.getrandbits(64):016x}"
+        spec = factory.make_spec(job_id, steps, domain, attempts=50)
+        self.specs[job_id] = spec
+        value = msgspec.json.encode(spec)
+        self.space.commit((), [Put(jobstore.JOBS + job_id, value)])
+        return f"{job_id}.0.0.0"
+
+    def execute_late(self, model, action, args):
+        """Execute an order at once, late or never, as if its answer were lost."""
+        delay = self.random.choice((None, 0.0, self.random.uniform(1, 12)))
+        if delay is None:
+            return
+        born = model.born
+        delay = min(delay, MAX_DELAY_SECONDS)
+
+        def execute():
+            if model.born == born and args[-1] >= model.fence:
+                action(self.now(), *args)
+
+        asyncio.get_running_loop().call_later(delay, execute)
+
+    def running_at(self, task):
+        """Return the endpoint at which a task runs, or ``None``."""
+        for model in self.endpoints:
+            if model.up and task in model.runs:
+                return model
+        return None
+
+    # Disturbances
+
+    @contextlib.asynccontextmanager
+    async def disturbance(self, seconds):
+        """Count a disturbance as active; it lasts ``seconds`` after the body."""
+        self.active_disturbances += 1
+        yield
+        await asyncio.sleep(seconds)
+        self.active_disturbances -= 1
+        self.calm_since = self.now()
+
+    async def cut(self, models, how, seconds):
+        """Cut the links to endpoints for a time."""
+        async with self.disturbance(seconds):
+            self.cuts.update((model.id, how) for model in models)
+        for model in models:
+            self.cuts.pop(model.id, None)
+
+    async def disturb_store(self, daemon, fault, seconds):
+        """Let a daemon's access to the store fail for a time."""
+        async with self.disturbance(seconds):
+            setattr(daemon.store, fault, True)
+        setattr(daemon.store, fault, False)
+
+    async def unlist_for(self, models, seconds):
+        """Remove registry entries for a time, as when the store has been away."""
+        async with self.disturbance(seconds):
+            for model in models:
+                self.unlist(model)
+        for model in models:
+            self.list(model)
+
+    async def restart(self, model, seconds):
+        """Crash an endpoint and start it again under its id after a time."""
+        async with self.disturbance(seconds):
+            model.up = False
+            model.runs = {}
+        model.up = True
+        model.restart(self.now())
+        self.list(model)
+
+    async def kill_scheduler(self):
+        """Kill the daemon that schedules."""
+        async with self.disturbance(0.0):
+            for daemon in self.daemons:
+                if daemon.scheduler is not None:
+                    await daemon.kill()
+
+    # Monitor
+
+    async def run_monitor(self):
+        """Let the endpoints work, and check the rules at short intervals."""
+        while True:
+            for model in self.endpoints:
+                if model.up:
+                    model.work(self.now())
+                    self.done |= {e.task for e in model.ended if e.outcome == "done"}
+            self.check_capacity()
+            self.check_starved()
+            await asyncio.sleep(POLL_SECONDS)
+
+    def check_start(self, task, endpoint, now):
+        """Assert that a task that starts runs nowhere else and was not done."""
+        for other in self.endpoints:
+            if other is not endpoint and other.up:
+                assert task not in other.runs, (task, endpoint.id, other.id, now)
+        assert task not in self.acknowledged_tasks, (task, endpoint.id, now)
+
+    def used(self, model):
+        """Return the processors used at an endpoint."""
+        return sum(run[1].processors_milli for run in model.runs.values())
+
+    def check_capacity(self):
+        """Assert that no endpoint exceeds its capacity."""
+        for model in self.endpoints:
+            assert self.used(model) <= CAPACITY, (model.id, self.now())
+
+    def check_starved(self):
+        """Assert that no job waits for too long while there is room."""
+        calm_until = self.calm_since + CALM_SECONDS
+        if self.active_disturbances or self.now() < calm_until:
+            self.starved_since.clear()
+            return
+        starved = {job_id for job_id, spec in self.specs.items() if self.starves(spec)}
+        for job_id in starved:
+            since = self.starved_since.setdefault(job_id, self.now())
+            waited = self.now() - since
+            assert waited < MAX_STARVED_SECONDS, (job_id, self.now(), self.explain())
+        for job_id in set(self.starved_since) - starved:
+            del self.starved_since[job_id]
+
+    def starves(self, spec):
+        """Return whether a job runs nothing, though a task is due and has room."""
+        names = [
+            [f"{spec.id}.0.{number}.{index}" for index in range(step.count)]
+            for number, step in enumerate(spec.steps)
+        ]
+        if any(self.running_at(name) for step_names in names for name in step_names):
+            return False
+        return any(
+            not self.done.issuperset(names[number])
+            and all(self.done.issuperset(names[before]) for before in step.after)
+            and self.has_room_twice(step)
+            for number, step in enumerate(spec.steps)
+        )
+
+    def has_room_twice(self, step):
+        """Return whether two tasks of ``step`` fit and under half is in use."""
+        models = [model for model in self.endpoints if model.up]
+        in_use = sum(self.used(model) for model in models)
+        places = sum(
+            (CAPACITY - self.used(model)) // step.processors_milli for model in models
+        )
+        return places >= 2 and 2 * in_use < CAPACITY * len(models)
+
+    def explain(self):
+        """Return the scheduler's view of the tasks that wait, for a failed check."""
+        if self.scheduler is None:
+            return "no scheduler"
+        engine = self.scheduler.engine
+        return {
+            task.name: (task.state.value, task.endpoint and task.endpoint.id)
+            for job in engine.active.values()
+            for task in job.tasks.values()
+            if task.state.value != "done" and not self.running_at(task.name)
+        }
