Release a stopped task even if its stop is repeated in step with the reports

What callers could see: LOST. A task whose start order got no answer, as when a link is reset, stayed "stopping" at its endpoint and was run nowhere, for as long as no other run ended there.

Cause: the engine releases the task if its stop was answered before a report without the run was requested. The stop is repeated every second until then, and each answer replaced the time of the answer. An idle endpoint delays its report by a second, so every report had been requested before the last answer.

Evidence: test_repeated_stop_does_not_postpone_the_release_of_its_task failed before ("stopping" instead of "waiting").

Change: the time of the first answer is kept. An endpoint refuses the run from the first answer on, so a report requested after it and without the run proves that the run is over; a restart of the endpoint drops the stops of its tasks.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -416,7 +416,8 @@
         stop = self.stops.find(order.endpoint, order.task, order.run)
         if stop is None:
             return
-        stop.answered_at = now
+        # A repeated answer must not outdate the report that would release the task.
+        stop.answered_at = stop.answered_at or now
         redundant = order.endpoint.redundant_runs.get((order.task, order.run))
         if redundant is not None:
             redundant.stop_answered_at = now
--- a/clementinebay/workflow/stops.py
+++ b/clementinebay/workflow/stops.py
@@ -7,7 +7,7 @@
 
 
 class PendingStop:
-    """A stop order; ``answered_at`` is when the endpoint accepted it, or 0."""
+    """A stop order; ``answered_at`` is when the endpoint first accepted it, or 0."""
 
     __slots__ = ("endpoint", "task", "run", "reason", "next_send_at", "answered_at")
 
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -110,6 +110,22 @@
     assert again.run > order.run
 
 
+def test_repeated_stop_does_not_postpone_the_release_of_its_task():
+    """Stops are repeated about as often as an idle endpoint reports."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 1.0)
+    for sent_at in (1.1, 2.2):
+        [stop] = engine.stops.due(sent_at - 0.1, engine.endpoints)
+        engine.stop_answered(stop, sent_at - 0.05)
+    [stop] = engine.stops.due(3.1, engine.endpoints)
+    engine.stop_answered(stop, 3.15)
+    engine.process_report(endpoint, factory.report(), 2.2, 3.2)
+    assert order.task.state is TaskState.WAITING
+
+
 def test_stopped_unanswered_start_pins_its_task_to_the_endpoint():
     """A restarted endpoint has lost the stop and would execute the late start order."""
     engine = factory.make_engine()
