Use endpoints that the store names already without waiting for a write

What callers could see: LOST. After a change of the scheduler, or after an endpoint was listed again, no task was started there until the scheduler wrote something for another reason; if all endpoints were affected and no run was in progress, no job was started at all.

Cause: an endpoint is used once the store names it as in use, and was marked so by the next write. For an endpoint that the store named before this scheduler saw it, no write was requested.

Evidence: test_successor_uses_endpoints_recorded_by_an_earlier_term_without_a_write and test_endpoint_listed_again_is_recorded_without_a_write failed before: the task ran nowhere 1 s after it was submitted.

Change: the writer of changes keeps which endpoints the store names, and marks such an endpoint as recorded when it is listed. An endpoint listed in another failure domain than the stored one is written again.

--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -98,9 +98,10 @@
         metrics.TERMS.inc()
         metrics.SCHEDULING.set(1)
         self.stored_progress = await self.jobs.all_progress()
-        self.change_writer.recorded = await self.jobs.used_endpoints()
+        used_endpoints = await self.jobs.used_endpoints()
+        self.change_writer.load_endpoints(used_endpoints)
         self.engine.pressure.load_weights(await self.jobs.learned_weights())
-        for endpoint_id, domain in self.change_writer.recorded.items():
+        for endpoint_id, domain in used_endpoints.items():
             self.engine.inherited_endpoints.expect(endpoint_id, domain)
         self.job_mirror = Mirror(
             self.store,
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -29,7 +29,8 @@
 class ChangeWriter:
     """Writes the engine's changes to the store during a term.
 
-    ``recorded`` maps the endpoints to be stored as in use to their failure domains.
+    ``recorded`` maps the endpoints to be stored as in use to their failure domains,
+    ``stored_endpoints`` those that the store names already.
     Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called after each
     write.
     """
@@ -44,12 +45,20 @@
         self.stored_condition = asyncio.Condition()
         self.write_lock = asyncio.Lock()
         self.recorded = {}
+        self.stored_endpoints = {}
         self.endpoints_changed = False
         self.stored_pending_counts = {}
 
+    def load_endpoints(self, domains):
+        """Adopt the endpoints in use that an earlier scheduler stored."""
+        self.recorded = dict(domains)
+        self.stored_endpoints = dict(domains)
+
     def record_endpoint(self, endpoint):
-        """Schedule an endpoint to be stored as in use."""
-        if endpoint.id not in self.recorded:
+        """Schedule an endpoint to be stored as in use unless it is stored already."""
+        if self.stored_endpoints.get(endpoint.id) == endpoint.domain:
+            endpoint.recorded = True
+        elif self.recorded.get(endpoint.id) != endpoint.domain:
             self.recorded[endpoint.id] = endpoint.domain
             self.endpoints_changed = True
             self.changed.set()
@@ -134,6 +143,7 @@
             self.engine.mark_stored(
                 records[:stored_count], ends if stored_count == len(records) else ()
             )
+        self.stored_endpoints = recorded
         for endpoint_id in recorded:
             if endpoint_id in self.engine.endpoints:
                 self.engine.endpoints[endpoint_id].recorded = True
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -29,3 +29,32 @@
             assert len(bed.done) > 20
 
     virtualtime.run(main())
+
+
+def test_successor_uses_endpoints_recorded_by_an_earlier_term_without_a_write():
+    async def main():
+        async with TestBed() as bed:
+            await bed.run(1.0)
+            await bed.kill_scheduler()
+            await bed.run(8.0)
+            task = bed.submit()
+            await bed.run(1.0)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
+
+
+def test_endpoint_listed_again_is_recorded_without_a_write():
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            await bed.run(1.0)
+            [model] = bed.endpoints
+            bed.unlist(model)
+            await bed.run(10.0)
+            bed.list(model)
+            await bed.run(2.0)
+            task = bed.submit()
+            await bed.run(1.0)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
