Request reports of an endpoint that is listed again while it is being forgotten

What callers could see: LOST. After an outage of the store or a cut domain this may concern many endpoints at once.

Cause: the loops that request reports were kept by endpoint id. The loop of the forgotten state was still waiting for its last answer, so the new state under the same id got no loop, never reported and was never available.

Evidence: test_endpoint_listed_again_during_its_last_request_is_used failed before: the endpoint had not reported 2 s after it was listed again.

Change: the loops are kept by the state of the endpoint, as they end by it.

--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -68,7 +68,9 @@
             self.sender.request_plan,
             log,
         )
-        self.links = {}
+        # Not ids: an endpoint may be listed again during the last request to its
+        # forgotten state.
+        self.linked_endpoints = set()
         self.confirm(now)
 
     def confirm(self, asked_at):
@@ -200,8 +202,9 @@
             return endpoint_id
         endpoint = self.engine.register_endpoint(info, self.clock.now())
         self.change_writer.record_endpoint(endpoint)
-        if endpoint.id not in self.links:
-            self.links[endpoint.id] = self.sender.spawn(self.link_loop(endpoint))
+        if endpoint not in self.linked_endpoints:
+            self.linked_endpoints.add(endpoint)
+            self.sender.spawn(self.link_loop(endpoint))
         self.sender.request_plan()
         return endpoint.id
 
@@ -237,7 +240,7 @@
                 if not await self.request_report(endpoint):
                     await asyncio.sleep(REPORT_RETRY_SECONDS)
         finally:
-            self.links.pop(endpoint.id, None)
+            self.linked_endpoints.discard(endpoint)
 
     async def request_report(self, endpoint):
         """Request one report; return whether it was received and processed."""
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -58,3 +58,18 @@
             assert bed.running_at(task) or task in bed.done
 
     virtualtime.run(main())
+
+
+def test_endpoint_listed_again_during_its_last_request_is_used():
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            await bed.run(1.0)
+            [model] = bed.endpoints
+            bed.unlist(model)
+            while model.id in bed.scheduler.engine.endpoints:
+                await bed.run(0.05)
+            bed.list(model)
+            await bed.run(2.0)
+            assert bed.scheduler.engine.endpoints[model.id].has_reported
+
+    virtualtime.run(main())
