Ignore reports of endpoints that are no longer known

What callers could see: LOST. A task could stay "running" for the rest of the term at an endpoint that had left.

Cause: a report that was compiled before the leases of an unlisted endpoint ended may arrive after the endpoint was forgotten. It placed the task at the forgotten state, whose leases nobody watches.

Evidence: test_late_report_of_a_forgotten_endpoint_places_no_task failed before: the task was "running".

Change: the engine does not process reports of states that it has dropped. Ends in such a report are not acknowledged, so the endpoint lists them again if it comes back.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -200,8 +200,11 @@
     def process_report(self, endpoint, report, sent_at, now):
         """Process a report that the endpoint compiled after ``sent_at``.
 
-        Returns ``False`` for a report of another incarnation of the endpoint.
+        Returns ``False`` for a report of another incarnation of the endpoint, or of a
+        forgotten endpoint.
         """
+        if self.endpoints.get(endpoint.id) is not endpoint:
+            return False
         if report.born_ms is not None and report.born_ms != endpoint.info.born_ms:
             return False
         if endpoint.clock_ms is None:
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -242,6 +242,21 @@
     assert job.assigned_tasks() == []
 
 
+def test_late_report_of_a_forgotten_endpoint_places_no_task():
+    """The leases of a forgotten endpoint are no longer watched."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = plan_and_confirm(engine)
+    engine.unlist_endpoint("e1")
+    engine.expire(20.0)
+    assert "e1" not in engine.endpoints
+    row = (order.task.name, order.run)
+    late = factory.report(running=[row], clock_ms=100)
+    engine.process_report(endpoint, late, 19.0, 20.1)
+    assert order.task.state is TaskState.WAITING
+
+
 def test_end_reported_twice_counts_once():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
