Free a task from its endpoint once its unanswered start was executed or refused

What callers could see: LOST. If the endpoint then was cut off, barred, leaving or full, the task waited although there was room elsewhere.

Cause: the order may be executed late, and only its endpoint refuses it then, so the task is pinned there. The pin was not lifted when the order could no longer come.

Evidence: test_task_of_an_unanswered_start_that_was_executed_may_run_elsewhere (run reported, or only its end) and test_refused_start_at_a_restarted_endpoint_does_not_pin_its_task failed before: another endpoint was not usable.

Change: a task keeps the run of the order it is pinned for. A report of that run or of its end, or the refusal of the order, shows that the order has arrived; an order is executed at most once, so the pin is lifted. If an older unanswered order may still come, the pin stays until its deadline.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -245,6 +245,7 @@
         if task is None:
             return
         current = task.endpoint is endpoint and task.run == end.run
+        task.settle_start(endpoint, end.run)
         if end.checkpoint and not task.step.replica:
             task.checkpoint = end.checkpoint
         self.log.info(
@@ -328,6 +329,7 @@
         elif task.endpoint is not endpoint or task.run != row.run:
             self.stops.add(endpoint, row.task, row.run, "duplicate")
             return
+        task.settle_start(endpoint, row.run)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         if row.percent != task.percent:
@@ -388,8 +390,7 @@
             return
         task.state = TaskState.UNCONFIRMED
         self.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
-        task.pinned_endpoint = task.endpoint
-        task.pinned_until = now + MAX_ORDER_DELAY_SECONDS
+        task.pin(now, now + MAX_ORDER_DELAY_SECONDS)
         self.stops.add(task.endpoint, task.name, task.run, "unanswered")
 
     def start_answered(self, order, now):
@@ -403,6 +404,7 @@
     def start_refused(self, order, now, wait=0.0):
         """Record that a start order had no effect, and never will have."""
         task = order.task
+        task.settle_start(order.endpoint, order.run)
         if task.endpoint is order.endpoint and task.run == order.run:
             self.release(task)
             task.not_before = now + wait
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -64,7 +64,8 @@
 
     A start order that was not answered may be executed until ``pinned_until``.  Until
     then the task may run at ``pinned_endpoint`` only, which refuses the late order
-    unless it has restarted.
+    unless it has restarted.  ``pinned_run`` is the run of that order, or 0 if there are
+    several such orders.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "paced_at",
         "paused_since",
         "pinned_endpoint",
+        "pinned_run",
         "pinned_until",
     )
 
@@ -108,6 +110,7 @@
         self.paced_at = 0.0
         self.paused_since = None
         self.pinned_endpoint = None
+        self.pinned_run = 0
         self.pinned_until = 0.0
 
     @property
@@ -119,6 +122,17 @@
         """Return whether no late start order can run the task at another endpoint."""
         return now >= self.pinned_until or self.pinned_endpoint is endpoint
 
+    def pin(self, now, until):
+        """Record that the start order of the current run may be executed late."""
+        self.pinned_run = 0 if now < self.pinned_until else self.run
+        self.pinned_endpoint = self.endpoint
+        self.pinned_until = until
+
+    def settle_start(self, endpoint, run):
+        """Record that a start order was executed or refused, so it cannot be late."""
+        if endpoint is self.pinned_endpoint and run == self.pinned_run:
+            self.pinned_until = 0.0
+
     def place(self, endpoint, run, state, now):
         """Assign a run of the task to ``endpoint``."""
         self.job.waiting[self.step_number].pop(self, None)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -145,6 +145,50 @@
     assert dispatch.usable(second, order.task, 0.1 + MAX_ORDER_DELAY_SECONDS)
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_task_of_an_unanswered_start_that_was_executed_may_run_elsewhere(ended):
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    first, second = (first, second) if order.endpoint is first else (second, first)
+    engine.start_unanswered(order, 0.1)
+    row = (order.task.name, order.run)
+    if not ended:
+        engine.process_report(first, factory.report(running=[row]), 0.2, 0.2)
+    report_end(engine, first, order, "failed", 1, 0.3)
+    assert dispatch.usable(second, order.task, 0.3)
+
+
+def test_executed_start_does_not_free_a_task_with_an_older_unanswered_start():
+    """The older order may still be executed if the endpoint restarts."""
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 0.1)
+    [stop] = engine.stops.due(0.1, engine.endpoints)
+    engine.stop_answered(stop, 0.2)
+    engine.process_report(first, factory.report(), 0.3, 0.3)
+    [again] = engine.plan(0.3)
+    engine.start_unanswered(again, 0.4)
+    report_end(engine, first, again, "failed", 1, 0.5)
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    assert not dispatch.usable(second, order.task, 1.0)
+
+
+def test_refused_start_at_a_restarted_endpoint_does_not_pin_its_task():
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.register_endpoint(factory.make_info("e1", born_ms=2), 0.1)
+    engine.start_refused(order, 0.2)
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    assert dispatch.usable(second, order.task, 0.2)
+
+
 def test_pinned_task_does_not_block_other_tasks():
     engine = factory.make_engine()
     factory.connect_endpoint(engine, factory.make_info())
