Random disturbances of whole terms of the scheduler

Two storms a seed: links cut by refusals, resets or silence, calls of the store lost, the scheduler killed, endpoints unlisted or restarted, two to five of them overlapping, then a calm in which no job may wait without cause.

--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -8,6 +8,12 @@
 from tests.workflow import virtualtime
 from tests.workflow.testbed import TestBed
 
+#: Longest time between the starts of two disturbances, in seconds.
+MAX_GAP_SECONDS = 4.0
+STORMS = 2
+#: Time without disturbances after a storm, in seconds.
+CALM_SECONDS = 14.0
+
 
 async def submit_jobs(bed, interval):
     """Submit jobs of one or two steps at random times."""
@@ -19,6 +25,49 @@
         bed.submit(bed.random.choice("ab"), steps)
 
 
+def draw_disturbance(bed):
+    """Return the coroutine of a random disturbance."""
+    seconds = bed.random.uniform(0.5, 9.0)
+    some = bed.random.sample(bed.endpoints, bed.random.randint(1, 3))
+    domain = bed.random.choice("ab")
+    zone = [model for model in bed.endpoints if model.domain == domain]
+    models = bed.random.choice((some, zone))
+    daemon = bed.random.choice(bed.daemons)
+    kind = bed.random.choice(("cut", "cut", "store", "kill", "unlist", "restart"))
+    if kind == "cut":
+        how = bed.random.choice(("refused", "silent", "reset"))
+        return bed.cut(models, how, seconds)
+    if kind == "store":
+        fault = bed.random.choice(("away", "lossy"))
+        return bed.disturb_store(daemon, fault, seconds)
+    if kind == "kill":
+        return bed.kill_scheduler()
+    if kind == "unlist":
+        return bed.unlist_for(models, seconds)
+    return bed.restart(bed.random.choice(bed.endpoints), seconds)
+
+
+async def run_storms(seed):
+    """Play storms of disturbances, each with a calm after it."""
+    async with TestBed(seed, endpoints=6, daemons=2) as bed:
+        interval = bed.random.choice((0.7, 2.0, 8.0))
+        clients = asyncio.create_task(submit_jobs(bed, interval))
+        await bed.run(4.0)
+        for _storm in range(STORMS):
+            storm = []
+            for _number in range(bed.random.randint(2, 5)):
+                storm.append(asyncio.create_task(draw_disturbance(bed)))
+                await bed.run(bed.random.uniform(0, MAX_GAP_SECONDS))
+            await asyncio.gather(*storm)
+            await bed.run(CALM_SECONDS)
+        clients.cancel()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_tasks_run_in_time_after_overlapping_disturbances(seed):
+    virtualtime.run(run_storms(seed))
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_tasks_run_in_time_without_disturbances(seed):
     async def main():
