Do not let successors wait for endpoints that left in earlier terms

What callers could see: LOST. After a change of the scheduler, jobs accepted before it were not started for up to 7 s more if any endpoint had ever left one of their domains.

Cause: endpoints in use are stored so that a successor waits until each has reported or every inherited lease has expired. Endpoints that were gone stayed in that list for good, so in a domain that had lost one, every new term waited for the leases.

Evidence: test_successor_does_not_wait_for_an_endpoint_that_left_in_an_earlier_term failed before: the task of a waiting job ran nowhere 4 s after the scheduler was killed.

Change: a scheduler removes an endpoint from the list when it is not in the registry, the leases granted by this scheduler have expired (the engine has forgotten it) and so have those of earlier schedulers, or it has reported since. No run can be left there. An endpoint listed again while its removal is being written is used only after another write, see test_endpoint_listed_again_while_its_removal_is_written_is_written_again.

--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -27,6 +27,11 @@
         if domain is not None:
             self.unreported.get(domain, set()).discard(endpoint_id)
 
+    def expects(self, endpoint_id):
+        """Return whether an earlier scheduler may have left runs at an endpoint."""
+        domain = self.domains.get(endpoint_id)
+        return endpoint_id in self.unreported.get(domain, ())
+
     def expire(self, now):
         """Stop waiting for endpoints once the inherited leases have expired."""
         if self.until and now >= self.until:
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -30,7 +30,8 @@
     """Writes the engine's changes to the store during a term.
 
     ``recorded`` maps the endpoints to be stored as in use to their failure domains,
-    ``stored_endpoints`` those that the store names already.
+    ``stored_endpoints`` those that the store names whatever comes of the write in
+    progress.
     Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called after each
     write.
     """
@@ -63,8 +64,16 @@
             self.endpoints_changed = True
             self.changed.set()
 
+    def drop_endpoints(self):
+        """Stop naming endpoints at which no scheduler can have left runs."""
+        for endpoint_id in self.recorded.keys() - self.engine.endpoints.keys():
+            if not self.engine.inherited_endpoints.expects(endpoint_id):
+                del self.recorded[endpoint_id]
+                self.endpoints_changed = True
+
     def check_changes(self):
         """Schedule a write if the engine or the endpoints in use have changed."""
+        self.drop_endpoints()
         if self.engine.changed or self.endpoints_changed:
             self.changed.set()
 
@@ -124,6 +133,11 @@
         recorded = dict(self.recorded)
         endpoints = recorded if self.endpoints_changed else None
         self.endpoints_changed = False
+        self.stored_endpoints = {
+            endpoint_id: domain
+            for endpoint_id, domain in self.stored_endpoints.items()
+            if recorded.get(endpoint_id) == domain
+        }
         stored_count = 0
         try:
             while stored_count < len(records) or endpoints is not None:
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -139,3 +139,19 @@
             cut.cancel()
 
     virtualtime.run(main())
+
+
+def test_successor_does_not_wait_for_an_endpoint_that_left_in_an_earlier_term():
+    async def main():
+        async with TestBed(endpoints=6) as bed:
+            gone = bed.endpoints[0]
+            await bed.run(1.0)
+            gone.up = False
+            bed.unlist(gone)
+            await bed.run(10.0)
+            task = bed.submit(gone.domain)
+            await bed.kill_scheduler()
+            await bed.run(4.0)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -66,3 +66,23 @@
     assert [job_id for job_id, _progress in records] == [job.id]
     assert endpoints == {"e1": "a"}
     assert endpoint.recorded
+
+
+async def test_endpoint_listed_again_while_its_removal_is_written_is_written_again():
+    changes = make_change_writer()
+    changes.load_endpoints({"e1": "a"})
+    changes.check_changes()
+    pending_write = asyncio.create_task(changes.store_changes())
+    await asyncio.sleep(0)
+    endpoint = changes.engine.register_endpoint(factory.make_info("e1"), 0.0)
+    changes.record_endpoint(endpoint)
+    assert not endpoint.recorded
+    changes.writer.unblocked.set()
+    await pending_write
+    assert not endpoint.recorded
+    await changes.store_changes()
+    assert endpoint.recorded
+    assert [endpoints for _records, endpoints in changes.writer.saved] == [
+        {},
+        {"e1": "a"},
+    ]
