Number runs above all earlier runs of the task

What callers could see: a task waited while its starts were refused as old, or a failed run did not count as an attempt.

Cause: adopting a run that an endpoint reported set the task's run to that number even if a later run had been ordered elsewhere, so the next runs used numbers again. An endpoint refuses a number up to that of a run that ended there, and failures are counted by number.

Evidence: test_adopted_run_does_not_lower_the_numbers_of_later_runs failed before: the third run had the number of the second.

Change: a task keeps the highest number that was ordered or reported, and the next run is numbered above it.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -245,6 +245,7 @@
         if task is None:
             return
         current = task.endpoint is endpoint and task.run == end.run
+        task.last_run = max(task.last_run, end.run)
         task.settle_start(endpoint, end.run)
         if end.checkpoint and not task.step.replica:
             task.checkpoint = end.checkpoint
@@ -319,7 +320,6 @@
                 self.request_stop(task, "ended")
             return
         if task.endpoint is None and task.state is TaskState.WAITING:
-            task.run = max(task.run, row.run)
             task.place(endpoint, row.run, TaskState.RUNNING, now)
             task.pace = None
             task.job.has_started = True
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -54,13 +54,14 @@
 class Task:
     """One task; at most one run of it is in progress at a time.
 
-    ``endpoint`` and ``run`` identify the run that was ordered last; the next run
-    resumes from ``checkpoint`` ("" if there is none).  ``percent`` is the progress of
-    the run, and ``progressed_at`` the time at which it last changed.  ``measurement``
-    is the last value measured by the endpoint: the tail latency of a replica in
-    milliseconds, or the processor usage of any other task.  ``pace`` is the percentage
-    of time in which a filler may run, in force since ``paced_at``, or ``None`` while it
-    is unknown.  ``paused_since`` is when a filler was ordered to pause.
+    ``endpoint`` and ``run`` identify the current run or the one before; ``last_run`` is
+    the highest number of a run so far.  The next run resumes from ``checkpoint`` (""
+    if there is none).  ``percent`` is the progress of the run, and ``progressed_at``
+    the time at which it last changed.  ``measurement`` is the last value measured by
+    the endpoint: the tail latency of a replica in milliseconds, or the processor usage
+    of any other task.  ``pace`` is the percentage of time in which a filler may run, in
+    force since ``paced_at``, or ``None`` while it is unknown.  ``paused_since`` is when
+    a filler was ordered to pause.
 
     A start order that was not answered may be executed until ``pinned_until``.  Until
     then the task may run at ``pinned_endpoint`` only, which refuses the late order
@@ -75,6 +76,7 @@
         "name",
         "state",
         "run",
+        "last_run",
         "endpoint",
         "checkpoint",
         "not_before",
@@ -98,6 +100,7 @@
         self.name = f"{job.id}.0.{step_number}.{index}"
         self.state = TaskState.WAITING
         self.run = 0
+        self.last_run = 0
         self.endpoint = None
         self.checkpoint = ""
         self.not_before = 0.0
@@ -138,6 +141,7 @@
         self.job.waiting[self.step_number].pop(self, None)
         self.endpoint = endpoint
         self.run = run
+        self.last_run = max(self.last_run, run)
         self.state = state
         self.started_at = now
         self.percent = 0
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -86,7 +86,7 @@
     )
     if choice.endpoint is None or waits_for_domain:
         return None
-    run = max(task.run, engine.term * RUNS_PER_TERM) + 1
+    run = max(task.last_run, engine.term * RUNS_PER_TERM) + 1
     task.place(choice.endpoint, run, TaskState.STARTING, now)
     task.pace = pacing.FULL_PACE
     if task.step.filler or task.step.replica:
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -508,6 +508,25 @@
     assert engine.plan(0.0)[0].run == term * 1000 + 1
 
 
+def test_adopted_run_does_not_lower_the_numbers_of_later_runs():
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = plan_and_confirm(engine)
+    first, second = (first, second) if order.endpoint is first else (second, first)
+    engine.lose_run(order.task, "lapsed")
+    first.unreachable_since = 1.0
+    [again] = plan_and_confirm(engine, 1.0)
+    engine.lose_run(again.task, "lapsed")
+    row = (order.task.name, order.run)
+    engine.process_report(first, factory.report(running=[row]), 2.0, 2.0)
+    assert order.task.endpoint is first
+    report_end(engine, first, order, "failed", 1, 3.0)
+    [last] = engine.plan(10.0)
+    assert last.run > again.run
+
+
 # Placement
 
 
