--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -200,8 +200,11 @@
     def process_report(self, endpoint, report, sent_at, now):
         """Process a report that the endpoint compiled after ``sent_at``.
 
-        Returns ``False`` for a report of another incarnation of the endpoint.
+        Returns ``False`` for a report of another incarnation of the endpoint, or of a
+        forgotten endpoint.
         """
+        if self.endpoints.get(endpoint.id) is not endpoint:
+            return False
         if report.born_ms is not None and report.born_ms != endpoint.info.born_ms:
             return False
         if endpoint.clock_ms is None:
@@ -242,6 +245,8 @@
         if task is None:
             return
         current = task.endpoint is endpoint and task.run == end.run
+        task.last_run = max(task.last_run, end.run)
+        task.settle_start(endpoint, end.run)
         if end.checkpoint and not task.step.replica:
             task.checkpoint = end.checkpoint
         self.log.info(
@@ -315,7 +320,6 @@
                 self.request_stop(task, "ended")
             return
         if task.endpoint is None and task.state is TaskState.WAITING:
-            task.run = max(task.run, row.run)
             task.place(endpoint, row.run, TaskState.RUNNING, now)
             task.pace = None
             task.job.has_started = True
@@ -325,6 +329,7 @@
         elif task.endpoint is not endpoint or task.run != row.run:
             self.stops.add(endpoint, row.task, row.run, "duplicate")
             return
+        task.settle_start(endpoint, row.run)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         if row.percent != task.percent:
@@ -385,8 +390,7 @@
             return
         task.state = TaskState.UNCONFIRMED
         self.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
-        task.pinned_endpoint = task.endpoint
-        task.pinned_until = now + MAX_ORDER_DELAY_SECONDS
+        task.pin(now, now + MAX_ORDER_DELAY_SECONDS)
         self.stops.add(task.endpoint, task.name, task.run, "unanswered")
 
     def start_answered(self, order, now):
@@ -400,6 +404,7 @@
     def start_refused(self, order, now, wait=0.0):
         """Record that a start order had no effect, and never will have."""
         task = order.task
+        task.settle_start(order.endpoint, order.run)
         if task.endpoint is order.endpoint and task.run == order.run:
             self.release(task)
             task.not_before = now + wait
@@ -416,7 +421,8 @@
         stop = self.stops.find(order.endpoint, order.task, order.run)
         if stop is None:
             return
-        stop.answered_at = now
+        # A repeated answer must not outdate the report that would release the task.
+        stop.answered_at = stop.answered_at or now
         redundant = order.endpoint.redundant_runs.get((order.task, order.run))
         if redundant is not None:
             redundant.stop_answered_at = now
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -54,17 +54,19 @@
 class Task:
     """One task; at most one run of it is in progress at a time.
 
-    ``endpoint`` and ``run`` identify the run that was ordered last; the next run
-    resumes from ``checkpoint`` ("" if there is none).  ``percent`` is the progress of
-    the run, and ``progressed_at`` the time at which it last changed.  ``measurement``
-    is the last value measured by the endpoint: the tail latency of a replica in
-    milliseconds, or the processor usage of any other task.  ``pace`` is the percentage
-    of time in which a filler may run, in force since ``paced_at``, or ``None`` while it
-    is unknown.  ``paused_since`` is when a filler was ordered to pause.
+    ``endpoint`` and ``run`` identify the current run or the one before; ``last_run`` is
+    the highest number of a run so far.  The next run resumes from ``checkpoint`` (""
+    if there is none).  ``percent`` is the progress of the run, and ``progressed_at``
+    the time at which it last changed.  ``measurement`` is the last value measured by
+    the endpoint: the tail latency of a replica in milliseconds, or the processor usage
+    of any other task.  ``pace`` is the percentage of time in which a filler may run, in
+    force since ``paced_at``, or ``None`` while it is unknown.  ``paused_since`` is when
+    a filler was ordered to pause.
 
     A start order that was not answered may be executed until ``pinned_until``.  Until
     then the task may run at ``pinned_endpoint`` only, which refuses the late order
-    unless it has restarted.
+    unless it has restarted.  ``pinned_run`` is the run of that order, or 0 if there are
+    several such orders.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "name",
         "state",
         "run",
+        "last_run",
         "endpoint",
         "checkpoint",
         "not_before",
@@ -86,6 +89,7 @@
         "paced_at",
         "paused_since",
         "pinned_endpoint",
+        "pinned_run",
         "pinned_until",
     )
 
@@ -96,6 +100,7 @@
         self.name = f"{job.id}.0.{step_number}.{index}"
         self.state = TaskState.WAITING
         self.run = 0
+        self.last_run = 0
         self.endpoint = None
         self.checkpoint = ""
         self.not_before = 0.0
@@ -108,6 +113,7 @@
         self.paced_at = 0.0
         self.paused_since = None
         self.pinned_endpoint = None
+        self.pinned_run = 0
         self.pinned_until = 0.0
 
     @property
@@ -119,11 +125,23 @@
         """Return whether no late start order can run the task at another endpoint."""
         return now >= self.pinned_until or self.pinned_endpoint is endpoint
 
+    def pin(self, now, until):
+        """Record that the start order of the current run may be executed late."""
+        self.pinned_run = 0 if now < self.pinned_until else self.run
+        self.pinned_endpoint = self.endpoint
+        self.pinned_until = until
+
+    def settle_start(self, endpoint, run):
+        """Record that a start order was executed or refused, so it cannot be late."""
+        if endpoint is self.pinned_endpoint and run == self.pinned_run:
+            self.pinned_until = 0.0
+
     def place(self, endpoint, run, state, now):
         """Assign a run of the task to ``endpoint``."""
         self.job.waiting[self.step_number].pop(self, None)
         self.endpoint = endpoint
         self.run = run
+        self.last_run = max(self.last_run, run)
         self.state = state
         self.started_at = now
         self.percent = 0
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -68,7 +68,9 @@
             self.sender.request_plan,
             log,
         )
-        self.links = {}
+        # Not ids: an endpoint may be listed again during the last request to its
+        # forgotten state.
+        self.linked_endpoints = set()
         self.confirm(now)
 
     def confirm(self, asked_at):
@@ -98,9 +100,10 @@
         metrics.TERMS.inc()
         metrics.SCHEDULING.set(1)
         self.stored_progress = await self.jobs.all_progress()
-        self.change_writer.recorded = await self.jobs.used_endpoints()
+        used_endpoints = await self.jobs.used_endpoints()
+        self.change_writer.load_endpoints(used_endpoints)
         self.engine.pressure.load_weights(await self.jobs.learned_weights())
-        for endpoint_id, domain in self.change_writer.recorded.items():
+        for endpoint_id, domain in used_endpoints.items():
             self.engine.inherited_endpoints.expect(endpoint_id, domain)
         self.job_mirror = Mirror(
             self.store,
@@ -199,8 +202,9 @@
             return endpoint_id
         endpoint = self.engine.register_endpoint(info, self.clock.now())
         self.change_writer.record_endpoint(endpoint)
-        if endpoint.id not in self.links:
-            self.links[endpoint.id] = self.sender.spawn(self.link_loop(endpoint))
+        if endpoint not in self.linked_endpoints:
+            self.linked_endpoints.add(endpoint)
+            self.sender.spawn(self.link_loop(endpoint))
         self.sender.request_plan()
         return endpoint.id
 
@@ -236,7 +240,7 @@
                 if not await self.request_report(endpoint):
                     await asyncio.sleep(REPORT_RETRY_SECONDS)
         finally:
-            self.links.pop(endpoint.id, None)
+            self.linked_endpoints.discard(endpoint)
 
     async def request_report(self, endpoint):
         """Request one report; return whether it was received and processed."""
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -110,6 +110,22 @@
     assert again.run > order.run
 
 
+def test_repeated_stop_does_not_postpone_the_release_of_its_task():
+    """Stops are repeated about as often as an idle endpoint reports."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 1.0)
+    for sent_at in (1.1, 2.2):
+        [stop] = engine.stops.due(sent_at - 0.1, engine.endpoints)
+        engine.stop_answered(stop, sent_at - 0.05)
+    [stop] = engine.stops.due(3.1, engine.endpoints)
+    engine.stop_answered(stop, 3.15)
+    engine.process_report(endpoint, factory.report(), 2.2, 3.2)
+    assert order.task.state is TaskState.WAITING
+
+
 def test_stopped_unanswered_start_pins_its_task_to_the_endpoint():
     """A restarted endpoint has lost the stop and would execute the late start order."""
     engine = factory.make_engine()
@@ -129,6 +145,50 @@
     assert dispatch.usable(second, order.task, 0.1 + MAX_ORDER_DELAY_SECONDS)
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_task_of_an_unanswered_start_that_was_executed_may_run_elsewhere(ended):
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    first, second = (first, second) if order.endpoint is first else (second, first)
+    engine.start_unanswered(order, 0.1)
+    row = (order.task.name, order.run)
+    if not ended:
+        engine.process_report(first, factory.report(running=[row]), 0.2, 0.2)
+    report_end(engine, first, order, "failed", 1, 0.3)
+    assert dispatch.usable(second, order.task, 0.3)
+
+
+def test_executed_start_does_not_free_a_task_with_an_older_unanswered_start():
+    """The older order may still be executed if the endpoint restarts."""
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 0.1)
+    [stop] = engine.stops.due(0.1, engine.endpoints)
+    engine.stop_answered(stop, 0.2)
+    engine.process_report(first, factory.report(), 0.3, 0.3)
+    [again] = engine.plan(0.3)
+    engine.start_unanswered(again, 0.4)
+    report_end(engine, first, again, "failed", 1, 0.5)
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    assert not dispatch.usable(second, order.task, 1.0)
+
+
+def test_refused_start_at_a_restarted_endpoint_does_not_pin_its_task():
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.register_endpoint(factory.make_info("e1", born_ms=2), 0.1)
+    engine.start_refused(order, 0.2)
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    assert dispatch.usable(second, order.task, 0.2)
+
+
 def test_pinned_task_does_not_block_other_tasks():
     engine = factory.make_engine()
     factory.connect_endpoint(engine, factory.make_info())
@@ -226,6 +286,21 @@
     assert job.assigned_tasks() == []
 
 
+def test_late_report_of_a_forgotten_endpoint_places_no_task():
+    """The leases of a forgotten endpoint are no longer watched."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = plan_and_confirm(engine)
+    engine.unlist_endpoint("e1")
+    engine.expire(20.0)
+    assert "e1" not in engine.endpoints
+    row = (order.task.name, order.run)
+    late = factory.report(running=[row], clock_ms=100)
+    engine.process_report(endpoint, late, 19.0, 20.1)
+    assert order.task.state is TaskState.WAITING
+
+
 def test_end_reported_twice_counts_once():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
@@ -433,6 +508,25 @@
     assert engine.plan(0.0)[0].run == term * 1000 + 1
 
 
+def test_adopted_run_does_not_lower_the_numbers_of_later_runs():
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = plan_and_confirm(engine)
+    first, second = (first, second) if order.endpoint is first else (second, first)
+    engine.lose_run(order.task, "lapsed")
+    first.unreachable_since = 1.0
+    [again] = plan_and_confirm(engine, 1.0)
+    engine.lose_run(again.task, "lapsed")
+    row = (order.task.name, order.run)
+    engine.process_report(first, factory.report(running=[row]), 2.0, 2.0)
+    assert order.task.endpoint is first
+    report_end(engine, first, order, "failed", 1, 3.0)
+    [last] = engine.plan(10.0)
+    assert last.run > again.run
+
+
 # Placement
 
 
--- /dev/null
+++ b/tests/workflow/test_schedule.py
@@ -0,0 +1,157 @@
+"""Terms of the real scheduler under disturbances, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from clementinebay.workflow.model import Step
+from tests.workflow import virtualtime
+from tests.workflow.testbed import TestBed
+
+#: Longest time between the starts of two disturbances, in seconds.
+MAX_GAP_SECONDS = 4.0
+STORMS = 2
+#: Time without disturbances after a storm, in seconds.
+CALM_SECONDS = 14.0
+
+
+async def submit_jobs(bed, interval):
+    """Submit jobs of one or two steps at random times."""
+    while True:
+        await asyncio.sleep(bed.random.expovariate(1 / interval))
+        steps = [Step(count=bed.random.randint(1, 2), processors_milli=1000)]
+        if bed.random.random() < 0.5:
+            steps.append(Step(count=1, processors_milli=1500, after=(0,)))
+        bed.submit(bed.random.choice("ab"), steps)
+
+
+def draw_disturbance(bed):
+    """Return the coroutine of a random disturbance."""
+    seconds = bed.random.uniform(0.5, 9.0)
+    some = bed.random.sample(bed.endpoints, bed.random.randint(1, 3))
+    domain = bed.random.choice("ab")
+    zone = [model for model in bed.endpoints if model.domain == domain]
+    models = bed.random.choice((some, zone))
+    daemon = bed.random.choice(bed.daemons)
+    kind = bed.random.choice(("cut", "cut", "store", "kill", "unlist", "restart"))
+    if kind == "cut":
+        how = bed.random.choice(("refused", "silent", "reset"))
+        return bed.cut(models, how, seconds)
+    if kind == "store":
+        fault = bed.random.choice(("away", "lossy"))
+        return bed.disturb_store(daemon, fault, seconds)
+    if kind == "kill":
+        return bed.kill_scheduler()
+    if kind == "unlist":
+        return bed.unlist_for(models, seconds)
+    return bed.restart(bed.random.choice(bed.endpoints), seconds)
+
+
+async def run_storms(seed):
+    """Play storms of disturbances, each with a calm after it."""
+    async with TestBed(seed, endpoints=6, daemons=2) as bed:
+        interval = bed.random.choice((0.7, 2.0, 8.0))
+        clients = asyncio.create_task(submit_jobs(bed, interval))
+        await bed.run(4.0)
+        for _storm in range(STORMS):
+            storm = []
+            for _number in range(bed.random.randint(2, 5)):
+                storm.append(asyncio.create_task(draw_disturbance(bed)))
+                await bed.run(bed.random.uniform(0, MAX_GAP_SECONDS))
+            await asyncio.gather(*storm)
+            await bed.run(CALM_SECONDS)
+        clients.cancel()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_tasks_run_in_time_after_overlapping_disturbances(seed):
+    virtualtime.run(run_storms(seed))
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_tasks_run_in_time_without_disturbances(seed):
+    async def main():
+        async with TestBed(seed, endpoints=6, daemons=2) as bed:
+            clients = asyncio.create_task(submit_jobs(bed, 0.7))
+            await bed.run(20.0)
+            clients.cancel()
+            assert len(bed.done) > 20
+
+    virtualtime.run(main())
+
+
+def test_successor_uses_endpoints_recorded_by_an_earlier_term_without_a_write():
+    async def main():
+        async with TestBed() as bed:
+            await bed.run(1.0)
+            await bed.kill_scheduler()
+            await bed.run(8.0)
+            task = bed.submit()
+            await bed.run(1.0)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
+
+
+def test_endpoint_listed_again_is_recorded_without_a_write():
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            await bed.run(1.0)
+            [model] = bed.endpoints
+            bed.unlist(model)
+            await bed.run(10.0)
+            bed.list(model)
+            await bed.run(2.0)
+            task = bed.submit()
+            await bed.run(1.0)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
+
+
+def test_endpoint_listed_again_during_its_last_request_is_used():
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            await bed.run(1.0)
+            [model] = bed.endpoints
+            bed.unlist(model)
+            while model.id in bed.scheduler.engine.endpoints:
+                await bed.run(0.05)
+            bed.list(model)
+            await bed.run(2.0)
+            assert bed.scheduler.engine.endpoints[model.id].has_reported
+
+    virtualtime.run(main())
+
+
+def test_task_that_ended_behind_a_cut_is_run_elsewhere_once_its_lease_is_over():
+    async def main():
+        async with TestBed() as bed:
+            await bed.run(1.0)
+            task = bed.submit()
+            await bed.run(0.2)
+            first = bed.running_at(task)
+            cut = asyncio.create_task(bed.cut([first], "reset", 20.0))
+            await bed.run(0.05)
+            first.end(task, "failed")
+            await bed.run(8.0)
+            assert bed.running_at(task) or task in bed.done
+            cut.cancel()
+
+    virtualtime.run(main())
+
+
+def test_successor_does_not_wait_for_an_endpoint_that_left_in_an_earlier_term():
+    async def main():
+        async with TestBed(endpoints=6) as bed:
+            gone = bed.endpoints[0]
+            await bed.run(1.0)
+            gone.up = False
+            bed.unlist(gone)
+            await bed.run(10.0)
+            task = bed.submit(gone.domain)
+            await bed.kill_scheduler()
+            await bed.run(4.0)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
