Measure how well the scheduler keeps up

Callers saw accepted tasks that were not started for seconds though there was room. Whether the scheduler lacks processor time or the tasks lack room could not be told: nothing recorded the delay of its event loop, the time of its plans, or how long and why a due task waits.

Metrics hold the distribution of the loop's delay, of the time of plans and of the time for which tasks were due. Tasks remember since when they are queued, so releasing one takes the time. Decisions are unchanged.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -115,6 +115,28 @@
     "Time from the acceptance of a job to the start order for its first task.",
     buckets=LATENCY_BUCKETS,
 )
+DUE_SECONDS = Histogram(
+    "clementine_due_seconds",
+    "Time for which a task was due when its start was decided.",
+    buckets=LATENCY_BUCKETS,
+)
+DUE_TASKS = Gauge(
+    "clementine_due_tasks", "Due tasks that wait for their start; sampled."
+)
+OLDEST_DUE_SECONDS = Gauge(
+    "clementine_oldest_due_seconds",
+    "Time for which the longest-waiting task has been due; sampled.",
+)
+LOOP_LAG_SECONDS = Histogram(
+    "clementine_loop_lag_seconds",
+    "Delay of timers of the scheduler's event loop.",
+    buckets=LATENCY_BUCKETS,
+)
+PLAN_SECONDS = Histogram(
+    "clementine_plan_seconds",
+    "Time of one plan of the scheduler.",
+    buckets=LATENCY_BUCKETS,
+)
 STORE_CALLS = Counter(
     "clementine_store_calls",
     "Calls to the store by kind and result.",
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -147,7 +147,7 @@
             if task.state in (TaskState.STARTING, TaskState.UNCONFIRMED):
                 self.mark_unconfirmed(task, now)
             else:
-                self.lose_run(task, "restarted")
+                self.lose_run(task, "restarted", now)
         endpoint.restart(info)
 
     def unlist_endpoint(self, endpoint_id):
@@ -169,7 +169,7 @@
             for task in list(endpoint.tasks.values()):
                 if now < self.late_order_deadlines.get(task.name, 0.0):
                     continue
-                self.lose_run(task, "lapsed")
+                self.lose_run(task, "lapsed", now)
             if not endpoint.listed and not endpoint.tasks:
                 del self.endpoints[endpoint.id]
                 if endpoint.has_reported:
@@ -177,7 +177,7 @@
                 self.log.info("endpoint.forgotten", endpoint=endpoint.id)
         self.inherited_endpoints.expire(now)
 
-    def lose_run(self, task, cause):
+    def lose_run(self, task, cause, now):
         """Record a run that ended without a result and release its task."""
         metrics.RUNS_LOST.labels(cause).inc()
         self.log.info(
@@ -187,13 +187,13 @@
             endpoint=task.endpoint.id,
             cause=cause,
         )
-        self.release(task)
+        self.release(task, now)
 
-    def release(self, task):
+    def release(self, task, now):
         """Remove a task from its endpoint once its run has ended or cannot start."""
         self.late_order_deadlines.pop(task.name, None)
         self.stops.drop(task.endpoint, task.name, task.run)
-        task.unplace()
+        task.unplace(now)
 
     # Reports of endpoints
 
@@ -219,7 +219,7 @@
             self.process_running(endpoint, row, now)
         self.set_orphaned(endpoint, report.running, sent_at)
         self.pressure.observe(endpoint, now)
-        self.release_missing(endpoint, seen, sent_at)
+        self.release_missing(endpoint, seen, sent_at, now)
         self.stop_stuck_runs(endpoint, now)
         endpoint.has_reported = True
         self.inherited_endpoints.mark_reported(endpoint.id)
@@ -254,14 +254,14 @@
         )
         if end.outcome == RunEnd.DONE:
             endpoint.health.succeeded()
-            self.process_success(task, current)
+            self.process_success(task, current, now)
         else:
             if end.outcome == RunEnd.FAILED:
                 self.process_failure(endpoint, task, end.run, now)
             if current:
-                self.release(task)
+                self.release(task, now)
 
-    def process_success(self, task, current):
+    def process_success(self, task, current, now):
         """Complete the task of a successful run, and its job after the last task."""
         job = task.job
         if task.state is TaskState.DONE:
@@ -272,9 +272,9 @@
                 task.endpoint.add_redundant_run(task)
             self.late_order_deadlines.pop(task.name, None)
         if job.ended:
-            task.unplace()
+            task.unplace(now)
             return
-        job.finish_task(task)
+        job.finish_task(task, now)
         if job.state is JobState.COMPLETED:
             self.end_job(job, JobState.COMPLETED, self.wall_clock.now())
         else:
@@ -356,17 +356,17 @@
         if now > first_seen + UNKNOWN_JOB_GRACE_SECONDS:
             self.stops.add(endpoint, row.task, row.run, "unknown-job")
 
-    def release_missing(self, endpoint, seen, sent_at):
+    def release_missing(self, endpoint, seen, sent_at, now):
         """Release the tasks whose runs are missing from the endpoint's report."""
         for task in list(endpoint.tasks.values()):
             if task.name in seen:
                 continue
             if task.state is TaskState.RUNNING and task.started_at < sent_at:
-                self.lose_run(task, "missing")
+                self.lose_run(task, "missing", now)
             elif task.state is TaskState.STOPPING:
                 stop = self.stops.find(endpoint, task.name, task.run)
                 if stop is None or (stop.answered_at and stop.answered_at < sent_at):
-                    self.release(task)
+                    self.release(task, now)
 
     # Orders
 
@@ -401,7 +401,7 @@
         """Record that a start order had no effect, and never will have."""
         task = order.task
         if task.endpoint is order.endpoint and task.run == order.run:
-            self.release(task)
+            self.release(task, now)
             task.not_before = now + wait
 
     def start_unanswered(self, order, now):
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -60,7 +60,9 @@
     is the last value measured by the endpoint: the tail latency of a replica in
     milliseconds, or the processor usage of any other task.  ``pace`` is the percentage
     of time in which a filler may run, in force since ``paced_at``, or ``None`` while it
-    is unknown.  ``paused_since`` is when a filler was ordered to pause.
+    is unknown.  ``paused_since`` is when a filler was ordered to pause.  The task has
+    waited for its next run since ``queued_at``, but may not be started before
+    ``not_before``.
 
     A start order that was not answered may be executed until ``pinned_until``.  Until
     then the task may run at ``pinned_endpoint`` only, which refuses the late order
@@ -76,6 +78,7 @@
         "run",
         "endpoint",
         "checkpoint",
+        "queued_at",
         "not_before",
         "avoided_endpoints",
         "started_at",
@@ -98,6 +101,7 @@
         self.run = 0
         self.endpoint = None
         self.checkpoint = ""
+        self.queued_at = 0.0
         self.not_before = 0.0
         self.avoided_endpoints = None
         self.started_at = 0.0
@@ -115,6 +119,11 @@
         """The `Step` that the task belongs to."""
         return self.job.spec.steps[self.step_number]
 
+    @property
+    def due_at(self):
+        """The time at which the task's next run became, or becomes, due."""
+        return max(self.queued_at, self.not_before)
+
     def may_run_at(self, endpoint, now):
         """Return whether no late start order can run the task at another endpoint."""
         return now >= self.pinned_until or self.pinned_endpoint is endpoint
@@ -132,13 +141,14 @@
         self.paused_since = None
         endpoint.add(self)
 
-    def unplace(self):
+    def unplace(self, now):
         """Remove the task from its endpoint and queue it for its next run."""
         if self.endpoint is not None:
             self.endpoint.remove(self)
         self.endpoint = None
         self.state = TaskState.WAITING
         if self.step_number in self.job.open_steps:
+            self.queued_at = now
             self.job.waiting[self.step_number][self] = None
 
 
@@ -192,7 +202,7 @@
         self.ended_at = 0.0
         self.objective_at = self.accepted_at + objective_seconds(spec, queue)
         self.has_started = False
-        self.open_ready_steps()
+        self.open_ready_steps(self.accepted_at)
 
     @property
     def id(self):
@@ -214,7 +224,7 @@
         """Whether the job has a step of replicas, which run until it is cancelled."""
         return any(step.replica for step in self.spec.steps)
 
-    def open_ready_steps(self):
+    def open_ready_steps(self, now):
         """Create and queue the tasks of steps whose predecessors are complete."""
         for number, step in enumerate(self.spec.steps):
             if number in self.open_steps or any(self.remaining[n] for n in step.after):
@@ -223,6 +233,7 @@
             for index in range(step.count):
                 task = self.task(number, index)
                 if task.state is TaskState.WAITING:
+                    task.queued_at = now
                     self.waiting[number][task] = None
 
     def task(self, step_number, index):
@@ -243,16 +254,16 @@
         """Return the tasks that are assigned to an endpoint."""
         return [task for task in self.tasks.values() if task.endpoint is not None]
 
-    def finish_task(self, task):
+    def finish_task(self, task, now):
         """Record that ``task`` is complete; open the steps that depended on it."""
         if task.state is TaskState.DONE:
             return
-        task.unplace()
+        task.unplace(now)
         task.state = TaskState.DONE
         self.waiting[task.step_number].pop(task, None)
         self.remaining[task.step_number] -= 1
         if not self.remaining[task.step_number]:
-            self.open_ready_steps()
+            self.open_ready_steps(now)
         if not any(self.remaining):
             self.state = JobState.COMPLETED
 
@@ -296,7 +307,7 @@
                     task.state = TaskState.DONE
                     self.waiting[number].pop(task, None)
                     self.remaining[number] -= 1
-        self.open_ready_steps()
+        self.open_ready_steps(self.discovered_at)
 
 
 def critical_path_seconds(spec):
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -71,6 +71,11 @@
     return orders
 
 
+def waits_for_domain(job, choice, now):
+    """Return whether ``job`` waits until a better domain is open to it."""
+    return choice.domain is not None and now < job.requested_at + DOMAIN_OPENING_SECONDS
+
+
 def place(engine, task, endpoints, now, may_wait):
     """Place ``task``; return its start order, or ``None`` if it has to wait."""
     choice = dispatch.choose(task, endpoints, engine.pressure, now, may_wait)
@@ -81,11 +86,9 @@
         job.requested_domains.add(choice.domain)
         job.requested_at = now
         engine.mark_changed(job, urgent=True)
-    waits_for_domain = (
-        choice.domain is not None and now < job.requested_at + DOMAIN_OPENING_SECONDS
-    )
-    if choice.endpoint is None or waits_for_domain:
+    if choice.endpoint is None or waits_for_domain(job, choice, now):
         return None
+    metrics.DUE_SECONDS.observe(max(0.0, now - task.due_at))
     run = max(task.run, engine.term * RUNS_PER_TERM) + 1
     task.place(choice.endpoint, run, TaskState.STARTING, now)
     task.pace = pacing.FULL_PACE
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -6,6 +6,7 @@
 from clementinebay.clock import SystemClock
 from clementinebay.workflow import jobstore
 from clementinebay.workflow.engine import Engine
+from clementinebay.workflow.load import TermLoad
 from clementinebay.workflow.mirror import Mirror
 from clementinebay.workflow.sending import Sender
 from clementinebay.workflow.storing import ChangeWriter
@@ -60,6 +61,7 @@
             deployment.max_lease_seconds,
             inherited_until,
         )
+        self.load_meter = TermLoad(self.engine, deployment.processors, clock, log)
         self.sender = Sender(self.engine, writer, deployment, max_lease, clock, log)
         self.change_writer = ChangeWriter(
             self.engine,
@@ -85,12 +87,15 @@
                 group.create_task(self.endpoint_mirror.run())
                 group.create_task(self.plan_loop())
                 group.create_task(self.tick_loop())
+                group.create_task(self.load_meter.watch())
                 group.create_task(self.sender.watch())
                 for loop in self.change_writer.loops():
                     group.create_task(loop)
         finally:
             metrics.SCHEDULING.set(0)
             metrics.ACTIVE_JOBS.set(0)
+            metrics.DUE_TASKS.set(0)
+            metrics.OLDEST_DUE_SECONDS.set(0)
             self.sender.stop()
 
     async def load(self):
@@ -217,6 +222,7 @@
                 self.sender.spawn(self.sender.send_stop(order))
             for order in self.engine.plan(now):
                 self.sender.spawn(self.sender.send_start(order))
+            self.load_meter.record_plan(self.clock.now() - now)
             self.change_writer.check_changes()
             # Lets the reports received meanwhile be processed before the next plan.
             await asyncio.sleep(0)
--- a/tests/policy/test_pressure.py
+++ b/tests/policy/test_pressure.py
@@ -87,7 +87,7 @@
         load = 0.42 + 0.2 * math.sin(now / 1.6)
         for endpoint in endpoints:
             for task in endpoint.filler_tasks():
-                task.unplace()
+                task.unplace(0.0)
             for image in rng.sample(["f1", "f2", "f3", "f4"], rng.randint(1, 3)):
                 make_filler(engine, endpoint, image)
             set_readings(endpoint, load)
@@ -111,7 +111,7 @@
     first, second = make_endpoint(engine, "e1"), make_endpoint(engine, "e2")
     job = make_replicas(engine, first, "r1", count=2)
     task = job.task(0, 1)
-    task.unplace()
+    task.unplace(0.0)
     task.place(second, 1, TaskState.RUNNING, -10.0)
     for tick in range(20):
         set_readings(first, 0.6)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -248,7 +248,7 @@
     engine.add_job(spec, factory.QUEUE, 0.0)
     [order] = plan_and_confirm(engine)
     row = (order.task.name, order.run, "done")
-    engine.lose_run(order.task, "lapsed")
+    engine.lose_run(order.task, "lapsed", 1.0)
     first.unreachable_since = 1.0
     second = factory.connect_endpoint(engine, factory.make_info("e2"))
     return engine, first, second, spec, row
