--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -515,10 +515,10 @@
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
     [order] = plan_and_confirm(engine)
     first, second = (first, second) if order.endpoint is first else (second, first)
-    engine.lose_run(order.task, "lapsed")
+    engine.lose_run(order.task, "lapsed", 1.0)
     first.unreachable_since = 1.0
     [again] = plan_and_confirm(engine, 1.0)
-    engine.lose_run(again.task, "lapsed")
+    engine.lose_run(again.task, "lapsed", 1.0)
     row = (order.task.name, order.run)
     engine.process_report(first, factory.report(running=[row]), 2.0, 2.0)
     assert order.task.endpoint is first
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -264,6 +264,7 @@
             table=QueueTable(1, [factory.QUEUE], 1000, 1000),
         )
         self.deployment = SimpleNamespace(
+            processors=1.0,
             boundary=BedBoundary(self),
             max_lease_seconds=factory.MAX_LEASE,
             lease_seconds=5.0,
