Do not probe endpoints with single tasks if most of them are on probation

What callers could see: LOST. After a fault that barred many endpoints at once, each got a single task until one had succeeded there; other tasks waited although most of the capacity was free.

Cause: bars are ignored while more than 40% of the endpoints are barred, since the fault is not theirs then, but the probation that follows a bar was not. It has no deadline: it ends with the first success.

Evidence: test_tasks_are_spread_if_most_endpoints_are_on_probation failed before: 3 of 6 tasks of one processor were placed at three idle endpoints of eight processors.

Change: the same share decides whether probation counts, over the endpoints that are not barred.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -134,8 +134,11 @@
     return value
 
 
-def usable(endpoint, task, now):
-    """Return whether ``task`` may be started on ``endpoint``, whatever the score."""
+def usable(endpoint, task, now, probing=True):
+    """Return whether ``task`` may be started on ``endpoint``, whatever the score.
+
+    ``probing`` says whether an endpoint on probation gets one task at a time.
+    """
     step = task.step
     if endpoint.info.service != task.job.spec.service or not endpoint.fits(step):
         return False
@@ -143,7 +146,8 @@
         return False
     if step.required_label and step.required_label not in endpoint.info.labels:
         return False
-    if endpoint.health.probation and len(endpoint.tasks) > endpoint.replicas:
+    probed = probing and endpoint.health.probation
+    if probed and len(endpoint.tasks) > endpoint.replicas:
         return False
     if step.max_per_endpoint:
         beside = sum(
@@ -167,16 +171,17 @@
         self.domain = domain
 
 
-def choose(task, endpoints, pressure, now, can_wait=True):
+def choose(task, endpoints, pressure, now, can_wait=True, probing=True):
     """Return the `Choice` for ``task`` among ``endpoints``, or ``None``.
 
-    ``can_wait`` says whether a filler may wait for better endpoints, see `may_wait`.
+    ``can_wait`` says whether a filler may wait for better endpoints, see `may_wait`,
+    and ``probing`` whether an endpoint on probation gets one task at a time.
     """
     best = best_elsewhere = None
     best_score = score_elsewhere = float("inf")
     domains = task.job.domains
     for endpoint in endpoints:
-        if not usable(endpoint, task, now):
+        if not usable(endpoint, task, now, probing):
             continue
         value = score(endpoint, task, pressure, now, can_wait)
         if value is None:
--- a/clementinebay/policy/endpointhealth.py
+++ b/clementinebay/policy/endpointhealth.py
@@ -2,7 +2,7 @@
 
 An endpoint on which several jobs fail in a row gets no tasks for a time that doubles
 with each bar, and is then probed with a single task.  If too many endpoints fail at
-once, the fault is not theirs, and bars are ignored.
+once, the fault is not theirs, and neither bars nor probation count.
 """
 
 #: Number of different jobs that must fail in a row before an endpoint is barred.
@@ -10,7 +10,8 @@
 #: First and longest duration of a bar.
 BAR_SECONDS = 2.0
 MAX_BAR_SECONDS = 16.0
-#: Bars are ignored while more than this share of the endpoints is barred.
+#: Bars are ignored while more than this share of the endpoints is barred, and probation
+#: while more than this share of the others is on probation.
 MAX_BARRED_SHARE = 0.4
 
 
@@ -60,3 +61,9 @@
     """Return whether so many endpoints are barred that the fault lies elsewhere."""
     barred = sum(health.barred(now) for health in healths)
     return barred > MAX_BARRED_SHARE * len(healths)
+
+
+def too_many_on_probation(healths):
+    """Return whether so many endpoints are on probation that it must not count."""
+    probes = sum(health.probation for health in healths)
+    return probes > MAX_BARRED_SHARE * len(healths)
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -37,6 +37,8 @@
     endpoints = available_endpoints(engine, now)
     if not endpoints:
         return orders
+    healths = [endpoint.health for endpoint in endpoints]
+    probing = not endpointhealth.too_many_on_probation(healths)
     may_wait_by_service = {
         service: dispatch.may_wait(service, endpoints)
         for service in {endpoint.info.service for endpoint in endpoints}
@@ -49,11 +51,11 @@
             continue
         for waiting in job.waiting:
             may_wait = may_wait_by_service.get(job.spec.service, True)
-            orders += place_step(engine, waiting, endpoints, now, may_wait)
+            orders += place_step(engine, waiting, endpoints, now, may_wait, probing)
     return orders
 
 
-def place_step(engine, waiting, endpoints, now, may_wait):
+def place_step(engine, waiting, endpoints, now, may_wait, probing):
     """Return start orders for the waiting tasks of one step.
 
     The tasks of a step have equal requirements, so the first one that cannot be placed
@@ -63,7 +65,7 @@
     for task in list(waiting):
         if task.not_before > now:
             continue
-        order = place(engine, task, endpoints, now, may_wait)
+        order = place(engine, task, endpoints, now, may_wait, probing)
         if order is not None:
             orders.append(order)
         elif task.avoided_endpoints is None and now >= task.pinned_until:
@@ -71,9 +73,9 @@
     return orders
 
 
-def place(engine, task, endpoints, now, may_wait):
+def place(engine, task, endpoints, now, may_wait, probing):
     """Place ``task``; return its start order, or ``None`` if it has to wait."""
-    choice = dispatch.choose(task, endpoints, engine.pressure, now, may_wait)
+    choice = dispatch.choose(task, endpoints, engine.pressure, now, may_wait, probing)
     if choice is None:
         return None
     job = task.job
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -273,6 +273,20 @@
     assert [order.endpoint for order in orders] == [endpoint]
 
 
+def test_tasks_are_spread_if_most_endpoints_are_on_probation():
+    """The fault is not theirs then, and a probe may run for long."""
+    engine = factory.make_engine()
+    endpoints = [
+        factory.connect_endpoint(engine, factory.make_info(f"e{number}"))
+        for number in range(3)
+    ]
+    for endpoint in endpoints:
+        endpoint.health.bar(0.0)
+    steps = [Step(count=6, processors_milli=1000)]
+    engine.add_job(factory.make_spec(steps=steps), factory.QUEUE, 0.0)
+    assert len(plan_and_confirm(engine, 5.0)) == 6
+
+
 def test_lost_endpoint_keeps_its_tasks_until_their_leases_expire():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
