Release unanswered starts at a restarted endpoint that stays out of reach

What callers could see: LOST. A task whose start order got no answer waited without any limit if the endpoint restarted, stayed in the registry and could not be reached.

Cause: tasks are released once the leases of their endpoint have expired. The clock of an incarnation that has not reported is unknown, and such endpoints were passed over while listed.

Evidence: test_unanswered_start_at_restarted_endpoint_out_of_reach_is_released failed before: the task was still unconfirmed.

Change: the task is released when the longest possible lease after the last possible late order is over.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -10,7 +10,7 @@
 from clementinebay.policy import progress as progress_policy
 from clementinebay.policy.pressure import Pressure
 from clementinebay.workflow import planning
-from clementinebay.workflow.fleet import EndpointState
+from clementinebay.workflow.fleet import EndpointState, longest_lease
 from clementinebay.workflow.inheritance import InheritedEndpoints
 from clementinebay.workflow.job import Job, JobState, TaskState
 from clementinebay.workflow.orders import PaceOrder, RunEnd
@@ -146,6 +146,8 @@
         for task in list(endpoint.tasks.values()):
             if task.state in (TaskState.STARTING, TaskState.UNCONFIRMED):
                 self.mark_unconfirmed(task, now)
+                # A late request for a report would extend the lease of its run.
+                self.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
             else:
                 self.lose_run(task, "restarted")
         endpoint.restart(info)
@@ -163,6 +165,7 @@
         """Release the tasks of endpoints whose leases have certainly expired."""
         for endpoint in list(self.endpoints.values()):
             if endpoint.clock_ms is None and endpoint.listed:
+                self.expire_unconfirmed(endpoint, now)
                 continue
             if now < endpoint.leases_expire_at():
                 continue
@@ -177,6 +180,18 @@
                 self.log.info("endpoint.forgotten", endpoint=endpoint.id)
         self.inherited_endpoints.expire(now)
 
+    def expire_unconfirmed(self, endpoint, now):
+        """Release tasks whose run is over at an incarnation that never reported.
+
+        An order that was sent before the restart may be executed at its deadline and
+        grant the longest lease.
+        """
+        lease_seconds = longest_lease(self.max_lease_seconds)
+        for task in list(endpoint.tasks.values()):
+            deadline = self.late_order_deadlines.get(task.name)
+            if deadline is not None and now >= deadline + lease_seconds:
+                self.lose_run(task, "lapsed")
+
     def lose_run(self, task, cause):
         """Record a run that ended without a result and release its task."""
         metrics.RUNS_LOST.labels(cause).inc()
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -251,7 +251,12 @@
         if self.clock_ms is None or not self.granted_ms:
             return 0.0
         left = max(0, self.granted_ms - self.clock_ms) / 1000
-        return self.clock_at + left / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_SECONDS
+        return self.clock_at + longest_lease(left)
+
+
+def longest_lease(seconds):
+    """Return the time after which runs with a lease of ``seconds`` have ended."""
+    return seconds / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_SECONDS
 
 
 def adjust_count(counts, image, sign):
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -240,6 +240,20 @@
     assert order.task.state is TaskState.WAITING
 
 
+def test_unanswered_start_at_restarted_endpoint_out_of_reach_is_released():
+    """A late order can grant the new incarnation the longest lease."""
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 1.0)
+    engine.register_endpoint(factory.make_info(born_ms=2), 2.0)
+    engine.expire(1.0 + MAX_ORDER_DELAY_SECONDS + factory.MAX_LEASE)
+    assert order.task.state is TaskState.UNCONFIRMED
+    engine.expire(2.5 + MAX_ORDER_DELAY_SECONDS + factory.MAX_LEASE * 1.03)
+    assert order.task.state is TaskState.WAITING
+
+
 def test_stuck_run_is_stopped_and_its_endpoint_is_barred():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
