Do not reckon with leases that were never sent

What callers could see: tasks at an endpoint that was cut off from the scheduler but still listed were not run elsewhere before the end of the cut, though their leases end after about 5 s (docs/PLATFORM.md, "What each loss costs").

Cause: each request for a report extends the lease that the scheduler reckons with, even if no connection could be opened for it.

Evidence: test_task_that_ended_behind_a_cut_is_run_elsewhere_once_its_lease_is_over failed before for refused connections: 8 s after the run had failed the task ran nowhere.

Change: if a request to an unreachable endpoint was certainly not sent, the lease that it would have granted is not counted. No start order can have granted one meanwhile, because none is sent to an unreachable endpoint.

--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -252,6 +252,7 @@
             wait = COLOCATED_WAIT_SECONDS if colocated else REPORT_WAIT_SECONDS
         deadline_ms = None
         lease_length = self.sender.lease_seconds(sent_at)
+        granted_before = endpoint.granted_ms
         if endpoint.clock_ms is not None and endpoint.listed and lease_length > 0:
             deadline_ms = endpoint.grant(sent_at, lease_length)
         was_unreachable = endpoint.unreachable_since is not None
@@ -262,6 +263,10 @@
             )
         except (errors.CallError, errors.OrderRefusedError) as error:
             metrics.ORDERS.labels("report", error.code).inc()
+            # No start order can have granted a lease since, as the endpoint was
+            # unreachable.
+            if was_unreachable and isinstance(error, errors.CallNotSentError):
+                endpoint.granted_ms = granted_before
             self.sender.mark_unreachable(endpoint)
             self.sender.check_fenced(endpoint, fence, error)
             return False
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -124,14 +124,15 @@
     virtualtime.run(main())
 
 
-def test_task_that_ended_behind_a_cut_is_run_elsewhere_once_its_lease_is_over():
+@pytest.mark.parametrize("how", ["refused", "reset"])
+def test_task_that_ended_behind_a_cut_is_run_elsewhere_once_its_lease_is_over(how):
     async def main():
         async with TestBed() as bed:
             await bed.run(1.0)
             task = bed.submit()
             await bed.run(0.2)
             first = bed.running_at(task)
-            cut = asyncio.create_task(bed.cut([first], "reset", 20.0))
+            cut = asyncio.create_task(bed.cut([first], how, 20.0))
             await bed.run(0.05)
             first.end(task, "failed")
             await bed.run(8.0)
