--- a/clementinebay/workflow/waiting.py
+++ b/clementinebay/workflow/waiting.py
@@ -44,15 +44,16 @@
         return Reason.INHERITED
     endpoints = planning.available_endpoints(engine, now)
     may_wait = dispatch.may_wait(job.spec.service, endpoints)
-    choice = dispatch.choose(task, endpoints, engine.pressure, now, may_wait)
+    probing = planning.probes_endpoints(endpoints)
+    choice = dispatch.choose(task, endpoints, engine.pressure, now, may_wait, probing)
     if choice is None:
-        return unusable_reason(task, endpoints, now)
+        return unusable_reason(task, endpoints, now, probing)
     if choice.endpoint is None or planning.waits_for_domain(job, choice, now):
         return Reason.DOMAIN
     return Reason.NONE
 
 
-def unusable_reason(task, endpoints, now):
+def unusable_reason(task, endpoints, now, probing):
     """Return the `Reason` for which no endpoint can be used for ``task``."""
     step = task.step
     conditions = (
@@ -63,7 +64,7 @@
             lambda e: not step.required_label or step.required_label in e.info.labels,
         ),
         (Reason.NO_ROOM, lambda e: e.fits(step)),
-        (Reason.SPREAD, lambda e: dispatch.usable(e, task, now)),
+        (Reason.SPREAD, lambda e: dispatch.usable(e, task, now, probing)),
     )
     for name, holds in conditions:
         endpoints = [endpoint for endpoint in endpoints if holds(endpoint)]
--- a/tests/workflow/test_load.py
+++ b/tests/workflow/test_load.py
@@ -49,6 +49,9 @@
 
 
 def probe_endpoint(engine, _task):
+    for endpoint_id in ("e2", "e3"):
+        sound = factory.connect_endpoint(engine, factory.make_info(endpoint_id))
+        sound.processors_used = 8000
     endpoint = engine.endpoints["e1"]
     endpoint.health.probation = True
     other = engine.add_job(factory.make_spec("f" * 16), factory.QUEUE, 0.0)
