Known failures: waits for inherited leases and for barred endpoints of one service

The successor must wait until the leases that the lost scheduler may have granted have expired; a shorter wait needs a bound on when it last granted one.

Counting the bars for each service would start tasks at an endpoint that is known to fail if the service has no other, which uses up the attempts of jobs.

--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -301,6 +301,17 @@
     assert len(plan_and_confirm(engine, 5.0)) == 6
 
 
+def test_tasks_run_if_all_endpoints_of_their_service_are_barred():
+    engine = factory.make_engine()
+    for number in range(4):
+        factory.connect_endpoint(engine, factory.make_info(f"x{number}", service="x"))
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    for _failure in range(3):
+        endpoint.health.bar(0.0)
+    assert plan_and_confirm(engine, 3.0)
+
+
 def test_lost_endpoint_keeps_its_tasks_until_their_leases_expire():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -156,3 +156,17 @@
             assert bed.running_at(task) or task in bed.done
 
     virtualtime.run(main())
+
+
+def test_successor_starts_jobs_in_time_if_an_endpoint_was_lost_with_the_scheduler():
+    async def main():
+        async with TestBed(endpoints=6) as bed:
+            gone = bed.endpoints[0]
+            await bed.run(1.0)
+            gone.up = False
+            bed.unlist(gone)
+            bed.submit(gone.domain)
+            await bed.kill_scheduler()
+            await bed.run(12.0)
+
+    virtualtime.run(main())
