Tolerate registry entries of endpoints that cannot be called

What callers could see: no job is scheduled. An entry with an address such as "10.0.0.1:x", or with an id that no HTTP header can carry, ended the term of every scheduler as soon as it asked the endpoint for a report.

Cause: the client raised ValueError, UnicodeError or OverflowError for such an address, and a failure that is not an error of a call ends the term (term.broken). The entry is still there in the next term.

Change: the client reports an address to which no connection can be opened as CallNotSentError, whatever is wrong with it, so the endpoint counts as unreachable. Entries with such ids are rejected like other malformed entries.

--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -78,8 +78,9 @@
         raise errors.EntryInvalidError(key, str(error)) from error
     if entry.state not in ("ready", "draining"):
         raise errors.EntryInvalidError(key, f"state {entry.state!r}")
-    if not endpoint_id or ":" not in entry.addr:
-        raise errors.EntryInvalidError(key, "no id or address")
+    is_header_value = endpoint_id.isascii() and endpoint_id.isprintable()
+    if not endpoint_id or not is_header_value or ":" not in entry.addr:
+        raise errors.EntryInvalidError(key, "no valid id or address")
     return Endpoint(
         endpoint_id,
         born_ms=entry.born,
--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -181,7 +181,8 @@
                 _transport, connection = await loop.create_connection(
                     ClientConnection, host, int(port)
                 )
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The last two are raised for hosts and ports that cannot exist.
             raise errors.CallNotSentError(address, error) from error
         return connection
 
--- a/tests/web/test_web.py
+++ b/tests/web/test_web.py
@@ -58,6 +58,15 @@
         await client.call(f"127.0.0.1:{free_range(1)}", "GET", "/", 1.0)
 
 
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:x", "127.0.0.1:", "127.0.0.1:70000", "a..b:80", "a\0b:80"]
+)
+async def test_call_to_an_invalid_address_raises_call_not_sent_error(client, address):
+    """The registry is written by others; other errors would end a scheduler's term."""
+    with pytest.raises(errors.CallNotSentError):
+        await client.call(address, "GET", "/", 1.0)
+
+
 async def test_late_response_is_not_returned_for_another_call(server, client):
     with pytest.raises(errors.CallUnansweredError):
         await client.call(address(server), "POST", "/slow", 0.1, b"late")
