Treat a report with incomplete rows as an unanswered request

What callers could see: no job is scheduled while one endpoint sends such reports.

Cause: a row of a running task with fewer than four fields raised ValueError, which ended the term; the other defects of a report were handled.

Evidence: test_malformed_report_counts_as_unanswered failed before for rows with three and with no fields.

Change: the driver turns this error into CallUnansweredError too.

--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -158,7 +158,7 @@
             answer = _report_decoder.decode(data)
             running = [run_report(row) for row in answer.running]
             ended = [RunEnd(*row[:5]) for row in answer.ended]
-        except (msgspec.MsgspecError, TypeError, IndexError) as error:
+        except (msgspec.MsgspecError, TypeError, ValueError) as error:
             address = endpoint.info.address
             raise errors.CallUnansweredError(address, "/hold", error) from error
         return Report(answer.born, answer.clock_ms, running, ended)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -3,7 +3,39 @@
 import pytest
 
 from clementinebay import errors
-from clementinebay.platform.endpoints import decode_endpoint
+from clementinebay.platform.endpoints import PlatformDriver, decode_endpoint
+from clementinebay.web.client import Answer
+from clementinebay.workflow.fleet import EndpointState
+from tests.workflow import factory
+
+
+class FakeClient:
+    """A client that answers every call with ``body``."""
+
+    def __init__(self, body):
+        self.body = body
+
+    async def call(self, address, method, path, timeout, body=None, headers=()):
+        """Return the answer."""
+        return Answer(200, {}, self.body)
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        b'"running":[["t",1,""]]',
+        b'"running":[[]]',
+        b'"ended":[[1,"t",1,"done"]]',
+        b'"ended":{}',
+    ],
+)
+async def test_malformed_report_counts_as_unanswered(rows):
+    """Any other error would end the scheduler's term."""
+    driver = PlatformDriver(FakeClient(b'{"clock_ms":1,' + rows + b"}"))
+    endpoint = EndpointState(factory.make_info(), None)
+    with pytest.raises(errors.CallUnansweredError):
+        await driver.report(endpoint, None, 0, 0.0, 1)
+
 
 ENTRY = (
     b'{"service":"s","addr":"127.0.0.1:1","zone":"a","state":"ready",'
