--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -78,8 +78,9 @@
         raise errors.EntryInvalidError(key, str(error)) from error
     if entry.state not in ("ready", "draining"):
         raise errors.EntryInvalidError(key, f"state {entry.state!r}")
-    if not endpoint_id or ":" not in entry.addr:
-        raise errors.EntryInvalidError(key, "no id or address")
+    is_header_value = endpoint_id.isascii() and endpoint_id.isprintable()
+    if not endpoint_id or not is_header_value or ":" not in entry.addr:
+        raise errors.EntryInvalidError(key, "no valid id or address")
     return Endpoint(
         endpoint_id,
         born_ms=entry.born,
@@ -157,7 +158,7 @@
             answer = _report_decoder.decode(data)
             running = [run_report(row) for row in answer.running]
             ended = [RunEnd(*row[:5]) for row in answer.ended]
-        except (msgspec.MsgspecError, TypeError, IndexError) as error:
+        except (msgspec.MsgspecError, TypeError, ValueError) as error:
             address = endpoint.info.address
             raise errors.CallUnansweredError(address, "/hold", error) from error
         return Report(answer.born, answer.clock_ms, running, ended)
