Space plans by the time they take; plan only after news

Callers saw tasks start late.

A plan now follows the one before it after four times the time that one took, at most 0.1 s, so plans take a fifth of the thread and cheap ones are still made at once. Started and stopped runs request no plan, since they free nothing, and neither do writes that open no domain or endpoint.

--- a/bench/term.py
+++ b/bench/term.py
@@ -7,7 +7,9 @@
 processors, and jobs of the three kinds.  Sockets and the kernel are left out.  Printed
 for a steady stretch and for a burst of fillers: processor time per simulated second,
 calls, and how long tasks were due when they started.  With ``--processors`` simulated
-time also passes by the processor time used, as on a VM of that size.
+time also passes by the processor time used, as on a VM of that size.  Processor time is
+normalized by a fixed piece of work, because other programs slow the machine; *speed* is
+the last factor.
 """
 
 import argparse
@@ -39,6 +41,7 @@
 BURST_SECONDS = 4.0
 BURST_FACTOR = 2.6
 RENEW_SECONDS = 0.45
+CALIBRATION_INTERVAL_SECONDS = 0.02
 
 #: Functions listed with their cumulative time by ``--profile``.
 PARTS = (
@@ -130,12 +133,12 @@
         self.fleet = fleet
         self.loop = loop
         self.from_time = loop.time()
-        self.used = time.process_time() - fleets.ModelTime.seconds
+        self.used = loop.used_seconds()
 
     def print(self):
         """Print the figures up to now."""
         seconds = self.loop.time() - self.from_time
-        used = time.process_time() - fleets.ModelTime.seconds - self.used
+        used = self.loop.used_seconds() - self.used
         calls = Counter(p for at, p in self.fleet.calls if at >= self.from_time)
         waits = sorted(w for at, w in self.fleet.waits if at >= self.from_time)
         row = {
@@ -144,6 +147,7 @@
             "wait p50 ms": quantile(waits, 0.5) * 1000,
             "p95 ms": quantile(waits, 0.95) * 1000,
             "p99 ms": quantile(waits, 0.99) * 1000,
+            "speed %": self.loop.factor * 100,
         }
         text = "  ".join(f"{name} {value:.0f}" for name, value in row.items())
         print(f"{self.name:7} {text}", flush=True)
@@ -173,6 +177,13 @@
         await store.write(puts)
 
 
+async def calibrate(loop):
+    """Measure the machine's speed at regular intervals."""
+    while True:
+        loop.calibrate()
+        await asyncio.sleep(CALIBRATION_INTERVAL_SECONDS)
+
+
 async def renew(scheduler, clock):
     """Confirm the term at the usual interval."""
     while True:
@@ -205,6 +216,7 @@
         asyncio.ensure_future(scheduler.run()),
         asyncio.ensure_future(submit(store, fleet, maker, clock, rows)),
         asyncio.ensure_future(renew(scheduler, clock)),
+        asyncio.ensure_future(calibrate(loop)),
     ]
     await asyncio.sleep(WARM_SECONDS - loop.time())
     print_reserved(scheduler.engine)
--- a/bench/termfleet.py
+++ b/bench/termfleet.py
@@ -20,6 +20,10 @@
 DOMAINS = ("stgo-norte", "stgo-sur", "vina-costa", "rancagua-valle")
 #: Time of a message in one direction, in seconds.
 DELAY_SECONDS = 0.002
+#: Rounds of the work by which the machine's speed is measured, and the processor time
+#: that it takes at the nominal speed, in seconds.
+CALIBRATION_ROUNDS = 4000
+NOMINAL_SECONDS = 0.001
 #: Time after its start at which a replica is at work, in seconds.
 WARM_SECONDS = 0.6
 
@@ -59,7 +63,8 @@
     """An event loop that skips idle time.
 
     Its time also advances by the processor time used outside the models divided by
-    ``processors``, unless that is 0.
+    ``processors``, unless that is 0.  Processor time is normalized: `calibrate` adapts
+    ``factor`` to the speed that the machine has at the moment.
     """
 
     def __init__(self, processors=0.0):
@@ -67,13 +72,34 @@
         self._selector = SkippingSelector(self._selector, self)
         self.processors = processors
         self.skipped_seconds = 0.0
+        self.factor = 1.0
+        self.normalized_seconds = 0.0
+        self.read_at = time.process_time() - ModelTime.seconds
+
+    def calibrate(self):
+        """Measure the machine's speed by a fixed piece of work."""
+        self.used_seconds()
+        with ModelTime():
+            started_at = time.process_time()
+            values = {}
+            for number in range(CALIBRATION_ROUNDS):
+                values[number & 255] = max(number, values.get(number & 255, 0))
+            seconds = time.process_time() - started_at
+        # A mean over about ten calibrations evens out their own noise.
+        self.factor += (NOMINAL_SECONDS / seconds - self.factor) / 10
+
+    def used_seconds(self):
+        """Return the normalized processor time used outside the models."""
+        used = time.process_time() - ModelTime.seconds
+        self.normalized_seconds += (used - self.read_at) * self.factor
+        self.read_at = used
+        return self.normalized_seconds
 
     def time(self):
         """Return the simulated time in seconds."""
         if not self.processors:
             return self.skipped_seconds
-        used = time.process_time() - ModelTime.seconds
-        return self.skipped_seconds + used / self.processors
+        return self.skipped_seconds + self.used_seconds() / self.processors
 
 
 class Run:
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -13,6 +13,11 @@
 
 #: Interval between plans when no event requests one, in seconds.
 TICK_SECONDS = 0.1
+#: A plan follows the one before it no sooner than after this many times the time that
+#: one took, so that plans leave most of the processor time to reports and orders.
+SPACING_FACTOR = 4.0
+#: Longest such wait, in seconds.
+MAX_SPACING_SECONDS = 0.1
 #: Longest time for which an endpoint may delay its report until a run ends, in
 #: seconds.
 REPORT_WAIT_SECONDS = 1.0
@@ -33,6 +38,11 @@
 INHERITED_MARGIN_SECONDS = 0.7
 
 
+def plan_spacing(seconds):
+    """Return the wait after a plan that took ``seconds``."""
+    return min(SPACING_FACTOR * seconds, MAX_SPACING_SECONDS)
+
+
 class Scheduler:
     """Runs the engine for one term; `run` returns when the term ends.
 
@@ -222,10 +232,11 @@
                 self.sender.spawn(self.sender.send_stop(order))
             for order in self.engine.plan(now):
                 self.sender.spawn(self.sender.send_start(order))
-            self.load_meter.record_plan(self.clock.now() - now)
+            seconds = self.clock.now() - now
+            self.load_meter.record_plan(seconds)
             self.change_writer.check_changes()
             # Lets the reports received meanwhile be processed before the next plan.
-            await asyncio.sleep(0)
+            await asyncio.sleep(plan_spacing(seconds))
 
     async def tick_loop(self):
         """Request a plan at regular intervals, for changes due to time alone."""
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -128,7 +128,8 @@
             outcome=outcome,
             ms=round((self.clock.now() - now) * 1000, 1),
         )
-        self.request_plan()
+        if outcome != "started":
+            self.request_plan()
 
     def start_refused(self, order, fence, error):
         """Handle the refusal of a start order."""
@@ -159,7 +160,6 @@
             reason=order.reason,
             outcome=outcome,
         )
-        self.request_plan()
 
     def pace(self, endpoint):
         """Send the pace orders for an endpoint's fillers."""
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -30,8 +30,8 @@
     """Writes the engine's changes to the store during a term.
 
     ``recorded`` maps the endpoints to be stored as in use to their failure domains.
-    Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called after each
-    write.
+    Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called after a
+    write that opened an endpoint or a failure domain to a job.
     """
 
     def __init__(self, engine, writer, status_seconds, request_plan, log):
@@ -102,14 +102,19 @@
         their write is still under way.
         """
         async with self.write_lock:
-            await self.write_changes()
+            opened = await self.write_changes()
         async with self.stored_condition:
             self.stored_condition.notify_all()
-        self.request_plan()
+        if opened:
+            self.request_plan()
 
     async def write_changes(self):
-        """Write the changes since the last write."""
+        """Write the changes since the last write.
+
+        Returns whether that opened an endpoint, or a failure domain to a job.
+        """
         jobs, ends = self.engine.drain_changes()
+        opened = any(job.requested_domains for job in jobs)
         records = [(job, job.progress()) for job in jobs]
         # Endpoints recorded during this write are not part of it.
         recorded = dict(self.recorded)
@@ -135,8 +140,10 @@
                 records[:stored_count], ends if stored_count == len(records) else ()
             )
         for endpoint_id in recorded:
-            if endpoint_id in self.engine.endpoints:
-                self.engine.endpoints[endpoint_id].recorded = True
+            endpoint = self.engine.endpoints.get(endpoint_id)
+            if endpoint is not None and not endpoint.recorded:
+                endpoint.recorded = opened = True
+        return opened
 
     async def pending_loop(self):
         """Store the counts of pending jobs after they have changed."""
--- /dev/null
+++ b/tests/workflow/test_sending.py
@@ -0,0 +1,59 @@
+"""Sending of orders: which outcomes request another plan, and when it is made."""
+
+import pytest
+
+from clementinebay import errors
+from clementinebay.clock import ManualClock
+from clementinebay.workflow import schedule
+from clementinebay.workflow.sending import Sender
+from tests.workflow import factory
+
+
+class FakeDriver:
+    """A driver that answers start orders, or raises ``error`` if set."""
+
+    error = None
+
+    async def start(self, order, deadline_ms, fence):
+        """Answer a start order."""
+        if self.error is not None:
+            raise self.error
+
+
+class FakeDeployment:
+    """What a `Sender` reads of its `Deployment` and writer."""
+
+    lease_seconds = 5.0
+    fence = 1
+
+    def __init__(self):
+        self.boundary = self
+        self.driver = FakeDriver()
+
+
+@pytest.mark.parametrize(
+    ("error", "plans_again"),
+    [
+        (None, False),
+        (errors.CallUnansweredError("a", "/run-start", "reset"), True),
+        (errors.CallNotSentError("a", "refused"), True),
+        (errors.OrderRefusedError("e1", errors.OrderRefusedError.FULL), True),
+    ],
+)
+async def test_only_starts_without_success_request_a_plan(error, plans_again):
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    deployment = FakeDeployment()
+    deployment.driver.error = error
+    sender = Sender(
+        engine, deployment, deployment, 5.7, ManualClock(1.0), factory.quiet_log()
+    )
+    await sender.send_start(engine.plan(1.0)[0])
+    assert sender.plan_requested.is_set() is plans_again
+
+
+def test_plans_leave_time_to_other_work_but_do_not_stop():
+    assert schedule.plan_spacing(0.0) == 0.0
+    assert schedule.plan_spacing(0.002) == 0.002 * schedule.SPACING_FACTOR
+    assert schedule.plan_spacing(5.0) == schedule.MAX_SPACING_SECONDS
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -66,3 +66,23 @@
     assert [job_id for job_id, _progress in records] == [job.id]
     assert endpoints == {"e1": "a"}
     assert endpoint.recorded
+
+
+async def test_only_writes_that_open_something_request_a_plan():
+    changes = make_change_writer()
+    changes.writer.unblocked.set()
+    plans = []
+    changes.request_plan = lambda: plans.append(1)
+    endpoint = changes.engine.register_endpoint(factory.make_info("e1"), 0.0)
+    changes.record_endpoint(endpoint)
+    await changes.store_changes()
+    assert len(plans) == 1
+    job = changes.engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    changes.engine.mark_changed(job)
+    await changes.store_changes()
+    assert len(plans) == 1
+    job.requested_domains.add("b")
+    changes.engine.mark_changed(job)
+    await changes.store_changes()
+    assert len(plans) == 2
+    assert "b" in job.domains
