--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -39,7 +39,7 @@
 class FaultyStore(MemoryStore):
     """One daemon's access to the store; ``away`` and ``lossy`` are its faults.
 
-    A ``lossy`` store loses every second answer to a write, after or before its effect.
+    A ``lossy`` store loses half of the answers to writes, before or after their effect.
     """
 
     def __init__(self, bed):
