Leave processor time out of the scheduler's load

On the users' platform the process's own clock of processor time runs with the steady clock: term.load showed 1.0 processors in every line, idle or not.

--- a/clementinebay/workflow/load.py
+++ b/clementinebay/workflow/load.py
@@ -1,7 +1,6 @@
 """Measures how well the scheduler keeps up, and logs it once a second."""
 
 import asyncio
-import time
 
 from clementinebay import metrics
 from clementinebay.workflow import planning, waiting
@@ -28,7 +27,6 @@
     def reset(self):
         """Start to measure the next interval."""
         self.started_at = self.clock.now()
-        self.processor_seconds = time.process_time()
         self.max_lag_seconds = 0.0
         self.plans = 0
         self.plan_seconds = 0.0
@@ -63,7 +61,6 @@
     def line(self, now):
         """Return the fields of the log line at ``now``."""
         engine = self.engine
-        used_seconds = time.process_time() - self.processor_seconds
         fields = {
             "lag_ms": milliseconds(self.max_lag_seconds),
             "plans": self.plans,
@@ -72,7 +69,6 @@
             "active": len(engine.active),
             "endpoints": len(engine.endpoints),
             "processors": self.processors,
-            "used": round(used_seconds / max(0.001, now - self.started_at), 3),
         }
         return fields | due_fields(engine, now)
 
