Do not extend leases at endpoints that are out of reach

What callers could see: LOST. Tasks at an endpoint that was cut off from the scheduler, but not from the store, were run nowhere for as long as the cut lasted.

Cause: each request for a report grants a lease. If it is sent and not answered, it may have extended the leases there, so they could not be taken as expired; and the next request was sent with a later deadline.

Change: after a request without an answer, the following ones extend no lease and are answered at once, until the endpoint answers; the next one extends again. This replaces the rule for requests that were certainly not sent.

--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -263,16 +263,18 @@
         """Request one report; return whether it was received and processed."""
         sent_at = self.clock.now()
         unstored = endpoint.last_processed_end > endpoint.last_acknowledged_end
+        was_unreachable = endpoint.unreachable_since is not None
         wait = 0.0
-        if endpoint.has_reported and not unstored:
+        if endpoint.has_reported and not unstored and not was_unreachable:
             colocated = endpoint.replicas and endpoint.fillers
             wait = COLOCATED_WAIT_SECONDS if colocated else REPORT_WAIT_SECONDS
         deadline_ms = None
         lease_length = self.sender.lease_seconds(sent_at)
-        granted_before = endpoint.granted_ms
-        if endpoint.clock_ms is not None and endpoint.listed and lease_length > 0:
+        # Requests that get no answer may extend leases, so their runs would have to be
+        # waited for as long as the endpoint is out of reach.
+        may_extend = endpoint.clock_ms is not None and endpoint.listed
+        if may_extend and not was_unreachable and lease_length > 0:
             deadline_ms = endpoint.grant(sent_at, lease_length)
-        was_unreachable = endpoint.unreachable_since is not None
         fence = endpoint.fence(self.writer.fence)
         try:
             report = await self.driver.report(
@@ -280,10 +282,6 @@
             )
         except (errors.CallError, errors.OrderRefusedError) as error:
             metrics.ORDERS.labels("report", error.code).inc()
-            # No start order can have granted a lease since, as the endpoint was
-            # unreachable.
-            if was_unreachable and isinstance(error, errors.CallNotSentError):
-                endpoint.granted_ms = granted_before
             self.sender.mark_unreachable(endpoint)
             self.sender.check_fenced(endpoint, fence, error)
             return False
