Plan only for jobs with waiting tasks; expire leases at ticks only

Callers saw tasks start late. Each plan sorted all active jobs, though most have no waiting task, and looked at each of their steps; and the leases of all endpoints were checked before each plan.

Jobs without a waiting task are left out before the others are sorted, whether a job has replicas is computed once, endpoints are not looked at if no job waits, and leases are checked every 0.1 s. Plans decide as before; a lapsed run is released up to 0.1 s later.

--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -161,11 +161,13 @@
     ``inherited_domains`` an earlier scheduler may have started tasks that this one does
     not know of.  ``discovered_at`` is when this scheduler first read the job.  Times
     are seconds of the scheduler's clock, except ``ended_at``, which is in seconds since
-    the Unix epoch.
+    the Unix epoch.  ``replica`` is true if the job has a step of replicas, which run
+    until it is cancelled.
     """
 
     __slots__ = (
         "spec",
+        "replica",
         "queue",
         "state",
         "tasks",
@@ -186,6 +188,7 @@
 
     def __init__(self, spec, queue, now, wall_now):
         self.spec = spec
+        self.replica = any(step.replica for step in spec.steps)
         self.queue = queue
         self.state = JobState.QUEUED
         self.domains = {spec.domain}
@@ -219,11 +222,6 @@
         span = max(0.001, self.objective_at - self.accepted_at)
         return (now - self.accepted_at) / span
 
-    @property
-    def replica(self):
-        """Whether the job has a step of replicas, which run until it is cancelled."""
-        return any(step.replica for step in self.spec.steps)
-
     def open_ready_steps(self, now):
         """Create and queue the tasks of steps whose predecessors are complete."""
         for number, step in enumerate(self.spec.steps):
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -34,25 +34,38 @@
 def plan(engine, now):
     """Return the start orders to send now."""
     orders = []
-    endpoints = available_endpoints(engine, now)
+    jobs = startable_jobs(engine, now)
+    endpoints = available_endpoints(engine, now) if jobs else ()
     if not endpoints:
         return orders
     may_wait_by_service = {
         service: dispatch.may_wait(service, endpoints)
         for service in {endpoint.info.service for endpoint in endpoints}
     }
-    for job in sorted(engine.active.values(), key=lambda job: dispatch.rank(job, now)):
-        if (
-            job.discovered_at > engine.exclusive_until
-            or not engine.inherited_endpoints.all_reported(job)
-        ):
-            continue
+    for job in jobs:
+        may_wait = may_wait_by_service.get(job.spec.service, True)
         for waiting in job.waiting:
-            may_wait = may_wait_by_service.get(job.spec.service, True)
-            orders += place_step(engine, waiting, endpoints, now, may_wait)
+            if waiting:
+                orders += place_step(engine, waiting, endpoints, now, may_wait)
     return orders
 
 
+def startable_jobs(engine, now):
+    """Return the jobs with waiting tasks that may be started, the first in rank first.
+
+    Other active jobs are far more, so they are left out before the others are sorted.
+    """
+    jobs = [
+        job
+        for job in engine.active.values()
+        if any(job.waiting)
+        and job.discovered_at <= engine.exclusive_until
+        and engine.inherited_endpoints.all_reported(job)
+    ]
+    jobs.sort(key=lambda job: dispatch.rank(job, now))
+    return jobs
+
+
 def place_step(engine, waiting, endpoints, now, may_wait):
     """Return start orders for the waiting tasks of one step.
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -11,7 +11,8 @@
 from clementinebay.workflow.sending import Sender
 from clementinebay.workflow.storing import ChangeWriter
 
-#: Interval between plans when no event requests one, in seconds.
+#: Interval between checks for expired leases, and between plans when no event requests
+#: one, in seconds.
 TICK_SECONDS = 0.1
 #: A plan follows the one before it no sooner than after this many times the time that
 #: one took, so that plans leave most of the processor time to reports and orders.
@@ -227,7 +228,6 @@
             await self.sender.plan_requested.wait()
             self.sender.plan_requested.clear()
             now = self.clock.now()
-            self.engine.expire(now)
             for order in self.engine.stops.due(now, self.engine.endpoints):
                 self.sender.spawn(self.sender.send_stop(order))
             for order in self.engine.plan(now):
@@ -239,9 +239,10 @@
             await asyncio.sleep(plan_spacing(seconds))
 
     async def tick_loop(self):
-        """Request a plan at regular intervals, for changes due to time alone."""
+        """Expire leases and request a plan at regular intervals."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
+            self.engine.expire(self.clock.now())
             self.sender.request_plan()
 
     # Reports
