Extend leases for two seconds without an answer

Over a link that loses packets single answers are lost while requests arrive. Leases that end with the first lost answer would end healthy runs there, so requests extend them for 2 s more; tasks behind a cut wait at most 2 s longer, within the 8 s that the test of such a cut allows.

--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -4,6 +4,10 @@
 
 #: Greatest share by which an endpoint's clock may run slow.
 MAX_CLOCK_DRIFT = 0.02
+#: Time without an answer after which an endpoint's leases are no longer extended, in
+#: seconds.  Requests without an answer may extend them, and its tasks are not run
+#: elsewhere before they expire.
+MAX_SILENCE_SECONDS = 2.0
 #: Time in which an endpoint ends its runs after their lease has expired, in seconds.
 EXPIRY_MARGIN_SECONDS = 0.3
 
@@ -240,6 +244,13 @@
         """Return the lowest possible endpoint clock at ``now``, in milliseconds."""
         return self.clock_ms + (now - self.clock_at) * 1000 * (1 - MAX_CLOCK_DRIFT)
 
+    def extends_leases(self, now):
+        """Return whether requests for reports extend the leases of the runs."""
+        if self.clock_ms is None or not self.listed:
+            return False
+        silent_since = self.unreachable_since
+        return silent_since is None or now < silent_since + MAX_SILENCE_SECONDS
+
     def grant(self, now, seconds):
         """Return a lease deadline ``seconds`` ahead, in ms of the endpoint's clock."""
         deadline = int(self.earliest_clock(now) + seconds * 1000)
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -271,10 +271,7 @@
             wait = COLOCATED_WAIT_SECONDS if colocated else REPORT_WAIT_SECONDS
         deadline_ms = None
         lease_length = self.sender.lease_seconds(sent_at)
-        # Requests that get no answer may extend leases, so their runs would have to be
-        # waited for as long as the endpoint is out of reach.
-        may_extend = endpoint.clock_ms is not None and endpoint.listed
-        if may_extend and not was_unreachable and lease_length > 0:
+        if endpoint.extends_leases(sent_at) and lease_length > 0:
             deadline_ms = endpoint.grant(sent_at, lease_length)
         fence = endpoint.fence(self.writer.fence)
         try:
