Test the cheapest exclusion of an endpoint first

Callers saw tasks start late. A filler that waits is scored at all endpoints by each plan; most exclude it by the share of their processors that fillers claim, which was judged after the costly estimates of its speed and of the headroom it takes.

The conditions are now judged in order of cost, and the estimates avoid temporary objects. A test compares the scores with the straightforward computation.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -95,18 +95,17 @@
         return value
     capacity = max(1, endpoint.info.processors_milli)
     share = (endpoint.filler_demand + step.processors_milli) / capacity
-    max_speed = pressure.max_speed(endpoint, step)
+    # Most endpoints of a full service are excluded, so the cheapest test comes first.
+    if can_wait and share > MAX_FILLER_SHARE:
+        return None
     headroom_share = pressure.headroom_share(endpoint, step)
-    if can_wait:
-        max_headroom_share = (
-            MAX_HEADROOM_SHARE + HEADROOM_SHARE_PER_AGE * task.job.relative_age(now)
-        )
-        if (
-            share > MAX_FILLER_SHARE
-            or max_speed < MIN_FILLER_SPEED
-            or headroom_share > max_headroom_share
-        ):
-            return None
+    if can_wait and headroom_share > (
+        MAX_HEADROOM_SHARE + HEADROOM_SHARE_PER_AGE * task.job.relative_age(now)
+    ):
+        return None
+    max_speed = pressure.max_speed(endpoint, step)
+    if can_wait and max_speed < MIN_FILLER_SPEED:
+        return None
     value += SLOWDOWN_WEIGHT * (1 - max_speed) + HEADROOM_WEIGHT * headroom_share
     return value + CROWDING_WEIGHT * max(0.0, share - CROWDING_THRESHOLD)
 
--- a/clementinebay/policy/pressure.py
+++ b/clementinebay/policy/pressure.py
@@ -204,18 +204,26 @@
     def max_speed(self, endpoint, step):
         """Return the share of time, 0 to 1, for which one more filler could run."""
         share = step.processors_milli / max(1, endpoint.info.processors_milli)
+        filler = step.image
         max_speed = 1.0
         for image, headroom in endpoint.spare_headroom:
-            lost = self.weight(image, step.image) * share
+            lost = self.weight(image, filler) * share
             if lost > 0:
-                max_speed = min(max_speed, headroom / lost)
-        return max(0.0, max_speed)
+                speed = headroom / lost
+                if speed < max_speed:
+                    max_speed = speed
+        return max_speed if max_speed > 0.0 else 0.0
 
     def headroom_share(self, endpoint, step):
         """Return the share of the default headroom that one more filler would take."""
         share = step.processors_milli / max(1, endpoint.info.processors_milli)
-        weights = (self.weight(image, step.image) for image in endpoint.replica_images)
-        return max(weights, default=0.0) * share / (DEFAULT_LEVEL - 1)
+        weights, filler, largest = self.weights, step.image, 0.0
+        for image in endpoint.replica_images:
+            known = weights.get((image, filler))
+            weight = DEFAULT_WEIGHT if known is None else known.value
+            if weight > largest:
+                largest = weight
+        return largest * share / (DEFAULT_LEVEL - 1)
 
     def headroom_loss(self, image, endpoint):
         """Return the headroom that an endpoint's fillers would take from a replica.
--- a/tests/policy/test_dispatch.py
+++ b/tests/policy/test_dispatch.py
@@ -1,9 +1,9 @@
-"""The ranking of endpoints for the tasks of one step."""
+"""The scores of endpoints, and their ranking for the tasks of one step."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from clementinebay.policy import dispatch
+from clementinebay.policy import dispatch, pressure
 from clementinebay.workflow import planning
 from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.model import Step
@@ -109,3 +109,67 @@
         orders = place_step(engine, job.waiting[0], endpoints, age, may_wait)
         placements.append([(order.task.index, order.endpoint.id) for order in orders])
     assert placements[0] == placements[1]
+
+
+def straightforward_filler_score(endpoint, task, estimates, now, can_wait):
+    """Return the score of a filler, with all parts computed before any is judged."""
+    step = task.step
+    value = dispatch.load_score(endpoint, step)
+    if not endpoint.replicas:
+        return value
+    capacity = endpoint.info.processors_milli
+    share = (endpoint.filler_demand + step.processors_milli) / capacity
+    taken = step.processors_milli / capacity
+    lost = [
+        (headroom, estimates.weight(image, step.image) * taken)
+        for image, headroom in endpoint.spare_headroom
+    ]
+    max_speed = max(0.0, min([1.0, *(room / loss for room, loss in lost if loss > 0)]))
+    weights = [estimates.weight(image, step.image) for image in endpoint.replica_images]
+    headroom_share = max(weights) * taken / (pressure.DEFAULT_LEVEL - 1)
+    max_headroom_share = (
+        dispatch.MAX_HEADROOM_SHARE
+        + dispatch.HEADROOM_SHARE_PER_AGE * task.job.relative_age(now)
+    )
+    if can_wait and (
+        share > dispatch.MAX_FILLER_SHARE
+        or max_speed < dispatch.MIN_FILLER_SPEED
+        or headroom_share > max_headroom_share
+    ):
+        return None
+    value += dispatch.SLOWDOWN_WEIGHT * (1 - max_speed)
+    value += dispatch.HEADROOM_WEIGHT * headroom_share
+    crowding = max(0.0, share - dispatch.CROWDING_THRESHOLD)
+    return value + dispatch.CROWDING_WEIGHT * crowding
+
+
+weights = st.dictionaries(
+    st.tuples(st.sampled_from(("i1", "i2")), st.sampled_from(("i1", "i2"))),
+    st.floats(0.0, 10.0),
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    endpoint_rows,
+    weights,
+    st.lists(st.floats(-1.0, 4.0), max_size=3),
+    st.integers(1, 8),
+    st.sampled_from((0.0, 1.0, 5.0)),
+    st.booleans(),
+)
+def test_filler_score_equals_the_straightforward_one(
+    row, weights, headrooms, processors, age, can_wait
+):
+    engine = make_engine([row])
+    [endpoint] = engine.endpoints.values()
+    for pair, value in weights.items():
+        engine.pressure.weights[pair] = pressure.Estimate(value, 1.0)
+    endpoint.spare_headroom = [("i1", headroom) for headroom in headrooms]
+    step = Step(processors_milli=processors * 500, image="i1", filler=True)
+    task = add_job(engine, step, "a", {}, 0.0).task(0, 0)
+    arguments = (endpoint, task, engine.pressure, age, can_wait)
+    expected = straightforward_filler_score(*arguments)
+    found = dispatch.filler_score(*arguments)
+    assert (found is None) == (expected is None)
+    assert found is None or abs(found - expected) < 1e-9
