Keep the step of a task; judge reports and paces with less work

Callers saw tasks start late. After planning, reports and paces took most of the scheduler's thread: the step of a task was looked up from its job millions of times, each run of a report was searched by its name twice, and fillers were sorted for replicas that leave them room.

A task holds its step, runs that are the current ones of their tasks at the endpoint are recognized without a search, and fillers are sorted only if some must be slowed. Decisions are unchanged.

--- a/clementinebay/policy/pacing.py
+++ b/clementinebay/policy/pacing.py
@@ -69,6 +69,8 @@
     for image, headroom in pressure.headroom_by_image(endpoint):
         weights = {task: pressure.weight(image, task.step.image) for task in fillers}
         excess = sum(weights[t] * shares[t] * speeds[t] for t in fillers) - headroom
+        if excess <= 0:
+            continue
         for task in sorted(fillers, key=lambda t: (-weights[t], t.percent)):
             lost = weights[task] * shares[task]
             if excess <= 0 or lost <= 0:
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -340,9 +340,18 @@
 
         Includes redundant runs whose start may still be executed.
         """
-        listed = {(row.task, row.run) for row in rows}
-        steps, has_unsized = endpoint.pending_redundant_steps(listed, sent_at), False
+        steps, has_unsized = [], False
+        if endpoint.redundant_runs:
+            listed = {(row.task, row.run) for row in rows}
+            steps = endpoint.pending_redundant_steps(listed, sent_at)
         for row in rows:
+            task = endpoint.tasks.get(row.task)
+            if (
+                task is not None
+                and task.run == row.run
+                and self.jobs.get(task.job.id) is task.job
+            ):
+                continue
             task = self.find_task(row.task)
             if task is None:
                 has_unsized = True
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -52,7 +52,7 @@
 
 
 class Task:
-    """One task; at most one run of it is in progress at a time.
+    """One task of a `Step`; at most one run of it is in progress at a time.
 
     ``endpoint`` and ``run`` identify the run that was ordered last; the next run
     resumes from ``checkpoint`` ("" if there is none).  ``percent`` is the progress of
@@ -71,6 +71,7 @@
 
     __slots__ = (
         "job",
+        "step",
         "step_number",
         "index",
         "name",
@@ -94,6 +95,7 @@
 
     def __init__(self, job, step_number, index):
         self.job = job
+        self.step = job.spec.steps[step_number]
         self.step_number = step_number
         self.index = index
         self.name = f"{job.id}.0.{step_number}.{index}"
@@ -114,11 +116,6 @@
         self.pinned_endpoint = None
         self.pinned_until = 0.0
 
-    @property
-    def step(self):
-        """The `Step` that the task belongs to."""
-        return self.job.spec.steps[self.step_number]
-
     @property
     def due_at(self):
         """The time at which the task's next run became, or becomes, due."""
