Failing test: endpoint listed again before its removal is stored

drop_endpoints takes an endpoint out of the list to be stored, but leaves it in stored_endpoints until the write begins. If it is listed again before, or during another write, record_endpoint takes it for stored, and the write removes it: it is used, and a successor does not wait for its runs.

--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -106,3 +106,29 @@
     await changes.store_changes()
     assert len(plans) == 2
     assert "b" in job.domains
+
+
+@pytest.mark.parametrize("writing", [False, True])
+async def test_endpoint_listed_again_before_its_removal_is_written_stays_stored(
+    writing,
+):
+    """A successor must wait for every endpoint that was used."""
+    changes = make_change_writer()
+    changes.load_endpoints({"e1": "a"})
+    stored = {"e1": "a"}
+    pending_write = None
+    if writing:
+        job = changes.engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+        changes.engine.mark_changed(job)
+        pending_write = asyncio.create_task(changes.store_changes())
+        await asyncio.sleep(0)
+    changes.check_changes()
+    endpoint = changes.engine.register_endpoint(factory.make_info("e1"), 0.0)
+    changes.record_endpoint(endpoint)
+    changes.writer.unblocked.set()
+    if pending_write is not None:
+        await pending_write
+    await changes.store_changes()
+    for _records, endpoints in changes.writer.saved:
+        stored = stored if endpoints is None else endpoints
+    assert endpoint.recorded == ("e1" in stored)
