Failing tests: late starts at restarted endpoints out of reach

An unanswered start may be executed by the next incarnation up to 12 s late, and its deadline, on the old clock, then grants the longest lease. Two paths wait for the order but not for that lease: an endpoint that restarted and then left the registry (expire), and a task whose stop was answered before the restart (pinned_until). The task may run twice.

--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -254,6 +254,40 @@
     assert order.task.state is TaskState.WAITING
 
 
+def test_unanswered_start_at_restarted_endpoint_that_left_is_not_released_too_early():
+    """It may run on, cut off from the store; its lease counts from the late order."""
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 1.0)
+    engine.register_endpoint(factory.make_info(born_ms=2), 2.0)
+    engine.unlist_endpoint("e1")
+    engine.expire(2.0 + MAX_ORDER_DELAY_SECONDS + 1.0)
+    assert order.task.state is TaskState.UNCONFIRMED
+
+
+def test_stopped_unanswered_start_pins_its_task_until_a_late_run_has_lapsed():
+    """The restarted endpoint, out of reach, may execute the order at the last moment.
+
+    Its clock has begun anew, so the order grants it the longest lease.
+    """
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 1.0)
+    [stop] = engine.stops.due(1.0, engine.endpoints)
+    engine.stop_answered(stop, 1.1)
+    engine.process_report(first, factory.report(), 1.2, 1.3)
+    engine.register_endpoint(factory.make_info("e1", born_ms=2), 2.0)
+    factory.connect_endpoint(engine, factory.make_info("e2"))
+    late = 1.0 + MAX_ORDER_DELAY_SECONDS
+    engine.expire(late + 1.0)
+    assert engine.plan(late + 1.0) == []
+    assert engine.plan(late + factory.MAX_LEASE * 1.03 + 2.0)
+
+
 def test_stuck_run_is_stopped_and_its_endpoint_is_barred():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
