Failing tests: reload of jobs beside their deletion, and a refused read in load

A job that is deleted while a scan of the jobs is under way is added again without progress, and its completed task starts again. One refused read while a term is loaded ends the term, so no other can begin before its lease has expired.

--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinebay import errors
 from clementinebay.workflow.model import Step
 from tests.workflow import virtualtime
 from tests.workflow.testbed import TestBed
@@ -170,3 +171,56 @@
             await bed.run(12.0)
 
     virtualtime.run(main())
+
+
+def test_ended_job_deleted_while_the_jobs_are_reloaded_is_not_run_again():
+    """The pages of a scan are not a snapshot; a slow store takes a while for them."""
+
+    async def main():
+        async with TestBed() as bed:
+            await bed.run(1.0)
+            task = bed.submit()
+            await bed.run(6.0)
+            assert task in bed.done
+            scheduler = bed.scheduler
+            scan = scheduler.store.scan
+
+            async def scan_slowly(*args):
+                result = await scan(*args)
+                await asyncio.sleep(1.0)
+                return result
+
+            scheduler.store.scan = scan_slowly
+            reloading = asyncio.create_task(scheduler.job_mirror.load())
+            await bed.run(0.5)
+            job_id = task.partition(".")[0]
+            await scheduler.change_writer.forget([job_id])
+            assert job_id not in scheduler.engine.jobs
+            await reloading
+            await bed.run(2.0)
+            assert job_id not in scheduler.engine.jobs
+
+    virtualtime.run(main())
+
+
+def test_one_refused_read_while_a_term_begins_does_not_end_it():
+    """The next term could begin only when the lease of this one has expired."""
+
+    async def main():
+        async with TestBed() as bed:
+            store = bed.daemons[0].store
+            scan = store.scan
+            scans = []
+
+            async def refuse_first_scan(*args):
+                scans.append(args)
+                if len(scans) == 1:
+                    raise errors.PlatformUnavailableError("429")
+                return await scan(*args)
+
+            store.scan = refuse_first_scan
+            task = bed.submit()
+            await bed.run(1.2)
+            assert bed.running_at(task) or task in bed.done
+
+    virtualtime.run(main())
