--- a/tests/platform/test_term.py
+++ b/tests/platform/test_term.py
@@ -1,9 +1,14 @@
 """The election of the scheduler."""
 
 import asyncio
+from types import SimpleNamespace
 
+from clementinebay import errors
+from clementinebay.platform.store import CALL_TIMEOUT_SECONDS
+from clementinebay.services.term import TTL_SECONDS, Term
 from tests.platform import helpers
 from tests.platform.test_path import submit_until_accepted, wait_until_ended
+from tests.workflow import factory, virtualtime
 
 
 async def wait_for_scheduler(kernels):
@@ -29,3 +34,41 @@
         assert await wait_for_scheduler([weak]) is weak
         await submit_until_accepted(installation, address)
         assert await wait_until_ended(installation, address) == "completed"
+
+
+class SilentStore:
+    """A store that does not answer the first renewal of a lease."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.renewed_at = []
+
+    async def keep_alive(self, lease):
+        """See `KeyValueStore`."""
+        self.renewed_at.append(self.clock.now())
+        if len(self.renewed_at) == 1:
+            await asyncio.sleep(CALL_TIMEOUT_SECONDS)
+            raise errors.PlatformOutcomeUnknownError("no answer")
+        return TTL_SECONDS
+
+
+def test_term_outlasts_one_renewal_without_an_answer():
+    async def seconds_to_the_second_renewal():
+        clock = virtualtime.LoopClock()
+        store = SilentStore(clock)
+        scheduler = SimpleNamespace(confirm=lambda asked_at: None)
+        term = SimpleNamespace(
+            clock=clock,
+            store=store,
+            lease=1,
+            scheduler=scheduler,
+            log=factory.quiet_log(),
+        )
+        began_at = clock.now()
+        renewing = asyncio.create_task(Term.renew(term))
+        while len(store.renewed_at) < 2:
+            await asyncio.sleep(0.05)
+        renewing.cancel()
+        return store.renewed_at[1] - began_at
+
+    assert virtualtime.run(seconds_to_the_second_renewal()) < TTL_SECONDS
--- a/tests/web/test_web.py
+++ b/tests/web/test_web.py
@@ -134,3 +134,22 @@
         client.close_idle(f"{host}:{port}")
         await asyncio.to_thread(thread.join)
     assert answer.body == b"ok"
+
+
+def delay_event_loop():
+    """Keep the event loop busy."""
+    time.sleep(0.2)
+
+
+async def test_call_is_not_sent_once_its_deadline_is_over(server, client, monkeypatch):
+    """A start order that was sent without need pins its task for 13 s."""
+    connect = client.connect
+
+    async def connect_with_a_late_loop(address, deadline):
+        connection = await connect(address, deadline)
+        delay_event_loop()
+        return connection
+
+    monkeypatch.setattr(client, "connect", connect_with_a_late_loop)
+    with pytest.raises(errors.CallNotSentError):
+        await client.call(address(server), "POST", "/", 0.1, b"x")
