Renew the term's lease while an earlier renewal has no answer

What callers could see: seconds without a scheduler, then SHORT or LOST.

Cause: renewals were made one after another, and one without an answer takes 1.2 s: the next was sent after 2.1 s, while the lease lasts 1.5 s. One lost answer ended the term.

Evidence: test_term_outlasts_one_renewal_without_an_answer failed before.

Change: each renewal is a task of its own, every 0.45 s. Only a later request than the last confirmed one moves the confirmation.

--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -129,6 +129,7 @@
             self.settings, self.queues, writer, TTL_SECONDS, self.clock, self.log
         )
         self.scheduler.confirm(requested_at)
+        self.renewed_at = requested_at
         self.end_reason = "failed"
         self.running = asyncio.ensure_future(self.run_scheduler())
         try:
@@ -158,16 +159,28 @@
             self.log.error("term.broken", trace=traceback.format_exception(group))
 
     async def renew(self):
-        """Renew the leader lease until it is lost."""
-        while True:
-            await asyncio.sleep(TTL_SECONDS * RENEW_SHARE)
-            requested_at = self.clock.now()
-            try:
-                if not await self.store.keep_alive(self.lease):
-                    raise errors.NotLeaderError(jobstore.HOLDER)
-                self.scheduler.confirm(requested_at)
-            except errors.PlatformError as error:
-                self.log.warning("term.renewal_failed", error=error.code)
+        """Renew the leader lease until it is lost.
+
+        A renewal without an answer does not delay the next one.
+        """
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(TTL_SECONDS * RENEW_SHARE)
+                group.create_task(self.renew_once())
+
+    async def renew_once(self):
+        """Renew the leader lease; raise `NotLeaderError` if it is lost."""
+        requested_at = self.clock.now()
+        try:
+            if not await self.store.keep_alive(self.lease):
+                raise errors.NotLeaderError(jobstore.HOLDER)
+        except errors.PlatformError as error:
+            self.log.warning("term.renewal_failed", error=error.code)
+            return
+        # Answers may overtake each other.
+        if requested_at > self.renewed_at:
+            self.renewed_at = requested_at
+            self.scheduler.confirm(requested_at)
 
     def end_term(self, why):
         """End this daemon's term for the reason ``why``."""
--- a/tests/platform/test_term.py
+++ b/tests/platform/test_term.py
@@ -56,16 +56,16 @@
     async def seconds_to_the_second_renewal():
         clock = virtualtime.LoopClock()
         store = SilentStore(clock)
-        scheduler = SimpleNamespace(confirm=lambda asked_at: None)
-        term = SimpleNamespace(
-            clock=clock,
-            store=store,
-            lease=1,
-            scheduler=scheduler,
-            log=factory.quiet_log(),
-        )
+        kernel = SimpleNamespace(settings=None, clock=clock)
+        term = Term(kernel)
+        term.clock = clock
+        term.store = store
+        term.lease = 1
+        term.renewed_at = clock.now()
+        term.scheduler = SimpleNamespace(confirm=lambda asked_at: None)
+        term.log = factory.quiet_log()
         began_at = clock.now()
-        renewing = asyncio.create_task(Term.renew(term))
+        renewing = asyncio.create_task(term.renew())
         while len(store.renewed_at) < 2:
             await asyncio.sleep(0.05)
         renewing.cancel()
