Keep the store's answer to a submission if the event loop is late

What callers could see: 503 for jobs that could be stored, 0.3 s at a time.

Cause: the timeout of a submission cancels it even if its answer has arrived, and the daemon takes the store as failed.

Change: the submission is waited for, and cancelled only if it is not done.

--- a/clementinebay/services/jobgate.py
+++ b/clementinebay/services/jobgate.py
@@ -168,15 +168,19 @@
 
     async def attempt(self, spec):
         """Try once to store a job; record whether the store answered."""
+        submission = asyncio.create_task(self.jobs.submit(spec))
         try:
-            async with asyncio.timeout(STORE_TIMEOUT_SECONDS):
-                accepted = await self.jobs.submit(spec)
-        except TimeoutError as error:
-            self.record_store_result(False)
-            raise errors.PlatformOutcomeUnknownError(spec.id) from error
+            # Unlike a timeout, this keeps an answer that arrived while the loop was
+            # late.
+            await asyncio.wait({submission}, timeout=STORE_TIMEOUT_SECONDS)
+            if not submission.done():
+                raise errors.PlatformOutcomeUnknownError(spec.id)
+            accepted = submission.result()
         except errors.PlatformError:
             self.record_store_result(False)
             raise
+        finally:
+            submission.cancel()
         self.record_store_result(True)
         return accepted
 
