Do not send a call after its deadline

What callers could see: a task that waits though there is room.

Cause: a call on a new connection was sent although its deadline was over, and then counted as unanswered. An unanswered start keeps its task for 13 s.

Evidence: test_call_is_not_sent_once_its_deadline_is_over failed before.

Change: such a call is reported as not sent.

--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -157,8 +157,12 @@
         Raises `CallNotSentError` if no byte was sent, and `CallUnansweredError` for any
         later failure.
         """
-        deadline = asyncio.get_running_loop().time() + timeout
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         connection = await self.connect(address, deadline)
+        if loop.time() >= deadline:
+            connection.transport.abort()
+            raise errors.CallNotSentError(address, TimeoutError())
         data = encode_call(address, method, path, body, headers)
         try:
             answer = await connection.exchange(data, deadline)
