Name an endpoint again that is listed before its removal is stored

What callers could see: a task that runs twice after a change of scheduler.

Cause: an endpoint that has left is taken out of the list to be stored, and out of the list that is stored only when the write begins. Listed again in between, it counted as stored, and the write removed it: a successor would not have waited for its runs.

Evidence: test_endpoint_listed_again_before_its_removal_is_written_stays_stored failed before in both cases.

Change: an endpoint counts as stored only if the list to be stored names it too.

--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -56,9 +56,10 @@
 
     def record_endpoint(self, endpoint):
         """Schedule an endpoint to be stored as in use unless it is stored already."""
-        if self.stored_endpoints.get(endpoint.id) == endpoint.domain:
+        known = self.recorded.get(endpoint.id) == endpoint.domain
+        if known and self.stored_endpoints.get(endpoint.id) == endpoint.domain:
             endpoint.recorded = True
-        elif self.recorded.get(endpoint.id) != endpoint.domain:
+        elif not known:
             self.recorded[endpoint.id] = endpoint.domain
             self.endpoints_changed = True
             self.changed.set()
