Send at most 200 start orders at a time

What callers saw: LOST, and most requests unserved, long after the last disturbance. With all endpoints and daemons restarted at once, terms of strong VMs began every 8 s with no fault for 30 s; each lost its lease.

Cause: after a change of the scheduler or the loss of many endpoints one plan placed 1,000 to 2,500 tasks, and all orders were sent at once. The event loop was busy for longer than the lease of 1.5 s, calls missed their time limit of 0.8 s, and the next scheduler began with the same backlog.

Change: a plan yields orders one by one and ends at the number that may be in progress; the end of an order after which others had to wait requests a plan.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -482,9 +482,9 @@
         if order.task.run == order.run:
             order.task.pace = None
 
-    def plan(self, now):
-        """Return the start orders to send now."""
-        return planning.plan(self, now)
+    def plan(self, now, limit=None):
+        """Return the start orders to send now, at most ``limit``."""
+        return planning.plan(self, now, limit)
 
     def stop_stuck_runs(self, endpoint, now):
         """Stop runs without progress, and bar their endpoint for a time."""
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -1,5 +1,7 @@
 """Selects the tasks to start and the endpoints to start them at."""
 
+import itertools
+
 from clementinebay import metrics
 from clementinebay.policy import dispatch, endpointhealth, pacing
 from clementinebay.workflow.job import TaskState
@@ -36,13 +38,17 @@
     return not endpointhealth.too_many_on_probation([e.health for e in endpoints])
 
 
-def plan(engine, now):
-    """Return the start orders to send now."""
-    orders = []
+def plan(engine, now, limit):
+    """Return at most ``limit`` start orders to send now."""
+    return list(itertools.islice(generate_orders(engine, now), limit))
+
+
+def generate_orders(engine, now):
+    """Place waiting tasks; yield the start order of each."""
     jobs = startable_jobs(engine, now)
     endpoints = available_endpoints(engine, now) if jobs else ()
     if not endpoints:
-        return orders
+        return
     probing = probes_endpoints(endpoints)
     may_wait_by_service = {
         service: dispatch.may_wait(service, endpoints)
@@ -52,8 +58,9 @@
         may_wait = may_wait_by_service.get(job.spec.service, True)
         for waiting in job.waiting:
             if waiting:
-                orders += place_step(engine, waiting, endpoints, now, may_wait, probing)
-    return orders
+                yield from place_step(
+                    engine, waiting, endpoints, now, may_wait, probing
+                )
 
 
 def startable_jobs(engine, now):
@@ -73,13 +80,12 @@
 
 
 def place_step(engine, waiting, endpoints, now, may_wait, probing):
-    """Return start orders for the waiting tasks of one step.
+    """Place the waiting tasks of one step; yield the start order of each.
 
     The tasks of a step have equal requirements, so they share one `Ranking`, and the
     first one that cannot be placed ends the search, unless it has restrictions of its
     own.
     """
-    orders = []
     ranking = None
     for task in list(waiting):
         if task.not_before > now:
@@ -93,12 +99,11 @@
             choice = ranking.choose()
         order = place(engine, task, choice, now)
         if order is not None:
-            orders.append(order)
+            yield order
             if ranking is not None:
                 ranking.rescore(order.endpoint)
         elif not restricted:
             break
-    return orders
 
 
 def waits_for_domain(job, choice, now):
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -234,8 +234,8 @@
             now = self.clock.now()
             for order in self.engine.stops.due(now, self.engine.endpoints):
                 self.sender.spawn(self.sender.send_stop(order))
-            for order in self.engine.plan(now):
-                self.sender.spawn(self.sender.send_start(order))
+            for order in self.engine.plan(now, self.sender.start_allowance()):
+                self.sender.begin_start(order)
             seconds = self.clock.now() - now
             self.load_meter.record_plan(seconds)
             self.change_writer.check_changes()
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -8,6 +8,9 @@
 
 #: Wait after an endpoint was unreachable or refused an order, in seconds.
 RETRY_SECONDS = 0.25
+#: Greatest number of start orders in progress.  More at a time would delay the renewal
+#: of the term's lease.
+MAX_STARTS_IN_PROGRESS = 200
 #: Wait while no lease may be granted, in seconds.
 LEASE_WAIT_SECONDS = 0.1
 
@@ -31,6 +34,7 @@
         self.term_end = asyncio.get_running_loop().create_future()
         self.plan_requested = asyncio.Event()
         self.tasks = set()
+        self.starts_in_progress = 0
         self.confirm(clock.now())
 
     def confirm(self, asked_at):
@@ -88,6 +92,21 @@
         limit = self.confirmed_at + self.max_lease - now
         return min(self.default_lease_seconds, limit)
 
+    def start_allowance(self):
+        """Return how many more start orders may be sent now."""
+        return MAX_STARTS_IN_PROGRESS - self.starts_in_progress
+
+    def begin_start(self, order):
+        """Send a start order in a task of its own."""
+        self.starts_in_progress += 1
+        self.spawn(self.send_start(order)).add_done_callback(self.finish_start)
+
+    def finish_start(self, _task):
+        """Count the end of a start order; plan if others had to wait for it."""
+        if not self.start_allowance():
+            self.request_plan()
+        self.starts_in_progress -= 1
+
     async def send_start(self, order):
         """Send a start order and report its outcome to the engine."""
         now = self.clock.now()
--- a/tests/policy/test_dispatch.py
+++ b/tests/policy/test_dispatch.py
@@ -73,18 +73,16 @@
 
 
 def place_one_by_one(engine, waiting, endpoints, now, may_wait, probing):
-    """Place the tasks of a step, each with a choice of its own."""
-    orders = []
+    """Yield the start orders of a step's tasks, each with a choice of its own."""
     for task in list(waiting):
         choice = dispatch.choose(
             task, endpoints, engine.pressure, now, may_wait, probing
         )
         order = planning.place(engine, task, choice, now)
         if order is not None:
-            orders.append(order)
+            yield order
         elif task.avoided_endpoints is None and now >= task.pinned_until:
             break
-    return orders
 
 
 @settings(max_examples=400, deadline=None)
--- a/tests/workflow/test_sending.py
+++ b/tests/workflow/test_sending.py
@@ -1,11 +1,14 @@
 """Sending of orders: which outcomes request another plan, and when it is made."""
 
+import asyncio
+
 import pytest
 
 from clementinebay import errors
 from clementinebay.clock import ManualClock
 from clementinebay.workflow import schedule
-from clementinebay.workflow.sending import Sender
+from clementinebay.workflow.model import Step
+from clementinebay.workflow.sending import MAX_STARTS_IN_PROGRESS, Sender
 from tests.workflow import factory
 
 
@@ -53,6 +56,25 @@
     assert sender.plan_requested.is_set() is plans_again
 
 
+async def test_mass_start_keeps_the_event_loop_from_renewing_the_term():
+    engine = factory.make_engine()
+    info = factory.make_info(processors_milli=10**6, memory_mb=10**6)
+    factory.connect_endpoint(engine, info)
+    step = Step(count=2 * MAX_STARTS_IN_PROGRESS, processors_milli=1)
+    engine.add_job(factory.make_spec(steps=(step,)), factory.QUEUE, 0.0)
+    deployment = FakeDeployment()
+    sender = Sender(
+        engine, deployment, deployment, 5.7, ManualClock(1.0), factory.quiet_log()
+    )
+    for order in engine.plan(1.0, sender.start_allowance()):
+        sender.begin_start(order)
+    assert len(sender.tasks) == MAX_STARTS_IN_PROGRESS
+    assert engine.plan(1.0, sender.start_allowance()) == []
+    await asyncio.gather(*sender.tasks)
+    assert sender.plan_requested.is_set()
+    assert len(engine.plan(1.0, sender.start_allowance())) == MAX_STARTS_IN_PROGRESS
+
+
 def test_plans_leave_time_to_other_work_but_do_not_stop():
     assert schedule.plan_spacing(0.0) == 0.0
     assert schedule.plan_spacing(0.002) == 0.002 * schedule.SPACING_FACTOR
