Failing test: stopped start at a restarted endpoint out of reach is never released

Once a stop is answered the task has no deadline for the late order, and while the restarted endpoint is listed but has not reported, only tasks with one are released.

--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -267,6 +267,20 @@
     assert order.task.state is TaskState.UNCONFIRMED
 
 
+def test_stopped_start_at_restarted_endpoint_out_of_reach_is_released():
+    """The stop may be answered beside the restart, and the endpoint then be cut off."""
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 1.0)
+    [stop] = engine.stops.due(1.0, engine.endpoints)
+    engine.register_endpoint(factory.make_info(born_ms=2), 1.5)
+    engine.stop_answered(stop, 1.6)
+    engine.expire(2.0 + 2 * MAX_ORDER_DELAY_SECONDS + 2 * factory.MAX_LEASE)
+    assert order.task.state is TaskState.WAITING
+
+
 def test_stopped_unanswered_start_pins_its_task_until_a_late_run_has_lapsed():
     """The restarted endpoint, out of reach, may execute the order at the last moment.
 
