Search once for tasks of one shape that find no endpoint

Cause: the search for an endpoint was shared within a step only, and not by tasks that had failed before. A plan for 1,000 waiting jobs without room took 0.3 s at 246 endpoints, again every 0.1 s.

Change: a plan remembers the shapes of tasks for which no endpoint was found; room only shrinks while tasks are placed. For fillers the age of the job counts too, since older ones are placed more freely.

--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -49,18 +49,64 @@
     endpoints = available_endpoints(engine, now) if jobs else ()
     if not endpoints:
         return
-    probing = probes_endpoints(endpoints)
-    may_wait_by_service = {
-        service: dispatch.may_wait(service, endpoints)
-        for service in {endpoint.info.service for endpoint in endpoints}
-    }
+    search = Search(endpoints)
     for job in jobs:
-        may_wait = may_wait_by_service.get(job.spec.service, True)
-        for waiting in job.waiting:
+        for number, waiting in enumerate(job.waiting):
             if waiting:
-                yield from place_step(
-                    engine, waiting, endpoints, now, may_wait, probing
-                )
+                yield from place_step(engine, job, number, search, now)
+
+
+class Search:
+    """The search of one plan for endpoints.
+
+    ``may_wait`` says, by service, whether fillers may wait for better endpoints,
+    ``probing`` whether an endpoint on probation gets one task at a time.  While tasks
+    are placed there is only less room, so tasks like one that found no endpoint are not
+    searched for again: ``failed`` has the greatest relative age of their jobs by shape.
+    """
+
+    __slots__ = ("endpoints", "may_wait", "probing", "failed")
+
+    def __init__(self, endpoints):
+        self.endpoints = endpoints
+        self.may_wait = {
+            service: dispatch.may_wait(service, endpoints)
+            for service in {endpoint.info.service for endpoint in endpoints}
+        }
+        self.probing = probes_endpoints(endpoints)
+        self.failed = {}
+
+    def arguments(self, task, pressure, now):
+        """Return the arguments of `dispatch.choose` and `dispatch.Ranking`."""
+        may_wait = self.may_wait.get(task.job.spec.service, True)
+        return task, self.endpoints, pressure, now, may_wait, self.probing
+
+    def has_failed(self, job, step, now):
+        """Return whether a task like those of ``step`` found no endpoint."""
+        age = self.failed.get(shape(job, step))
+        # Fillers are placed more freely the older their job is.
+        return age is not None and job.relative_age(now) <= age
+
+    def record_failure(self, task, now):
+        """Record that ``task`` found no endpoint."""
+        job, step = task.job, task.step
+        # Other tasks of its step, or the pin of the task, may be the reason.
+        if not step.max_per_endpoint and now >= task.pinned_until:
+            key, age = shape(job, step), job.relative_age(now)
+            self.failed[key] = max(age, self.failed.get(key, age))
+
+
+def shape(job, step):
+    """Return what decides whether any endpoint can be used for a task of ``step``."""
+    return (
+        job.spec.service,
+        step.processors_milli,
+        step.memory_mb,
+        step.accelerators,
+        step.required_label,
+        step.filler,
+        step.image,
+    )
 
 
 def startable_jobs(engine, now):
@@ -79,30 +125,36 @@
     return jobs
 
 
-def place_step(engine, waiting, endpoints, now, may_wait, probing):
+def place_step(engine, job, number, search, now):
     """Place the waiting tasks of one step; yield the start order of each.
 
     The tasks of a step have equal requirements, so they share one `Ranking`, and the
-    first one that cannot be placed ends the search, unless it has restrictions of its
-    own.
+    first one that cannot be placed ends the search, unless its own restrictions may be
+    the reason.
     """
+    step = job.spec.steps[number]
+    if search.has_failed(job, step, now):
+        return
     ranking = None
-    for task in list(waiting):
+    for task in list(job.waiting[number]):
         if task.not_before > now:
             continue
         restricted = task.avoided_endpoints is not None or now < task.pinned_until
-        search = (task, endpoints, engine.pressure, now, may_wait, probing)
+        arguments = search.arguments(task, engine.pressure, now)
         if restricted:
-            choice = dispatch.choose(*search)
+            choice = dispatch.choose(*arguments)
         else:
-            ranking = ranking or dispatch.Ranking(*search)
+            ranking = ranking or dispatch.Ranking(*arguments)
             choice = ranking.choose()
         order = place(engine, task, choice, now)
         if order is not None:
             yield order
             if ranking is not None:
                 ranking.rescore(order.endpoint)
-        elif not restricted:
+            continue
+        if choice is None:
+            search.record_failure(task, now)
+        if not restricted or search.has_failed(job, step, now):
             break
 
 
--- a/tests/policy/test_dispatch.py
+++ b/tests/policy/test_dispatch.py
@@ -72,12 +72,11 @@
     return job
 
 
-def place_one_by_one(engine, waiting, endpoints, now, may_wait, probing):
+def place_one_by_one(engine, job, number, search, now):
     """Yield the start orders of a step's tasks, each with a choice of its own."""
-    for task in list(waiting):
-        choice = dispatch.choose(
-            task, endpoints, engine.pressure, now, may_wait, probing
-        )
+    for task in list(job.waiting[number]):
+        arguments = search.arguments(task, engine.pressure, now)
+        choice = dispatch.choose(*arguments)
         order = planning.place(engine, task, choice, now)
         if order is not None:
             yield order
@@ -107,7 +106,9 @@
         engine = make_engine(rows)
         job = add_job(engine, step, domains, restrictions, 0.0)
         endpoints = list(engine.endpoints.values())
-        orders = place_step(engine, job.waiting[0], endpoints, age, may_wait, probing)
+        search = planning.Search(endpoints)
+        search.may_wait, search.probing = {"s": may_wait}, probing
+        orders = place_step(engine, job, 0, search, age)
         placements.append([(order.task.index, order.endpoint.id) for order in orders])
     assert placements[0] == placements[1]
 
