Repeat the reads at the start of a term

What callers could see: no scheduler for 1.5 s more while the store is in trouble.

Cause: one refused read ended the new term, and no other can begin before its lease has expired.

--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -27,6 +27,8 @@
 COLOCATED_WAIT_SECONDS = 0.4
 #: Wait after a failed request for a report, in seconds.
 REPORT_RETRY_SECONDS = 0.25
+#: Wait after a failed read at the start of a term, in seconds.
+LOAD_RETRY_SECONDS = 0.1
 #: Time at the start of a term in which an earlier scheduler may still start new jobs,
 #: in seconds.
 OVERLAP_SECONDS = 2.0
@@ -112,9 +114,18 @@
             self.sender.stop()
 
     async def load(self):
-        """Load the jobs, endpoints and estimates stored by earlier schedulers."""
+        """Load the stored state; repeat that until all reads succeed."""
         metrics.TERMS.inc()
         metrics.SCHEDULING.set(1)
+        while True:
+            try:
+                return await self.read_state()
+            except errors.PlatformError as error:
+                self.log.warning("term.load_failed", error=error.code, why=str(error))
+                await asyncio.sleep(LOAD_RETRY_SECONDS)
+
+    async def read_state(self):
+        """Read the jobs, endpoints and estimates stored by earlier schedulers."""
         self.stored_progress = await self.jobs.all_progress()
         used_endpoints = await self.jobs.used_endpoints()
         self.change_writer.load_endpoints(used_endpoints)
