Wait for late runs at restarted endpoints that left or are out of reach

What callers could see: TWICE, or a task that is never run.

Cause: an unanswered start may be executed by the next incarnation up to 13 s late and grants the longest lease there. An endpoint that restarted and left the registry was waited for without that lease. A stop that was answered beside the restart took the task's deadline away, and a task without one was never released while the endpoint was listed and had not reported.

Change: such endpoints keep their tasks until the longest lease after the last possible order, listed or not; answers to stops count once the incarnation has reported.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -164,7 +164,7 @@
     def expire(self, now):
         """Release the tasks of endpoints whose leases have certainly expired."""
         for endpoint in list(self.endpoints.values()):
-            if endpoint.clock_ms is None and endpoint.listed:
+            if endpoint.clock_ms is None and (endpoint.listed or endpoint.tasks):
                 self.expire_unconfirmed(endpoint, now)
                 continue
             if now < endpoint.leases_expire_at():
@@ -443,7 +443,8 @@
     def stop_answered(self, order, now):
         """Record that an endpoint refuses a run from now on and is ending it."""
         stop = self.stops.find(order.endpoint, order.task, order.run)
-        if stop is None:
+        # Until an incarnation has reported, the answer may be that of an earlier one.
+        if stop is None or order.endpoint.clock_ms is None:
             return
         # A repeated answer must not outdate the report that would release the task.
         stop.answered_at = stop.answered_at or now
