Let only the current scheduler conclude that leases have expired

Cause: a scheduler that is cut off from the store goes on for a while with the leases that it may grant. In that time it took the leases of earlier schedulers, and those at endpoints out of its reach, as expired, although its successor had taken those runs over and extended them.

Evidence: test_deposed_scheduler_starts_no_task_whose_run_a_successor_keeps and test_deposed_scheduler_keeps_tasks_whose_leases_a_successor_may_have_extended failed before.

Change: leases expire only while no other scheduler can have begun a term.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -162,7 +162,12 @@
             )
 
     def expire(self, now):
-        """Release the tasks of endpoints whose leases have certainly expired."""
+        """Release the tasks of endpoints whose leases have certainly expired.
+
+        A successor may have extended leases once the term is not exclusive.
+        """
+        if now > self.exclusive_until:
+            return
         for endpoint in list(self.endpoints.values()):
             if endpoint.clock_ms is None and (endpoint.listed or endpoint.tasks):
                 self.expire_unconfirmed(endpoint, now)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -650,3 +650,31 @@
     step = Step(count=1, required_label="gpu-kind")
     engine.add_job(factory.make_spec(steps=(step,)), factory.QUEUE, 0.0)
     assert engine.plan(0.0) == []
+
+
+def test_deposed_scheduler_starts_no_task_whose_run_a_successor_keeps():
+    engine = factory.make_engine(term=1, inherited_until=8.0)
+    factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.inherited_endpoints.expect("e2", "a")
+    spec = factory.make_spec(steps=(SMALL,))
+    engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
+    engine.exclusive_until = 5.0
+    engine.expire(9.0)
+    assert engine.plan(9.0) == []
+    engine.exclusive_until = 10.0
+    engine.expire(9.0)
+    assert len(engine.plan(9.0)) == 1
+
+
+def test_deposed_scheduler_keeps_tasks_whose_leases_a_successor_may_have_extended():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = plan_and_confirm(engine)
+    endpoint.grant(0.0, 5.0)
+    engine.exclusive_until = 2.0
+    engine.expire(20.0)
+    assert order.task.endpoint is endpoint
+    engine.exclusive_until = 21.0
+    engine.expire(20.0)
+    assert order.task.state is TaskState.WAITING
