Let small daemons wait at the first election, too

A daemon with 0.516 processors scheduled 246 endpoints from 15 s before the traffic to the final fault at 43 s.

Cause: a daemon with too few processors for the listed endpoints lets others stand first, but none is listed when all machines start.

Change: a daemon with less than one processor waits in any case.

--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -24,6 +24,8 @@
 RETRY_SECONDS = 0.3
 #: Processors that the scheduler needs per endpoint (1.14 for 176 endpoints).
 PROCESSORS_PER_ENDPOINT = 0.0065
+#: Processors that the scheduler needs in any case, also before endpoints are listed.
+MIN_PROCESSORS = 1.0
 #: Extra delay of a daemon with too few processors, in seconds, so that larger daemons
 #: win the election.
 UNDERSIZED_DELAY_SECONDS = 0.5
@@ -110,7 +112,8 @@
         """Return whether this daemon has too few processors for all endpoints."""
         prefix = self.settings.boundary.endpoint_prefix
         entries, _revision = await self.store.scan(prefix, prefix_end(prefix))
-        return self.settings.processors < PROCESSORS_PER_ENDPOINT * len(entries)
+        needed = max(MIN_PROCESSORS, PROCESSORS_PER_ENDPOINT * len(entries))
+        return self.settings.processors < needed
 
     async def run_term(self):
         """Acquire the leader lease and schedule until the term ends."""
