--- a/tests/web/test_web.py
+++ b/tests/web/test_web.py
@@ -1,8 +1,6 @@
 """Tests of the HTTP server and client against each other."""
 
 import asyncio
-import socket
-import threading
 import time
 
 import pytest
@@ -11,6 +9,7 @@
 from clementinebay.web.client import Client
 from clementinebay.web.server import Response, Server
 from standins.ports import free_range
+from tests.web import onecall
 from tests.workflow.factory import quiet_log
 
 
@@ -113,26 +112,10 @@
     assert answer.headers["connection"] == "close"
 
 
-def serve_one_call(listener):
-    """Answer one call of a client that connects to ``listener``."""
-    connection, _peer = listener.accept()
-    with connection:
-        connection.recv(4096)
-        time.sleep(0.1)
-        connection.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
-        connection.recv(4096)
-
-
 async def test_answer_that_arrived_in_time_is_lost_to_a_late_event_loop(client):
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        thread = threading.Thread(target=serve_one_call, args=(listener,), daemon=True)
-        thread.start()
-        host, port = listener.getsockname()
-        # Keeps the loop busy from after the request until after the deadline.
-        asyncio.get_running_loop().call_later(0.02, time.sleep, 0.4)
-        answer = await client.call(f"{host}:{port}", "GET", "/", 0.2)
-        client.close_idle(f"{host}:{port}")
-        await asyncio.to_thread(thread.join)
+    async with onecall.serve_one_call(client, b"ok") as address:
+        onecall.block_event_loop(0.4)
+        answer = await client.call(address, "GET", "/", 0.2)
     assert answer.body == b"ok"
 
 
