--- a/clementinebay/services/term.py
+++ b/clementinebay/services/term.py
@@ -24,6 +24,8 @@
 RETRY_SECONDS = 0.3
 #: Processors that the scheduler needs per endpoint (1.14 for 176 endpoints).
 PROCESSORS_PER_ENDPOINT = 0.0065
+#: Processors that the scheduler needs in any case, also before endpoints are listed.
+MIN_PROCESSORS = 1.0
 #: Extra delay of a daemon with too few processors, in seconds, so that larger daemons
 #: win the election.
 UNDERSIZED_DELAY_SECONDS = 0.5
@@ -110,7 +112,8 @@
         """Return whether this daemon has too few processors for all endpoints."""
         prefix = self.settings.boundary.endpoint_prefix
         entries, _revision = await self.store.scan(prefix, prefix_end(prefix))
-        return self.settings.processors < PROCESSORS_PER_ENDPOINT * len(entries)
+        needed = max(MIN_PROCESSORS, PROCESSORS_PER_ENDPOINT * len(entries))
+        return self.settings.processors < needed
 
     async def run_term(self):
         """Acquire the leader lease and schedule until the term ends."""
@@ -129,6 +132,7 @@
             self.settings, self.queues, writer, TTL_SECONDS, self.clock, self.log
         )
         self.scheduler.confirm(requested_at)
+        self.renewed_at = requested_at
         self.end_reason = "failed"
         self.running = asyncio.ensure_future(self.run_scheduler())
         try:
@@ -158,16 +162,28 @@
             self.log.error("term.broken", trace=traceback.format_exception(group))
 
     async def renew(self):
-        """Renew the leader lease until it is lost."""
-        while True:
-            await asyncio.sleep(TTL_SECONDS * RENEW_SHARE)
-            requested_at = self.clock.now()
-            try:
-                if not await self.store.keep_alive(self.lease):
-                    raise errors.NotLeaderError(jobstore.HOLDER)
-                self.scheduler.confirm(requested_at)
-            except errors.PlatformError as error:
-                self.log.warning("term.renewal_failed", error=error.code)
+        """Renew the leader lease until it is lost.
+
+        A renewal without an answer does not delay the next one.
+        """
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(TTL_SECONDS * RENEW_SHARE)
+                group.create_task(self.renew_once())
+
+    async def renew_once(self):
+        """Renew the leader lease; raise `NotLeaderError` if it is lost."""
+        requested_at = self.clock.now()
+        try:
+            if not await self.store.keep_alive(self.lease):
+                raise errors.NotLeaderError(jobstore.HOLDER)
+        except errors.PlatformError as error:
+            self.log.warning("term.renewal_failed", error=error.code)
+            return
+        # Answers may overtake each other.
+        if requested_at > self.renewed_at:
+            self.renewed_at = requested_at
+            self.scheduler.confirm(requested_at)
 
     def end_term(self, why):
         """End this daemon's term for the reason ``why``."""
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -162,9 +162,14 @@
             )
 
     def expire(self, now):
-        """Release the tasks of endpoints whose leases have certainly expired."""
+        """Release the tasks of endpoints whose leases have certainly expired.
+
+        A successor may have extended leases once the term is not exclusive.
+        """
+        if now > self.exclusive_until:
+            return
         for endpoint in list(self.endpoints.values()):
-            if endpoint.clock_ms is None and endpoint.listed:
+            if endpoint.clock_ms is None and (endpoint.listed or endpoint.tasks):
                 self.expire_unconfirmed(endpoint, now)
                 continue
             if now < endpoint.leases_expire_at():
@@ -360,9 +365,18 @@
 
         Includes redundant runs whose start may still be executed.
         """
-        listed = {(row.task, row.run) for row in rows}
-        steps, has_unsized = endpoint.pending_redundant_steps(listed, sent_at), False
+        steps, has_unsized = [], False
+        if endpoint.redundant_runs:
+            listed = {(row.task, row.run) for row in rows}
+            steps = endpoint.pending_redundant_steps(listed, sent_at)
         for row in rows:
+            task = endpoint.tasks.get(row.task)
+            if (
+                task is not None
+                and task.run == row.run
+                and self.jobs.get(task.job.id) is task.job
+            ):
+                continue
             task = self.find_task(row.task)
             if task is None:
                 has_unsized = True
@@ -434,7 +448,8 @@
     def stop_answered(self, order, now):
         """Record that an endpoint refuses a run from now on and is ending it."""
         stop = self.stops.find(order.endpoint, order.task, order.run)
-        if stop is None:
+        # Until an incarnation has reported, the answer may be that of an earlier one.
+        if stop is None or order.endpoint.clock_ms is None:
             return
         # A repeated answer must not outdate the report that would release the task.
         stop.answered_at = stop.answered_at or now
@@ -473,9 +488,9 @@
         if order.task.run == order.run:
             order.task.pace = None
 
-    def plan(self, now):
-        """Return the start orders to send now."""
-        return planning.plan(self, now)
+    def plan(self, now, limit=None):
+        """Return the start orders to send now, at most ``limit``."""
+        return planning.plan(self, now, limit)
 
     def stop_stuck_runs(self, endpoint, now):
         """Stop runs without progress, and bar their endpoint for a time."""
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -52,7 +52,7 @@
 
 
 class Task:
-    """One task; at most one run of it is in progress at a time.
+    """One task of a `Step`; at most one run of it is in progress at a time.
 
     ``endpoint`` and ``run`` identify the current run or the one before; ``last_run`` is
     the highest number of a run so far.  The next run resumes from ``checkpoint`` (""
@@ -72,6 +72,7 @@
 
     __slots__ = (
         "job",
+        "step",
         "step_number",
         "index",
         "name",
@@ -97,6 +98,7 @@
 
     def __init__(self, job, step_number, index):
         self.job = job
+        self.step = job.spec.steps[step_number]
         self.step_number = step_number
         self.index = index
         self.name = f"{job.id}.0.{step_number}.{index}"
@@ -119,11 +121,6 @@
         self.pinned_run = 0
         self.pinned_until = 0.0
 
-    @property
-    def step(self):
-        """The `Step` that the task belongs to."""
-        return self.job.spec.steps[self.step_number]
-
     @property
     def due_at(self):
         """The time at which the task's next run became, or becomes, due."""
@@ -178,11 +175,13 @@
     ``inherited_domains`` an earlier scheduler may have started tasks that this one does
     not know of.  ``discovered_at`` is when this scheduler first read the job.  Times
     are seconds of the scheduler's clock, except ``ended_at``, which is in seconds since
-    the Unix epoch.
+    the Unix epoch.  ``replica`` is true if the job has a step of replicas, which run
+    until it is cancelled.
     """
 
     __slots__ = (
         "spec",
+        "replica",
         "queue",
         "state",
         "tasks",
@@ -203,6 +202,7 @@
 
     def __init__(self, spec, queue, now, wall_now):
         self.spec = spec
+        self.replica = any(step.replica for step in spec.steps)
         self.queue = queue
         self.state = JobState.QUEUED
         self.domains = {spec.domain}
@@ -236,11 +236,6 @@
         span = max(0.001, self.objective_at - self.accepted_at)
         return (now - self.accepted_at) / span
 
-    @property
-    def replica(self):
-        """Whether the job has a step of replicas, which run until it is cancelled."""
-        return any(step.replica for step in self.spec.steps)
-
     def open_ready_steps(self, now):
         """Create and queue the tasks of steps whose predecessors are complete."""
         for number, step in enumerate(self.spec.steps):
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -11,7 +11,8 @@
 from clementinebay.workflow.sending import Sender
 from clementinebay.workflow.storing import ChangeWriter
 
-#: Interval between plans when no event requests one, in seconds.
+#: Interval between checks for expired leases, and between plans when no event requests
+#: one, in seconds.
 TICK_SECONDS = 0.1
 #: A plan follows the one before it no sooner than after this many times the time that
 #: one took, so that plans leave most of the processor time to reports and orders.
@@ -26,6 +27,8 @@
 COLOCATED_WAIT_SECONDS = 0.4
 #: Wait after a failed request for a report, in seconds.
 REPORT_RETRY_SECONDS = 0.25
+#: Wait after a failed read at the start of a term, in seconds.
+LOAD_RETRY_SECONDS = 0.1
 #: Time at the start of a term in which an earlier scheduler may still start new jobs,
 #: in seconds.
 OVERLAP_SECONDS = 2.0
@@ -111,9 +114,18 @@
             self.sender.stop()
 
     async def load(self):
-        """Load the jobs, endpoints and estimates stored by earlier schedulers."""
+        """Load the stored state; repeat that until all reads succeed."""
         metrics.TERMS.inc()
         metrics.SCHEDULING.set(1)
+        while True:
+            try:
+                return await self.read_state()
+            except errors.PlatformError as error:
+                self.log.warning("term.load_failed", error=error.code, why=str(error))
+                await asyncio.sleep(LOAD_RETRY_SECONDS)
+
+    async def read_state(self):
+        """Read the jobs, endpoints and estimates stored by earlier schedulers."""
         self.stored_progress = await self.jobs.all_progress()
         used_endpoints = await self.jobs.used_endpoints()
         self.change_writer.load_endpoints(used_endpoints)
@@ -231,11 +243,10 @@
             await self.sender.plan_requested.wait()
             self.sender.plan_requested.clear()
             now = self.clock.now()
-            self.engine.expire(now)
             for order in self.engine.stops.due(now, self.engine.endpoints):
                 self.sender.spawn(self.sender.send_stop(order))
-            for order in self.engine.plan(now):
-                self.sender.spawn(self.sender.send_start(order))
+            for order in self.engine.plan(now, self.sender.start_allowance()):
+                self.sender.begin_start(order)
             seconds = self.clock.now() - now
             self.load_meter.record_plan(seconds)
             self.change_writer.check_changes()
@@ -243,9 +254,10 @@
             await asyncio.sleep(plan_spacing(seconds))
 
     async def tick_loop(self):
-        """Request a plan at regular intervals, for changes due to time alone."""
+        """Expire leases and request a plan at regular intervals."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
+            self.engine.expire(self.clock.now())
             self.sender.request_plan()
 
     # Reports
@@ -263,16 +275,15 @@
         """Request one report; return whether it was received and processed."""
         sent_at = self.clock.now()
         unstored = endpoint.last_processed_end > endpoint.last_acknowledged_end
+        was_unreachable = endpoint.unreachable_since is not None
         wait = 0.0
-        if endpoint.has_reported and not unstored:
+        if endpoint.has_reported and not unstored and not was_unreachable:
             colocated = endpoint.replicas and endpoint.fillers
             wait = COLOCATED_WAIT_SECONDS if colocated else REPORT_WAIT_SECONDS
         deadline_ms = None
         lease_length = self.sender.lease_seconds(sent_at)
-        granted_before = endpoint.granted_ms
-        if endpoint.clock_ms is not None and endpoint.listed and lease_length > 0:
+        if endpoint.extends_leases(sent_at) and lease_length > 0:
             deadline_ms = endpoint.grant(sent_at, lease_length)
-        was_unreachable = endpoint.unreachable_since is not None
         fence = endpoint.fence(self.writer.fence)
         try:
             report = await self.driver.report(
@@ -280,10 +291,6 @@
             )
         except (errors.CallError, errors.OrderRefusedError) as error:
             metrics.ORDERS.labels("report", error.code).inc()
-            # No start order can have granted a lease since, as the endpoint was
-            # unreachable.
-            if was_unreachable and isinstance(error, errors.CallNotSentError):
-                endpoint.granted_ms = granted_before
             self.sender.mark_unreachable(endpoint)
             self.sender.check_fenced(endpoint, fence, error)
             return False
