Name the endpoints that a new term waits for, and why one is lost

term.load counts and names the endpoints of earlier terms that have not reported; endpoint.lost says which failure lost an endpoint; endpoint.listed has its address. Without them the log of a term that waits 10.7 s could not tell endpoints that are silent from ones whose address has another incarnation.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -125,6 +125,7 @@
                 endpoint=info.id,
                 domain=info.failure_domain,
                 service=info.service,
+                address=info.address,
             )
         elif info.born_ms > endpoint.info.born_ms:
             self.restart_endpoint(endpoint, info, now)
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -32,6 +32,10 @@
         domain = self.domains.get(endpoint_id)
         return endpoint_id in self.unreported.get(domain, ())
 
+    def awaited(self):
+        """Return the ids of the endpoints that have not reported yet."""
+        return sorted(name for names in self.unreported.values() for name in names)
+
     def expire(self, now):
         """Stop waiting for endpoints once the inherited leases have expired."""
         if self.until and now >= self.until:
--- a/clementinebay/workflow/load.py
+++ b/clementinebay/workflow/load.py
@@ -9,6 +9,8 @@
 LAG_INTERVAL_SECONDS = 0.05
 #: Interval between log lines, in seconds.
 LINE_INTERVAL_SECONDS = 1.0
+#: Greatest number of endpoints that a log line names.
+MAX_NAMED_ENDPOINTS = 5
 
 
 class TermLoad:
@@ -70,6 +72,10 @@
             "endpoints": len(engine.endpoints),
             "processors": self.processors,
         }
+        awaited = engine.inherited_endpoints.awaited()
+        if awaited:
+            fields["awaited"] = len(awaited)
+            fields["awaited_first"] = awaited[:MAX_NAMED_ENDPOINTS]
         return fields | due_fields(engine, now)
 
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -291,7 +291,7 @@
             )
         except (errors.CallError, errors.OrderRefusedError) as error:
             metrics.ORDERS.labels("report", error.code).inc()
-            self.sender.mark_unreachable(endpoint)
+            self.sender.mark_unreachable(endpoint, error)
             self.sender.check_fenced(endpoint, fence, error)
             return False
         metrics.ORDERS.labels("report", "reported").inc()
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -122,9 +122,9 @@
             self.engine.start_answered(order, self.clock.now())
             if order.task.step.filler:
                 self.pace(order.endpoint)
-        except errors.CallNotSentError:
+        except errors.CallNotSentError as error:
             outcome = "not-sent"
-            self.mark_unreachable(order.endpoint)
+            self.mark_unreachable(order.endpoint, error)
             self.engine.start_refused(order, self.clock.now(), RETRY_SECONDS)
         except errors.CallUnansweredError:
             outcome = "unanswered"
@@ -215,10 +215,13 @@
             fillers=order.endpoint.fillers,
         )
 
-    def mark_unreachable(self, endpoint):
+    def mark_unreachable(self, endpoint, error):
         """Start no tasks at an endpoint until it answers again."""
         if endpoint.unreachable_since is None:
             endpoint.unreachable_since = self.clock.now()
             self.log.warning(
-                "endpoint.lost", endpoint=endpoint.id, runs=len(endpoint.tasks)
+                "endpoint.lost",
+                endpoint=endpoint.id,
+                runs=len(endpoint.tasks),
+                why=getattr(error, "reason", error.code),
             )
--- a/tests/workflow/test_load.py
+++ b/tests/workflow/test_load.py
@@ -27,6 +27,17 @@
     assert [order.task for order in engine.plan(1.0)] == [task]
 
 
+def test_line_names_the_endpoints_that_a_new_term_waits_for():
+    engine, _task = make_engine()
+    meter = load.TermLoad(engine, 1.0, ManualClock(), factory.quiet_log())
+    assert "awaited" not in meter.line(1.0)
+    for endpoint_id in ("e9", "e1"):
+        engine.inherited_endpoints.expect(endpoint_id, "a")
+    engine.inherited_endpoints.mark_reported("e1")
+    line = meter.line(1.0)
+    assert (line["awaited"], line["awaited_first"]) == (1, ["e9"])
+
+
 def inherit(engine, task):
     engine.inherited_endpoints.expect("gone", "a")
     task.job.inherited_domains = frozenset("a")
