Take the refusal of another incarnation as the end of the earlier one

The address refused every order as another incarnation from 2 s after the crash on.

Cause: the refusal counted as a failed call. It is proof: one incarnation at a time answers at an address, so the runs of the earlier one have ended, and a late order to it is refused as well.

Change: such a refusal of a report, start or stop ends the incarnation. Its tasks are released, also those with unanswered starts, their pins too; a new term no longer waits for it.

The new tests in test_schedule failed before (the replica did not run 3 s after its endpoint's address answered again).

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -153,6 +153,24 @@
                 self.lose_run(task, "restarted", now)
         endpoint.restart(info)
 
+    def end_incarnation(self, endpoint, now):
+        """Release all tasks of an incarnation that has certainly ended.
+
+        Other incarnations refuse its orders, so none of them can be executed late.
+        """
+        if endpoint.has_ended:
+            return
+        endpoint.has_ended = True
+        endpoint.granted_ms = 0
+        self.log.warning(
+            "endpoint.ended", endpoint=endpoint.id, runs=len(endpoint.tasks)
+        )
+        for task in list(endpoint.tasks.values()):
+            self.lose_run(task, "crashed", now)
+        for job in self.active.values():
+            job.unpin_tasks(endpoint)
+        self.inherited_endpoints.mark_reported(endpoint.id)
+
     def unlist_endpoint(self, endpoint_id):
         """Record that an endpoint has left the registry; its leases will expire."""
         endpoint = self.endpoints.get(endpoint_id)
@@ -221,10 +239,10 @@
     def process_report(self, endpoint, report, sent_at, now):
         """Process a report that the endpoint compiled after ``sent_at``.
 
-        Returns ``False`` for a report of another incarnation of the endpoint, or of a
-        forgotten endpoint.
+        Returns ``False`` for a report of another incarnation of the endpoint, of one
+        that has ended, or of a forgotten endpoint.
         """
-        if self.endpoints.get(endpoint.id) is not endpoint:
+        if self.endpoints.get(endpoint.id) is not endpoint or endpoint.has_ended:
             return False
         if report.born_ms is not None and report.born_ms != endpoint.info.born_ms:
             return False
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -30,7 +30,8 @@
 
     ``restarts`` counts the restarts in this term.  ``has_reported`` is true once the
     endpoint has reported to this scheduler; from then on it refuses orders of earlier
-    schedulers.  ``recorded`` is true if the store names the endpoint as in use.
+    schedulers.  ``has_ended`` is true once the incarnation has certainly ended, with
+    all its runs.  ``recorded`` is true if the store names the endpoint as in use.
 
     Ends of runs are numbered: ``last_processed_end`` was processed last, and the
     effects of all up to ``last_acknowledged_end`` are stored.  ``redundant_runs`` has,
@@ -52,6 +53,7 @@
         "listed",
         "recorded",
         "has_reported",
+        "has_ended",
         "tasks",
         "processors_used",
         "memory_used",
@@ -118,6 +120,7 @@
         """Reset the state for an incarnation that has no runs and no leases yet."""
         self.info = info
         self.has_reported = False
+        self.has_ended = False
         self.unknown_runs = {}
         self.redundant_runs = {}
         self.set_orphaned((), False)
@@ -246,7 +249,7 @@
 
     def extends_leases(self, now):
         """Return whether requests for reports extend the leases of the runs."""
-        if self.clock_ms is None or not self.listed:
+        if self.clock_ms is None or not self.listed or self.has_ended:
             return False
         silent_since = self.unreachable_since
         return silent_since is None or now < silent_since + MAX_SILENCE_SECONDS
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -266,6 +266,12 @@
         """Return the tasks that are assigned to an endpoint."""
         return [task for task in self.tasks.values() if task.endpoint is not None]
 
+    def unpin_tasks(self, endpoint):
+        """Record that no start order to ``endpoint`` can be executed late."""
+        for task in self.tasks.values():
+            if task.pinned_endpoint is endpoint:
+                task.pinned_until = 0.0
+
     def finish_task(self, task, now):
         """Record that ``task`` is complete; open the steps that depended on it."""
         if task.state is TaskState.DONE:
--- a/clementinebay/workflow/model.py
+++ b/clementinebay/workflow/model.py
@@ -135,3 +135,7 @@
         self.id = id
         for name in self.__slots__[1:]:
             setattr(self, name, fields[name])
+
+    def is_same_incarnation(self, other):
+        """Return whether ``other`` is an entry of the same incarnation."""
+        return (self.born_ms, self.address) == (other.born_ms, other.address)
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -22,6 +22,7 @@
         for endpoint in engine.endpoints.values()
         if endpoint.listed
         and endpoint.has_reported
+        and not endpoint.has_ended
         and endpoint.recorded
         and not endpoint.info.leaving
         and endpoint.unreachable_since is None
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -229,7 +229,7 @@
             return endpoint_id
         endpoint = self.engine.register_endpoint(info, self.clock.now())
         self.change_writer.record_endpoint(endpoint)
-        if endpoint not in self.linked_endpoints:
+        if endpoint not in self.linked_endpoints and not endpoint.has_ended:
             self.linked_endpoints.add(endpoint)
             self.sender.spawn(self.link_loop(endpoint))
         self.sender.request_plan()
@@ -263,14 +263,21 @@
     # Reports
 
     async def link_loop(self, endpoint):
-        """Extend an endpoint's lease and request its reports while it is known."""
+        """Extend an endpoint's lease and request its reports until it has ended."""
         try:
-            while self.engine.endpoints.get(endpoint.id) is endpoint:
+            while self.is_linked(endpoint):
                 if not await self.request_report(endpoint):
                     await asyncio.sleep(REPORT_RETRY_SECONDS)
         finally:
             self.linked_endpoints.discard(endpoint)
 
+    def is_linked(self, endpoint):
+        """Return whether reports are to be requested from an endpoint."""
+        return (
+            self.engine.endpoints.get(endpoint.id) is endpoint
+            and not endpoint.has_ended
+        )
+
     async def request_report(self, endpoint):
         """Request one report; return whether it was received and processed."""
         sent_at = self.clock.now()
@@ -285,6 +292,7 @@
         if endpoint.extends_leases(sent_at) and lease_length > 0:
             deadline_ms = endpoint.grant(sent_at, lease_length)
         fence = endpoint.fence(self.writer.fence)
+        info = endpoint.info
         try:
             report = await self.driver.report(
                 endpoint, deadline_ms, endpoint.last_acknowledged_end, wait, fence
@@ -293,6 +301,7 @@
             metrics.ORDERS.labels("report", error.code).inc()
             self.sender.mark_unreachable(endpoint, error)
             self.sender.check_fenced(endpoint, fence, error)
+            self.sender.check_incarnation(endpoint, info, error)
             return False
         metrics.ORDERS.labels("report", "reported").inc()
         now = self.clock.now()
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -83,6 +83,18 @@
             self.log.warning("term.fenced", endpoint=endpoint.id, fence=fence)
             self.end_term(errors.NotLeaderError(jobstore.HOLDER))
 
+    def check_incarnation(self, endpoint, info, error):
+        """Release an endpoint's tasks if a refusal shows that its incarnation is over.
+
+        ``info`` is the `Endpoint` to whose address the order was sent.  Only one
+        incarnation at a time can answer at an address.
+        """
+        reason = getattr(error, "reason", "")
+        is_over = reason == errors.OrderRefusedError.OTHER_INCARNATION
+        if is_over and endpoint.info.is_same_incarnation(info):
+            self.engine.end_incarnation(endpoint, self.clock.now())
+            self.request_plan()
+
     def lease_seconds(self, now):
         """Return the length of a lease that may be granted at ``now``, in seconds.
 
@@ -116,6 +128,7 @@
             return
         deadline_ms = order.endpoint.grant(now, lease_length)
         fence = order.endpoint.fence(self.writer.fence)
+        info = order.endpoint.info
         outcome = "started"
         try:
             await self.driver.start(order, deadline_ms, fence)
@@ -131,7 +144,7 @@
             self.engine.start_unanswered(order, self.clock.now())
         except errors.OrderRefusedError as error:
             outcome = error.reason
-            self.start_refused(order, fence, error)
+            self.start_refused(order, info, fence, error)
         metrics.ORDERS.labels("start", outcome).inc()
         metrics.ORDER_SECONDS.observe(self.clock.now() - now)
         self.log.info(
@@ -150,17 +163,19 @@
         if outcome != "started":
             self.request_plan()
 
-    def start_refused(self, order, fence, error):
+    def start_refused(self, order, info, fence, error):
         """Handle the refusal of a start order."""
         now = self.clock.now()
         if error.reason == errors.OrderRefusedError.UNHEALTHY:
             order.endpoint.health.bar(now)
         self.check_fenced(order.endpoint, fence, error)
         self.engine.start_refused(order, now, RETRY_SECONDS)
+        self.check_incarnation(order.endpoint, info, error)
 
     async def send_stop(self, order):
         """Send a stop order and report its outcome to the engine."""
         fence = order.endpoint.fence(self.writer.fence)
+        info = order.endpoint.info
         outcome = "stopped"
         try:
             await self.driver.stop(order, fence)
@@ -170,6 +185,7 @@
         except errors.OrderRefusedError as error:
             outcome = error.reason
             self.check_fenced(order.endpoint, fence, error)
+            self.check_incarnation(order.endpoint, info, error)
         metrics.ORDERS.labels("stop", outcome).inc()
         self.log.info(
             "task.stop_ordered",
--- a/clementinebay/workflow/stops.py
+++ b/clementinebay/workflow/stops.py
@@ -43,11 +43,12 @@
     def due(self, now, endpoints):
         """Return the `StopOrder`s to send now.
 
-        Stops at endpoints that are not in ``endpoints``, a mapping by id, are dropped.
+        Stops at endpoints that have ended or are not in ``endpoints``, a mapping by id,
+        are dropped.
         """
         orders = []
         for key, stop in list(self.pending.items()):
-            if stop.endpoint.id not in endpoints:
+            if stop.endpoint.has_ended or stop.endpoint.id not in endpoints:
                 del self.pending[key]
             elif now >= stop.next_send_at:
                 stop.next_send_at = now + REPEAT_SECONDS
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -62,6 +62,8 @@
         if task in self.runs:
             return self.runs[task][0] == run
         seconds = self.world.random.uniform(0.3, 3.0)
+        if step.replica:
+            seconds = float("inf")
         self.runs[task] = (run, step, now + seconds, seconds)
         self.world.check_start(task, self, now)
         return True
@@ -108,7 +110,9 @@
     @staticmethod
     def percent(run, now):
         """Return the progress of a run in percent."""
-        _number, _step, until, seconds = run
+        _number, step, until, seconds = run
+        if step.replica:
+            return 100
         return min(99, max(0, int(100 - (until - now) * 100 / seconds)))
 
     def work(self, now):
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -173,6 +173,40 @@
     virtualtime.run(main())
 
 
+REPLICAS = [Step(count=3, processors_milli=500, replica=True)]
+
+
+@pytest.mark.parametrize("how", ["refused", "silent"])
+def test_task_of_a_crashed_endpoint_runs_again_once_its_address_answers(how):
+    async def main():
+        async with TestBed() as bed:
+            await bed.run(1.0)
+            task = bed.submit(steps=REPLICAS)
+            await bed.run(0.5)
+            crashed = bed.running_at(task)
+            replacing = asyncio.create_task(bed.replace(crashed, 0.5, how))
+            await bed.run(3.5)
+            assert bed.running_at(task)
+            await replacing
+            await bed.run(8.0)
+
+    virtualtime.run(main())
+
+
+def test_start_lost_in_a_crash_does_not_pin_its_task_to_the_crashed_endpoint():
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            await bed.run(1.0)
+            [model] = bed.endpoints
+            replacing = asyncio.create_task(bed.replace(model, 0.5, "silent"))
+            task = bed.submit(steps=REPLICAS)
+            await bed.run(4.0)
+            assert bed.running_at(task)
+            await replacing
+
+    virtualtime.run(main())
+
+
 def test_ended_job_deleted_while_the_jobs_are_reloaded_is_not_run_again():
     """The pages of a scan are not a snapshot; a slow store takes a while for them."""
 
--- a/tests/workflow/test_sending.py
+++ b/tests/workflow/test_sending.py
@@ -56,6 +56,28 @@
     assert sender.plan_requested.is_set() is plans_again
 
 
+OTHER = errors.OrderRefusedError("e1", errors.OrderRefusedError.OTHER_INCARNATION)
+
+
+@pytest.mark.parametrize(
+    ("changes", "has_ended"),
+    [({}, True), ({"born_ms": 2}, False), ({"address": "127.0.0.1:2"}, False)],
+)
+async def test_refusal_at_an_earlier_address_does_not_end_a_newer_incarnation(
+    changes, has_ended
+):
+    engine = factory.make_engine()
+    info = factory.make_info()
+    endpoint = factory.connect_endpoint(engine, info)
+    deployment = FakeDeployment()
+    sender = Sender(
+        engine, deployment, deployment, 5.7, ManualClock(1.0), factory.quiet_log()
+    )
+    engine.register_endpoint(factory.make_info(**changes), 1.0)
+    sender.check_incarnation(endpoint, info, OTHER)
+    assert endpoint.has_ended is has_ended
+
+
 async def test_mass_start_keeps_the_event_loop_from_renewing_the_term():
     engine = factory.make_engine()
     info = factory.make_info(processors_milli=10**6, memory_mb=10**6)
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -1,9 +1,10 @@
 """Daemons that run the real `Scheduler` on an in-memory store, in virtual time.
 
 Disturbances may overlap: links cut, calls of the store lost, schedulers killed,
-endpoints unlisted or restarted.  The monitor checks runs at the endpoints themselves:
-no task runs twice, and none waits without cause once the disturbances are over.  Late
-orders to a restarted endpoint are left to `tests.workflow.model`.
+endpoints unlisted, restarted or replaced by other incarnations at their addresses.  The
+monitor checks runs at the endpoints themselves: no task runs twice, and none waits
+without cause once the disturbances are over.  Late orders to a restarted endpoint are
+left to `tests.workflow.model`.
 """
 
 import asyncio
@@ -34,6 +35,10 @@
 #: disturbance before it, in seconds.
 MAX_STARVED_SECONDS = 3.0
 CALM_SECONDS = 4.0
+#: Time for which a replica may be away after its last run, in seconds.
+REPLICA_AWAY_SECONDS = 6.0
+#: Time after which the entry of a silent endpoint is removed, in seconds.
+ENTRY_SECONDS = 4.5
 
 
 class FaultyStore(MemoryStore):
@@ -101,11 +106,18 @@
         """Execute an order after a round trip; raise the error of a cut link."""
         model = self.bed.by_id[endpoint.id]
         await asyncio.sleep(CALL_SECONDS)
-        how = self.bed.cuts.get(model.id) or ("refused" if not model.up else None)
+        occupant = self.bed.occupants[model.address]
+        how = self.bed.cuts.get(occupant.id)
+        if how is None and not occupant.up:
+            how = occupant.down_as
+        if how is None and occupant is not model:
+            reason = errors.OrderRefusedError.OTHER_INCARNATION
+            raise errors.OrderRefusedError(model.id, reason)
         if how == "refused":
             raise errors.CallNotSentError(model.id, "refused")
         if how == "reset":
-            self.bed.execute_late(model, action, args)
+            if occupant is model:
+                self.bed.execute_late(model, action, args)
             raise errors.CallUnansweredError(model.id, "/", "reset")
         if how == "silent":
             await asyncio.sleep(ORDER_TIMEOUT_SECONDS)
@@ -231,8 +243,9 @@
     """Endpoints, a store and daemons; use it with ``async with``.
 
     ``cuts`` maps the ids of endpoints whose links are cut to "refused", "silent" or
-    "reset".  ``done`` has the names of the tasks that ended done, ``failures`` what
-    ended a term unexpectedly.
+    "reset".  ``occupants`` has the newest incarnation at each address.  ``done`` has
+    the names of the tasks that ended done, ``last_run_at`` the last time of each
+    replica, and ``failures`` what ended a term unexpectedly.
     """
 
     __test__ = False
@@ -249,6 +262,7 @@
         self.failures = []
         self.specs = {}
         self.starved_since = {}
+        self.last_run_at = {}
         self.active_disturbances = 0
         self.calm_since = 0.0
         self.endpoints = [
@@ -256,7 +270,9 @@
             for number in range(endpoints)
         ]
         self.by_id = {model.id: model for model in self.endpoints}
-        for model in self.endpoints:
+        self.occupants = {}
+        for number, model in enumerate(self.endpoints):
+            self.occupy(model, f"10.0.0.1:{number}")
             self.list(model)
         self.queues = SimpleNamespace(
             out=frozenset(),
@@ -298,10 +314,17 @@
 
     # Registry, jobs and orders
 
+    def occupy(self, model, address):
+        """Make ``model`` the incarnation that answers at ``address``."""
+        model.address = address
+        model.down_as = "refused"
+        self.occupants[address] = model
+
     def list(self, model):
         """Write the registry entry of an endpoint."""
         fields = {
             "born_ms": model.born,
+            "address": model.address,
             "failure_domain": model.domain,
             "processors_milli": CAPACITY,
         }
@@ -384,6 +407,37 @@
         model.restart(self.now())
         self.list(model)
 
+    def crash(self, model, how="refused"):
+        """Crash an endpoint; calls of it are "refused", or "silent" time out."""
+        model.up = False
+        model.runs = {}
+        model.down_as = how
+
+    async def replace(self, model, seconds, how="refused"):
+        """Crash an endpoint; another incarnation takes its address after a time."""
+        unlisting = asyncio.create_task(self.unlist_after(model, ENTRY_SECONDS))
+        async with self.disturbance(seconds):
+            self.crash(model, how)
+        successor = ModelEndpoint(f"{model.id}+", model.domain, self)
+        successor.restart(self.now())
+        self.endpoints[self.endpoints.index(model)] = successor
+        self.by_id[successor.id] = successor
+        self.occupy(successor, model.address)
+        self.list(successor)
+        await unlisting
+
+    async def lose(self, model, how="refused"):
+        """Crash an endpoint for good."""
+        async with self.disturbance(0.0):
+            self.crash(model, how)
+            self.endpoints.remove(model)
+        await self.unlist_after(model, ENTRY_SECONDS)
+
+    async def unlist_after(self, model, seconds):
+        """Remove a registry entry after a time."""
+        await asyncio.sleep(seconds)
+        self.unlist(model)
+
     async def kill_scheduler(self):
         """Kill the daemon that schedules."""
         async with self.disturbance(0.0):
@@ -391,6 +445,16 @@
                 if daemon.scheduler is not None:
                     await daemon.kill()
 
+    async def kill_daemons(self, seconds):
+        """Kill all daemons and start them again after a time."""
+        async with self.disturbance(seconds):
+            for daemon in self.daemons:
+                daemon.process.cancel()
+                await asyncio.wait([daemon.process])
+                daemon.scheduler = None
+        for daemon in self.daemons:
+            daemon.process = asyncio.create_task(daemon.serve())
+
     # Monitor
 
     async def run_monitor(self):
@@ -400,6 +464,7 @@
                 if model.up:
                     model.work(self.now())
                     self.done |= {e.task for e in model.ended if e.outcome == "done"}
+            self.record_replicas()
             self.check_capacity()
             self.check_starved()
             await asyncio.sleep(POLL_SECONDS)
@@ -427,12 +492,42 @@
             self.starved_since.clear()
             return
         starved = {job_id for job_id, spec in self.specs.items() if self.starves(spec)}
-        for job_id in starved:
-            since = self.starved_since.setdefault(job_id, self.now())
+        starved |= self.absent_replicas()
+        for name in starved:
+            since = self.starved_since.setdefault(name, self.now())
             waited = self.now() - since
-            assert waited < MAX_STARVED_SECONDS, (job_id, self.now(), self.explain())
-        for job_id in set(self.starved_since) - starved:
-            del self.starved_since[job_id]
+            assert waited < MAX_STARVED_SECONDS, (name, self.now(), self.explain())
+        for name in set(self.starved_since) - starved:
+            del self.starved_since[name]
+
+    def record_replicas(self):
+        """Record which replicas run."""
+        for model in self.endpoints:
+            for name, run in model.runs.items():
+                if model.up and run[1].replica:
+                    self.last_run_at[name] = self.now()
+
+    def absent_replicas(self):
+        """Return the replicas that are away for too long though there is room."""
+        limit = self.now() - REPLICA_AWAY_SECONDS
+        return {
+            name
+            for name, last_run_at in self.last_run_at.items()
+            if last_run_at < limit and self.places(self.step_of(name)) >= 2
+        }
+
+    def step_of(self, name):
+        """Return the step of a task."""
+        job_id, _occurrence, step, _index = name.split(".")
+        return self.specs[job_id].steps[int(step)]
+
+    def places(self, step):
+        """Return how many tasks of ``step`` fit into the free capacity."""
+        return sum(
+            (CAPACITY - self.used(model)) // step.processors_milli
+            for model in self.endpoints
+            if model.up
+        )
 
     def starves(self, spec):
         """Return whether a job runs nothing, though a task is due and has room."""
@@ -453,10 +548,7 @@
         """Return whether two tasks of ``step`` fit and under half is in use."""
         models = [model for model in self.endpoints if model.up]
         in_use = sum(self.used(model) for model in models)
-        places = sum(
-            (CAPACITY - self.used(model)) // step.processors_milli for model in models
-        )
-        return places >= 2 and 2 * in_use < CAPACITY * len(models)
+        return self.places(step) >= 2 and 2 * in_use < CAPACITY * len(models)
 
     def explain(self):
         """Return the scheduler's view of the tasks that wait, for a failed check."""
