Let requests to a silent endpoint repeat the lease deadline

Seen: replicas of endpoints that crash silently were given up 8.6 s after the crash (three crashes, Almaty; up to 9.2 s by the constants), while the platform requires that they run again within 9 s.

Cause: for 2 s after the first request without an answer, each further request extended the lease by 5 s once more, and tasks are not run elsewhere before the last deadline that was sent.

Change: until an endpoint answers, requests repeat the last deadline. If the first request was lost on its way, the next one that arrives extends the lease as far as that would have.

The new test failed before (the replica did not run 7.3 s after the crash).

--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -4,10 +4,6 @@
 
 #: Greatest share by which an endpoint's clock may run slow.
 MAX_CLOCK_DRIFT = 0.02
-#: Time without an answer after which an endpoint's leases are no longer extended, in
-#: seconds.  Requests without an answer may extend them, and its tasks are not run
-#: elsewhere before they expire.
-MAX_SILENCE_SECONDS = 2.0
 #: Time in which an endpoint ends its runs after their lease has expired, in seconds.
 EXPIRY_MARGIN_SECONDS = 0.3
 
@@ -42,8 +38,9 @@
     jobs and the time at which each was first reported.
 
     ``last_readings``, ``local_levels`` and ``spare_headroom`` belong to
-    `policy.pressure`.  ``granted_ms`` is the latest lease deadline that was sent, on
-    the endpoint's clock; ``clock_ms`` is a reading of that clock, received at
+    `policy.pressure`.  ``sent_deadline_ms`` is the latest lease deadline that was sent,
+    and ``granted_ms`` the latest that any scheduler may have sent, on the endpoint's
+    clock; ``clock_ms`` is a reading of that clock, received at
     ``clock_at`` of the scheduler's clock.
     """
 
@@ -67,6 +64,7 @@
         "spare_headroom",
         "last_acknowledged_end",
         "last_processed_end",
+        "sent_deadline_ms",
         "granted_ms",
         "clock_ms",
         "clock_at",
@@ -126,6 +124,7 @@
         self.set_orphaned((), False)
         self.last_acknowledged_end = 0
         self.last_processed_end = 0
+        self.sent_deadline_ms = 0
         self.granted_ms = 0
         self.clock_ms = None
         self.clock_at = 0.0
@@ -247,16 +246,23 @@
         """Return the lowest possible endpoint clock at ``now``, in milliseconds."""
         return self.clock_ms + (now - self.clock_at) * 1000 * (1 - MAX_CLOCK_DRIFT)
 
-    def extends_leases(self, now):
-        """Return whether requests for reports extend the leases of the runs."""
-        if self.clock_ms is None or not self.listed or self.has_ended:
-            return False
-        silent_since = self.unreachable_since
-        return silent_since is None or now < silent_since + MAX_SILENCE_SECONDS
+    def extend(self, now, seconds):
+        """Return the lease deadline to send with a request for a report, or ``None``.
+
+        While the endpoint does not answer, the last deadline is repeated: a request
+        without an answer may extend the leases, and the tasks are not run elsewhere
+        before these expire.
+        """
+        if self.clock_ms is None or not self.listed or seconds <= 0:
+            return None
+        if self.unreachable_since is not None:
+            return self.sent_deadline_ms or None
+        return self.grant(now, seconds)
 
     def grant(self, now, seconds):
         """Return a lease deadline ``seconds`` ahead, in ms of the endpoint's clock."""
         deadline = int(self.earliest_clock(now) + seconds * 1000)
+        self.sent_deadline_ms = max(self.sent_deadline_ms, deadline)
         self.granted_ms = max(self.granted_ms, deadline)
         return deadline
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -299,10 +299,7 @@
         if endpoint.has_reported and not unstored and not was_unreachable:
             colocated = endpoint.replicas and endpoint.fillers
             wait = COLOCATED_WAIT_SECONDS if colocated else REPORT_WAIT_SECONDS
-        deadline_ms = None
-        lease_length = self.sender.lease_seconds(sent_at)
-        if endpoint.extends_leases(sent_at) and lease_length > 0:
-            deadline_ms = endpoint.grant(sent_at, lease_length)
+        deadline_ms = endpoint.extend(sent_at, self.sender.lease_seconds(sent_at))
         fence = endpoint.fence(self.writer.fence)
         info = endpoint.info
         try:
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -211,6 +211,20 @@
     virtualtime.run(main())
 
 
+def test_requests_to_a_silent_endpoint_do_not_postpone_the_end_of_its_leases():
+    async def main():
+        async with TestBed() as bed:
+            await bed.run(1.0)
+            task = bed.submit(steps=REPLICAS)
+            await bed.run(0.5)
+            losing = asyncio.create_task(bed.lose(bed.running_at(task), "silent"))
+            await bed.run(1.0 + 0.8 + bed.deployment.lease_seconds + 0.5)
+            assert bed.running_at(task)
+            await losing
+
+    virtualtime.run(main())
+
+
 def test_start_lost_in_a_crash_does_not_pin_its_task_to_the_crashed_endpoint():
     async def main():
         async with TestBed(endpoints=1) as bed:
