Ask endpoints that left the registry at their stored addresses

Cause: a new term asked only endpoints that the registry lists. The entries of the crashed ones were gone, and so was any way to learn that they had ended.

Change: the scheduler stores the address and start time of the endpoints in use (a side write, once a second if changed). A successor asks those that are not listed: a report tells their runs, a refusal as another incarnation ends the wait. Without a stored address it waits as before.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -136,6 +136,15 @@
         endpoint.listed = True
         return endpoint
 
+    def await_endpoint(self, info, now):
+        """Add an endpoint of an earlier term that is not listed; return its state.
+
+        It is asked for its runs until it answers or its leases have expired.
+        """
+        endpoint = self.register_endpoint(info, now)
+        endpoint.listed = False
+        return endpoint
+
     def restart_endpoint(self, endpoint, info, now):
         """Handle the restart of an endpoint, which ended all runs there."""
         self.log.warning(
@@ -197,10 +206,9 @@
                 if now < self.late_order_deadlines.get(task.name, 0.0):
                     continue
                 self.lose_run(task, "lapsed", now)
-            if not endpoint.listed and not endpoint.tasks:
+            awaited = self.inherited_endpoints.expects(endpoint.id)
+            if not endpoint.listed and not endpoint.tasks and not awaited:
                 del self.endpoints[endpoint.id]
-                if endpoint.has_reported:
-                    self.inherited_endpoints.mark_reported(endpoint.id)
                 self.log.info("endpoint.forgotten", endpoint=endpoint.id)
         self.inherited_endpoints.expire(now)
 
--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -6,6 +6,7 @@
     clementine/term/holder      the current scheduler, attached to its lease
     clementine/term/number      the number of the term and of the last write in it
     clementine/term/endpoints   endpoints that the scheduler may have used
+    clementine/term/addresses   their addresses, for a successor's questions
     clementine/learned          slowdown of replicas by fillers, for a successor
     clementine/pending          number of jobs without a started task, by queue
 
@@ -30,6 +31,7 @@
 HOLDER = TERM + "holder"
 NUMBER = TERM + "number"
 ENDPOINTS = TERM + "endpoints"
+ADDRESSES = TERM + "addresses"
 PENDING = "clementine/pending"
 LEARNED = "clementine/learned"
 
@@ -68,6 +70,7 @@
 _counts_decoder = msgspec.json.Decoder(dict[str, int])
 _learned_decoder = msgspec.json.Decoder(list[tuple[str, str, float, float]])
 _domains_decoder = msgspec.json.Decoder(dict[str, str])
+_addresses_decoder = msgspec.json.Decoder(dict[str, tuple[str, int]])
 
 
 def job_id_of(key):
@@ -155,6 +158,11 @@
         entry = await self.store.get(ENDPOINTS)
         return {} if entry is None else _domains_decoder.decode(entry.value)
 
+    async def endpoint_addresses(self):
+        """Return (address, ``born_ms``) of endpoints that may have been used, by id."""
+        entry = await self.store.get(ADDRESSES)
+        return {} if entry is None else _addresses_decoder.decode(entry.value)
+
 
 class TermWriter:
     """Makes the writes of one scheduler in its term.
@@ -231,6 +239,11 @@
     return [Put(LEARNED, _encode(rows))]
 
 
+def address_puts(addresses):
+    """Return the writes that store (address, ``born_ms``) of endpoints by id."""
+    return [Put(ADDRESSES, _encode(addresses))]
+
+
 def job_key_ranges(job_ids):
     """Return the key ranges that hold the records of jobs."""
     keys = []
--- a/clementinebay/workflow/model.py
+++ b/clementinebay/workflow/model.py
@@ -139,3 +139,21 @@
     def is_same_incarnation(self, other):
         """Return whether ``other`` is an entry of the same incarnation."""
         return (self.born_ms, self.address) == (other.born_ms, other.address)
+
+
+def unlisted_endpoint(id, failure_domain, address, born_ms):
+    """Return an `Endpoint` that the registry does not list and that takes no tasks."""
+    return Endpoint(
+        id,
+        born_ms=born_ms,
+        service="",
+        address=address,
+        failure_domain=failure_domain,
+        leaving=True,
+        cold_ms=0,
+        processors_milli=0,
+        memory_mb=0,
+        accelerators=0,
+        labels=(),
+        rack="",
+    )
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -8,6 +8,7 @@
 from clementinebay.workflow.engine import Engine
 from clementinebay.workflow.load import TermLoad
 from clementinebay.workflow.mirror import Mirror
+from clementinebay.workflow.model import unlisted_endpoint
 from clementinebay.workflow.sending import Sender
 from clementinebay.workflow.storing import ChangeWriter
 
@@ -140,7 +141,8 @@
         """Read the jobs, endpoints and estimates stored by earlier schedulers."""
         self.stored_progress = await self.jobs.all_progress()
         used_endpoints = await self.jobs.used_endpoints()
-        self.change_writer.load_endpoints(used_endpoints)
+        addresses = await self.jobs.endpoint_addresses()
+        self.change_writer.load_endpoints(used_endpoints, addresses)
         self.engine.pressure.load_weights(await self.jobs.learned_weights())
         for endpoint_id, domain in used_endpoints.items():
             self.engine.inherited_endpoints.expect(endpoint_id, domain)
@@ -163,6 +165,7 @@
         # Jobs are loaded first because reports of endpoints refer to them.
         await self.job_mirror.load()
         await self.endpoint_mirror.load()
+        self.await_unlisted_endpoints(used_endpoints, addresses)
         self.stored_progress = {}
         self.queues.listener = self.queues_changed
         self.queues_changed()
@@ -175,6 +178,18 @@
             endpoints=len(self.engine.endpoints),
         )
 
+    def await_unlisted_endpoints(self, domains, addresses):
+        """Ask endpoints of earlier terms for their runs if they are not listed.
+
+        One that has crashed is known to have ended if its address has another
+        incarnation.
+        """
+        for endpoint_id, domain in domains.items():
+            known = endpoint_id in self.engine.endpoints
+            if not known and endpoint_id in addresses:
+                info = unlisted_endpoint(endpoint_id, domain, *addresses[endpoint_id])
+                self.link(self.engine.await_endpoint(info, self.clock.now()))
+
     # Changes in the store
 
     def queues_changed(self):
@@ -241,9 +256,7 @@
             return endpoint_id
         endpoint = self.engine.register_endpoint(info, self.clock.now())
         self.change_writer.record_endpoint(endpoint)
-        if endpoint not in self.linked_endpoints and not endpoint.has_ended:
-            self.linked_endpoints.add(endpoint)
-            self.sender.spawn(self.link_loop(endpoint))
+        self.link(endpoint)
         self.sender.request_plan()
         return endpoint.id
 
@@ -274,6 +287,12 @@
 
     # Reports
 
+    def link(self, endpoint):
+        """Start to request an endpoint's reports, unless that is done already."""
+        if endpoint not in self.linked_endpoints and not endpoint.has_ended:
+            self.linked_endpoints.add(endpoint)
+            self.sender.spawn(self.link_loop(endpoint))
+
     async def link_loop(self, endpoint):
         """Extend an endpoint's lease and request its reports until it has ended."""
         try:
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -16,6 +16,8 @@
 STORE_WAIT_SECONDS = 0.25
 #: Interval between writes of the counts of pending jobs, in seconds.
 PENDING_INTERVAL_SECONDS = 1.0
+#: Interval between writes of the addresses of endpoints, in seconds.
+ADDRESS_INTERVAL_SECONDS = 1.0
 #: Interval between writes of learned estimates, in seconds.
 LEARNED_INTERVAL_SECONDS = 4.0
 #: Interval between searches for ended jobs to delete, in seconds.
@@ -31,7 +33,8 @@
 
     ``recorded`` maps the endpoints to be stored as in use to their failure domains,
     ``stored_endpoints`` those that the store names whatever comes of the write in
-    progress.  Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called
+    progress.  ``addresses`` has what the store names as their (address, ``born_ms``).
+    Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called
     after a write that opened an endpoint or a failure domain to a job.
     """
 
@@ -48,11 +51,13 @@
         self.stored_endpoints = {}
         self.endpoints_changed = False
         self.stored_pending_counts = {}
+        self.addresses = {}
 
-    def load_endpoints(self, domains):
+    def load_endpoints(self, domains, addresses=()):
         """Adopt the endpoints in use that an earlier scheduler stored."""
         self.recorded = dict(domains)
         self.stored_endpoints = dict(domains)
+        self.addresses = dict(addresses)
 
     def record_endpoint(self, endpoint):
         """Schedule an endpoint to be stored as in use unless it is stored already."""
@@ -82,6 +87,7 @@
         return (
             self.store_loop(),
             self.pending_loop(),
+            self.address_loop(),
             self.learning_loop(),
             self.retention_loop(),
         )
@@ -179,6 +185,27 @@
             if changed and await self.write_optional(jobstore.pending_puts(counts)):
                 self.stored_pending_counts = counts
 
+    async def address_loop(self):
+        """Store the addresses of the endpoints in use after they have changed."""
+        while True:
+            await asyncio.sleep(ADDRESS_INTERVAL_SECONDS)
+            addresses = self.current_addresses()
+            changed = addresses != self.addresses
+            if changed and await self.write_optional(jobstore.address_puts(addresses)):
+                self.addresses = addresses
+
+    def current_addresses(self):
+        """Return (address, ``born_ms``) of the endpoints in use, by id."""
+        addresses = {}
+        for endpoint_id in self.recorded:
+            endpoint = self.engine.endpoints.get(endpoint_id)
+            if endpoint is not None:
+                info = endpoint.info
+                addresses[endpoint_id] = (info.address, info.born_ms)
+            elif endpoint_id in self.addresses:
+                addresses[endpoint_id] = self.addresses[endpoint_id]
+        return addresses
+
     async def learning_loop(self):
         """Store the learned estimates for a successor."""
         while True:
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -211,6 +211,40 @@
     virtualtime.run(main())
 
 
+def test_new_term_does_not_wait_for_a_crashed_endpoint_that_left_the_registry():
+    async def main():
+        async with TestBed(endpoints=6, daemons=2) as bed:
+            await bed.run(2.0)
+            task = bed.submit(steps=REPLICAS)
+            await bed.run(1.0)
+            replacing = asyncio.create_task(bed.replace(bed.running_at(task), 0.5))
+            await bed.kill_daemons(6.0)
+            await replacing
+            await bed.run(2.0)
+            assert bed.running_at(task)
+
+    virtualtime.run(main())
+
+
+def test_unlisted_endpoint_of_an_earlier_term_keeps_its_runs():
+    async def main():
+        async with TestBed(endpoints=6, daemons=2) as bed:
+            await bed.run(2.0)
+            task = bed.submit(steps=REPLICAS)
+            await bed.run(1.0)
+            holder = bed.running_at(task)
+            bed.unlist(holder)
+            await bed.kill_scheduler()
+            await bed.run(3.0)
+            assert bed.running_at(task) is holder
+            assert not bed.scheduler.engine.inherited_endpoints.awaited()
+            bed.list(holder)
+            await bed.run(12.0)
+            assert bed.running_at(task) is holder
+
+    virtualtime.run(main())
+
+
 def test_requests_to_a_silent_endpoint_do_not_postpone_the_end_of_its_leases():
     async def main():
         async with TestBed() as bed:
