Test replicas under overlapping disturbances

The storms of the test bed had no replicas, although the platform requires them to run again in time however full a service is. A storm of its own now plays endpoints that are replaced at their address, lost for good or restarted after a while in the dark (refused or silent), kills of one or all daemons, and runs of replicas that fail.

The bed: a crashed endpoint leaves the registry after a time also if it restarts later, an entry taken away for a time does not come back for an endpoint that is lost meanwhile, and overlapping kills start no daemon twice.

--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -15,6 +15,8 @@
 #: Time without disturbances after a storm, in seconds.
 CALM_SECONDS = 14.0
 REPLICAS = [Step(count=3, processors_milli=500, replica=True)]
+#: No endpoint is lost for good while there are no more than this many.
+MIN_ENDPOINTS = 7
 
 
 async def submit_jobs(bed, interval):
@@ -70,6 +72,64 @@
     virtualtime.run(run_storms(seed))
 
 
+async def fail_replicas(bed, interval):
+    """Let replicas fail at random times."""
+    while True:
+        await asyncio.sleep(bed.random.expovariate(1 / interval))
+        bed.fail_replica()
+
+
+def draw_replica_disturbance(bed):
+    """Return the coroutine of a random disturbance of endpoints with replicas."""
+    seconds = bed.random.uniform(0.3, 9.0)
+    how = bed.random.choice(("refused", "silent"))
+    models = [model for model in bed.endpoints if model.up]
+    model = bed.random.choice(models)
+    kinds = ["replace", "replace", "restart", "restart", "daemons", "kill", "other"]
+    if len(models) > MIN_ENDPOINTS:
+        kinds += ["lose", "lose"]
+    kind = bed.random.choice(kinds)
+    if kind == "replace":
+        return bed.replace(model, seconds, how)
+    if kind == "restart":
+        return bed.restart(model, seconds, how)
+    if kind == "lose":
+        return bed.lose(model, how)
+    if kind == "daemons":
+        return bed.kill_daemons(seconds)
+    if kind == "kill":
+        return bed.kill_scheduler()
+    return bed.cut(bed.random.sample(models, 2), how, seconds)
+
+
+async def run_replica_storms(seed):
+    """Play storms beside jobs of replicas, each with a calm after it."""
+    async with TestBed(seed, endpoints=10, daemons=2) as bed:
+        clients = asyncio.create_task(submit_jobs(bed, 2.0))
+        failures = asyncio.create_task(fail_replicas(bed, bed.random.choice((1, 5))))
+        await bed.run(1.0)
+        for _job in range(bed.random.randint(2, 5)):
+            count, processors = bed.random.choice(((2, 1000), (4, 1000), (3, 2000)))
+            steps = [Step(count=count, processors_milli=processors, replica=True)]
+            bed.submit(bed.random.choice("ab"), steps)
+        await bed.run(3.0)
+        for _storm in range(STORMS):
+            storm = []
+            for _number in range(bed.random.randint(2, 4)):
+                disturbance = draw_replica_disturbance(bed)
+                storm.append(asyncio.create_task(disturbance))
+                await bed.run(bed.random.uniform(0, MAX_GAP_SECONDS))
+            await asyncio.gather(*storm)
+            await bed.run(CALM_SECONDS)
+        clients.cancel()
+        failures.cancel()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_replicas_run_in_time_after_overlapping_disturbances(seed):
+    virtualtime.run(run_replica_storms(seed))
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_tasks_run_in_time_without_disturbances(seed):
     async def main():
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -396,16 +396,18 @@
             for model in models:
                 self.unlist(model)
         for model in models:
-            self.list(model)
+            if model.up:
+                self.list(model)
 
-    async def restart(self, model, seconds):
+    async def restart(self, model, seconds, how="refused"):
         """Crash an endpoint and start it again under its id after a time."""
+        unlisting = asyncio.create_task(self.unlist_after(model, ENTRY_SECONDS))
         async with self.disturbance(seconds):
-            model.up = False
-            model.runs = {}
+            self.crash(model, how)
         model.up = True
         model.restart(self.now())
         self.list(model)
+        await unlisting
 
     def crash(self, model, how="refused"):
         """Crash an endpoint; calls of it are "refused", or "silent" time out."""
@@ -434,9 +436,23 @@
         await self.unlist_after(model, ENTRY_SECONDS)
 
     async def unlist_after(self, model, seconds):
-        """Remove a registry entry after a time."""
+        """Remove the registry entry of a crashed incarnation after a time."""
+        born = model.born
         await asyncio.sleep(seconds)
-        self.unlist(model)
+        if not model.up and model.born == born:
+            self.unlist(model)
+
+    def fail_replica(self):
+        """Let the run of a random replica fail; that is no disturbance."""
+        runs = [
+            (model, name)
+            for model in self.endpoints
+            for name, run in model.runs.items()
+            if model.up and run[1].replica
+        ]
+        if runs:
+            model, name = self.random.choice(runs)
+            model.end(name, "failed")
 
     async def kill_scheduler(self):
         """Kill the daemon that schedules."""
@@ -453,7 +469,8 @@
                 await asyncio.wait([daemon.process])
                 daemon.scheduler = None
         for daemon in self.daemons:
-            daemon.process = asyncio.create_task(daemon.serve())
+            if daemon.process.done():
+                daemon.process = asyncio.create_task(daemon.serve())
 
     # Monitor
 
