Shorten bars while all endpoints of a service are barred

Seen: the jobs of a small service waited up to 16 s while all its endpoints were barred, because bars were ignored only if over 40% of the endpoints of all services were barred.

Change: if a service has no other endpoint, each bar counts for 2 s, the duration of a first bar. Bars are not simply ignored, since the jobs would use up their attempts at an endpoint that recovers within seconds.

Test: the known failing test, which now also asserts that the first 2 s of a bar count; it failed before (no order at 3 s, bar until 8 s).

--- a/clementinebay/policy/endpointhealth.py
+++ b/clementinebay/policy/endpointhealth.py
@@ -2,7 +2,8 @@
 
 An endpoint on which several jobs fail in a row gets no tasks for a time that doubles
 with each bar, and is then probed with a single task.  If too many endpoints fail at
-once, the fault is not theirs, and neither bars nor probation count.
+once, the fault is not theirs, and neither bars nor probation count.  If all endpoints
+of a service are barred, each bar lasts only as long as the first.
 """
 
 #: Number of different jobs that must fail in a row before an endpoint is barred.
@@ -19,13 +20,14 @@
     """Recent outcomes of the tasks on one endpoint.
 
     ``failed_jobs`` are the ids of jobs that failed there since the last success.
-    ``bars`` counts the bars since then.
+    ``bars`` counts the bars since then; the latest began at ``barred_at``.
     """
 
-    __slots__ = ("failed_jobs", "barred_until", "bars", "probation")
+    __slots__ = ("failed_jobs", "barred_at", "barred_until", "bars", "probation")
 
     def __init__(self):
         self.failed_jobs = set()
+        self.barred_at = 0.0
         self.barred_until = 0.0
         self.bars = 0
         self.probation = False
@@ -47,6 +49,7 @@
     def bar(self, now):
         """Bar the endpoint; the duration doubles with each bar, up to a limit."""
         seconds = min(BAR_SECONDS * 2**self.bars, MAX_BAR_SECONDS)
+        self.barred_at = now
         self.barred_until = now + seconds
         self.bars += 1
         self.probation = True
@@ -56,6 +59,10 @@
         """Return whether the endpoint is barred at ``now``."""
         return now < self.barred_until
 
+    def newly_barred(self, now):
+        """Return whether the endpoint would be barred if this were its first bar."""
+        return now < min(self.barred_until, self.barred_at + BAR_SECONDS)
+
 
 def too_many_barred(healths, now):
     """Return whether so many endpoints are barred that the fault lies elsewhere."""
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -15,9 +15,9 @@
 DOMAIN_OPENING_SECONDS = 0.3
 
 
-def available_endpoints(engine, now):
-    """Return the endpoints that may receive tasks."""
-    candidates = [
+def ready_endpoints(engine):
+    """Return the endpoints that could receive tasks now, even those that are barred."""
+    return [
         endpoint
         for endpoint in engine.endpoints.values()
         if endpoint.listed
@@ -28,10 +28,22 @@
         and endpoint.unreachable_since is None
         and endpoint.domain not in engine.disabled_domains
     ]
+
+
+def available_endpoints(engine, now):
+    """Return the endpoints that may receive tasks."""
+    candidates = ready_endpoints(engine)
     healths = [endpoint.health for endpoint in candidates]
     if endpointhealth.too_many_barred(healths, now):
         return candidates
-    return [e for e in candidates if not e.health.barred(now)]
+    sound = [e for e in candidates if not e.health.barred(now)]
+    services = {endpoint.info.service for endpoint in sound}
+    return sound + [
+        endpoint
+        for endpoint in candidates
+        if endpoint.info.service not in services
+        and not endpoint.health.newly_barred(now)
+    ]
 
 
 def probes_endpoints(endpoints):
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -400,6 +400,7 @@
     engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
     for _failure in range(3):
         endpoint.health.bar(0.0)
+    assert engine.plan(1.9) == []
     assert plan_and_confirm(engine, 3.0)
 
 
