Run overdue replicas on barred endpoints if only these have room

Seen in the test bed, without any disturbance: three endpoints with ten replicas that fail now and then at one of them. The endpoint is barred for up to 16 s, the others are full, and the replicas are away for over 9 s, though the platform requires them to run however full a service is. In the same way, an endpoint on probation is closed to replicas for as long as its probe runs.

Cause: bars and probation were strict for all tasks. Replicas never succeed, so an endpoint with nothing else stays on probation, and each failure there bars it for longer.

Change: a replica that has been due for 2 s may be started at any endpoint with room, whatever its health. After a failure it waits 2 s for others again.

Tests: a bed of three endpoints and a plan with a probe under way; both failed before.

--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -13,6 +13,9 @@
 #: seconds.  If the store is unavailable for longer, the task uses the domains already
 #: open.
 DOMAIN_OPENING_SECONDS = 0.3
+#: Longest time for which a replica waits because the endpoints with room are barred or
+#: on probation, in seconds.  The platform requires it to run again within 9 s.
+MAX_REPLICA_WAIT_SECONDS = 2.0
 
 
 def ready_endpoints(engine):
@@ -60,13 +63,30 @@
     """Place waiting tasks; yield the start order of each."""
     jobs = startable_jobs(engine, now)
     endpoints = available_endpoints(engine, now) if jobs else ()
-    if not endpoints:
-        return
-    search = Search(endpoints)
-    for job in jobs:
-        for number, waiting in enumerate(job.waiting):
-            if waiting:
-                yield from place_step(engine, job, number, search, now)
+    if endpoints:
+        search = Search(endpoints, probes_endpoints(endpoints))
+        for job in jobs:
+            for number, waiting in enumerate(job.waiting):
+                if waiting:
+                    yield from place_step(engine, job, number, search, now)
+    yield from generate_overdue_orders(engine, jobs, now)
+
+
+def generate_overdue_orders(engine, jobs, now):
+    """Place replicas that have waited for too long, whatever the endpoints' health."""
+    latest = now - MAX_REPLICA_WAIT_SECONDS
+    steps = [
+        (job, number)
+        for job in jobs
+        if job.replica
+        for number, waiting in enumerate(job.waiting)
+        if job.spec.steps[number].replica and any(t.due_at <= latest for t in waiting)
+    ]
+    endpoints = ready_endpoints(engine) if steps else ()
+    if any(endpoint.health.probation for endpoint in endpoints):
+        search = Search(endpoints, probing=False)
+        for job, number in steps:
+            yield from place_step(engine, job, number, search, now, latest)
 
 
 class Search:
@@ -80,13 +100,13 @@
 
     __slots__ = ("endpoints", "may_wait", "probing", "failed")
 
-    def __init__(self, endpoints):
+    def __init__(self, endpoints, probing):
         self.endpoints = endpoints
         self.may_wait = {
             service: dispatch.may_wait(service, endpoints)
             for service in {endpoint.info.service for endpoint in endpoints}
         }
-        self.probing = probes_endpoints(endpoints)
+        self.probing = probing
         self.failed = {}
 
     def arguments(self, task, pressure, now):
@@ -138,8 +158,10 @@
     return jobs
 
 
-def place_step(engine, job, number, search, now):
-    """Place the waiting tasks of one step; yield the start order of each.
+def place_step(engine, job, number, search, now, due_by=None):
+    """Place the tasks of one step that were due at ``due_by``, by default ``now``.
+
+    Yield the start order of each.
 
     The tasks of a step have equal requirements, so they share one `Ranking`, and the
     first one that cannot be placed ends the search, unless its own restrictions may be
@@ -149,8 +171,9 @@
     if search.has_failed(job, step, now):
         return
     ranking = None
+    latest = now if due_by is None else due_by
     for task in list(job.waiting[number]):
-        if task.not_before > now:
+        if task.due_at > latest:
             continue
         restricted = task.avoided_endpoints is not None or now < task.pinned_until
         arguments = search.arguments(task, engine.pressure, now)
--- a/tests/policy/test_dispatch.py
+++ b/tests/policy/test_dispatch.py
@@ -106,8 +106,8 @@
         engine = make_engine(rows)
         job = add_job(engine, step, domains, restrictions, 0.0)
         endpoints = list(engine.endpoints.values())
-        search = planning.Search(endpoints)
-        search.may_wait, search.probing = {"s": may_wait}, probing
+        search = planning.Search(endpoints, probing)
+        search.may_wait = {"s": may_wait}
         orders = place_step(engine, job, 0, search, age)
         placements.append([(order.task.index, order.endpoint.id) for order in orders])
     assert placements[0] == placements[1]
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -404,6 +404,24 @@
     assert plan_and_confirm(engine, 3.0)
 
 
+def test_replica_waits_no_longer_than_2_seconds_for_the_probe_of_an_endpoint():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    for number in range(3):
+        info = factory.make_info(f"full{number}", processors_milli=0)
+        factory.connect_endpoint(engine, info)
+    endpoint.health.bar(0.0)
+    engine.add_job(factory.make_spec("a" * 16, steps=[SMALL]), factory.QUEUE, 2.0)
+    [probe] = plan_and_confirm(engine, 2.0)
+    step = Step(count=1, processors_milli=1000, replica=True)
+    spec = factory.make_spec("b" * 16, steps=[step])
+    job = engine.add_job(spec, factory.QUEUE, 3.0)
+    job.task(0, 0).not_before = 3.0
+    assert engine.plan(4.9) == []
+    [order] = plan_and_confirm(engine, 5.0)
+    assert order.endpoint is probe.endpoint is endpoint
+
+
 def test_lost_endpoint_keeps_its_tasks_until_their_leases_expire():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -285,6 +285,23 @@
     virtualtime.run(main())
 
 
+def test_replicas_run_again_though_the_endpoint_with_room_is_barred():
+    async def main():
+        async with TestBed(endpoints=3) as bed:
+            await bed.run(1.0)
+            for _job in range(10):
+                bed.submit(steps=[Step(processors_milli=1000, replica=True)])
+            await bed.run(1.0)
+            barred = min(bed.endpoints, key=bed.used)
+            for _failure in range(4):
+                for name in list(barred.runs):
+                    barred.end(name, "failed")
+                await bed.run(5.0)
+            await bed.run(16.0)
+
+    virtualtime.run(main())
+
+
 def test_ended_job_deleted_while_the_jobs_are_reloaded_is_not_run_again():
     """The pages of a scan are not a snapshot; a slow store takes a while for them."""
 
