Place pinned replicas before others use the room of their endpoint

Seen in a test: a replica whose unanswered start was stopped may run at the same endpoint only, until 13 s after the order. Another waiting replica of a higher rank, which could run anywhere, took the room there, since the fullest endpoint is preferred, and the pinned one was away for over 9 s though others had room.

Change: a plan places pinned replicas first.

The new test failed before: the other replica got the endpoint and the pinned one none.

--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -65,6 +65,7 @@
     endpoints = available_endpoints(engine, now) if jobs else ()
     if endpoints:
         search = Search(endpoints, probes_endpoints(endpoints))
+        yield from generate_pinned_orders(engine, jobs, search, now)
         for job in jobs:
             for number, waiting in enumerate(job.waiting):
                 if waiting:
@@ -72,6 +73,23 @@
     yield from generate_overdue_orders(engine, jobs, now)
 
 
+def generate_pinned_orders(engine, jobs, search, now):
+    """Place replicas that may run at one endpoint only, before others use its room."""
+    tasks = [
+        task
+        for job in jobs
+        if job.replica
+        for waiting in job.waiting
+        for task in waiting
+        if task.step.replica and task.not_before <= now < task.pinned_until
+    ]
+    for task in tasks:
+        choice = dispatch.choose(*search.arguments(task, engine.pressure, now))
+        order = place(engine, task, choice, now)
+        if order is not None:
+            yield order
+
+
 def generate_overdue_orders(engine, jobs, now):
     """Place replicas that have waited for too long, whatever the endpoints' health."""
     latest = now - MAX_REPLICA_WAIT_SECONDS
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -404,6 +404,26 @@
     assert plan_and_confirm(engine, 3.0)
 
 
+def test_replica_pinned_to_an_endpoint_gets_its_room_before_other_replicas():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    step = Step(processors_milli=8000, replica=True)
+    engine.add_job(factory.make_spec("a" * 16, steps=[step]), factory.QUEUE, 1.0)
+    [pinned] = engine.plan(1.0)
+    engine.start_unanswered(pinned, 1.8)
+    [stop] = engine.stops.due(1.9, engine.endpoints)
+    engine.stop_answered(stop, 1.9)
+    engine.process_report(endpoint, factory.report(), 2.0, 2.0)
+    assert pinned.task.endpoint is None
+    factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.add_job(factory.make_spec("b" * 16, steps=[step]), factory.QUEUE, 0.5)
+    orders = plan_and_confirm(engine, 2.1)
+    assert [(order.task.job.id[0], order.endpoint.id) for order in orders] == [
+        ("a", "e1"),
+        ("b", "e2"),
+    ]
+
+
 def test_replica_waits_no_longer_than_2_seconds_for_the_probe_of_an_endpoint():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
