--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -13,11 +13,14 @@
 #: seconds.  If the store is unavailable for longer, the task uses the domains already
 #: open.
 DOMAIN_OPENING_SECONDS = 0.3
+#: Longest time for which a replica waits because the endpoints with room are barred or
+#: on probation, in seconds.  The platform requires it to run again within 9 s.
+MAX_REPLICA_WAIT_SECONDS = 2.0
 
 
-def available_endpoints(engine, now):
-    """Return the endpoints that may receive tasks."""
-    candidates = [
+def ready_endpoints(engine):
+    """Return the endpoints that could receive tasks now, even those that are barred."""
+    return [
         endpoint
         for endpoint in engine.endpoints.values()
         if endpoint.listed
@@ -28,10 +31,22 @@
         and endpoint.unreachable_since is None
         and endpoint.domain not in engine.disabled_domains
     ]
+
+
+def available_endpoints(engine, now):
+    """Return the endpoints that may receive tasks."""
+    candidates = ready_endpoints(engine)
     healths = [endpoint.health for endpoint in candidates]
     if endpointhealth.too_many_barred(healths, now):
         return candidates
-    return [e for e in candidates if not e.health.barred(now)]
+    sound = [e for e in candidates if not e.health.barred(now)]
+    services = {endpoint.info.service for endpoint in sound}
+    return sound + [
+        endpoint
+        for endpoint in candidates
+        if endpoint.info.service not in services
+        and not endpoint.health.newly_barred(now)
+    ]
 
 
 def probes_endpoints(endpoints):
@@ -48,13 +63,48 @@
     """Place waiting tasks; yield the start order of each."""
     jobs = startable_jobs(engine, now)
     endpoints = available_endpoints(engine, now) if jobs else ()
-    if not endpoints:
-        return
-    search = Search(endpoints)
-    for job in jobs:
-        for number, waiting in enumerate(job.waiting):
-            if waiting:
-                yield from place_step(engine, job, number, search, now)
+    if endpoints:
+        search = Search(endpoints, probes_endpoints(endpoints))
+        yield from generate_pinned_orders(engine, jobs, search, now)
+        for job in jobs:
+            for number, waiting in enumerate(job.waiting):
+                if waiting:
+                    yield from place_step(engine, job, number, search, now)
+    yield from generate_overdue_orders(engine, jobs, now)
+
+
+def generate_pinned_orders(engine, jobs, search, now):
+    """Place replicas that may run at one endpoint only, before others use its room."""
+    tasks = [
+        task
+        for job in jobs
+        if job.replica
+        for waiting in job.waiting
+        for task in waiting
+        if task.step.replica and task.not_before <= now < task.pinned_until
+    ]
+    for task in tasks:
+        choice = dispatch.choose(*search.arguments(task, engine.pressure, now))
+        order = place(engine, task, choice, now)
+        if order is not None:
+            yield order
+
+
+def generate_overdue_orders(engine, jobs, now):
+    """Place replicas that have waited for too long, whatever the endpoints' health."""
+    latest = now - MAX_REPLICA_WAIT_SECONDS
+    steps = [
+        (job, number)
+        for job in jobs
+        if job.replica
+        for number, waiting in enumerate(job.waiting)
+        if job.spec.steps[number].replica and any(t.due_at <= latest for t in waiting)
+    ]
+    endpoints = ready_endpoints(engine) if steps else ()
+    if any(endpoint.health.probation for endpoint in endpoints):
+        search = Search(endpoints, probing=False)
+        for job, number in steps:
+            yield from place_step(engine, job, number, search, now, latest)
 
 
 class Search:
@@ -68,13 +118,13 @@
 
     __slots__ = ("endpoints", "may_wait", "probing", "failed")
 
-    def __init__(self, endpoints):
+    def __init__(self, endpoints, probing):
         self.endpoints = endpoints
         self.may_wait = {
             service: dispatch.may_wait(service, endpoints)
             for service in {endpoint.info.service for endpoint in endpoints}
         }
-        self.probing = probes_endpoints(endpoints)
+        self.probing = probing
         self.failed = {}
 
     def arguments(self, task, pressure, now):
@@ -126,8 +176,10 @@
     return jobs
 
 
-def place_step(engine, job, number, search, now):
-    """Place the waiting tasks of one step; yield the start order of each.
+def place_step(engine, job, number, search, now, due_by=None):
+    """Place the tasks of one step that were due at ``due_by``, by default ``now``.
+
+    Yield the start order of each.
 
     The tasks of a step have equal requirements, so they share one `Ranking`, and the
     first one that cannot be placed ends the search, unless its own restrictions may be
@@ -137,8 +189,9 @@
     if search.has_failed(job, step, now):
         return
     ranking = None
+    latest = now if due_by is None else due_by
     for task in list(job.waiting[number]):
-        if task.not_before > now:
+        if task.due_at > latest:
             continue
         restricted = task.avoided_endpoints is not None or now < task.pinned_until
         arguments = search.arguments(task, engine.pressure, now)
