Tests: capacity that shrinks and grows

An endpoint's registry entry may show a smaller capacity for a time, and no start may exceed it. The engine reads the capacity of the newest entry at each decision; no test checked that.

The test bed gets a disturbance "resize", and checks each start against the capacity in the registry, allowing for one poll and two round trips.

--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -34,6 +34,7 @@
         self.born = 0
         self.reachable_by = None
         self.up = True
+        self.capacity = CAPACITY
         self.restart(0.0)
 
     def restart(self, now):
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -7,6 +7,7 @@
 from clementinebay import errors
 from clementinebay.workflow.model import Step
 from tests.workflow import virtualtime
+from tests.workflow.model import CAPACITY
 from tests.workflow.testbed import TestBed
 
 #: Longest time between the starts of two disturbances, in seconds.
@@ -81,6 +82,70 @@
     virtualtime.run(main())
 
 
+async def resize_endpoints(bed):
+    """Shrink endpoints for a time, at random."""
+    while True:
+        await asyncio.sleep(bed.random.uniform(0.1, 1.0))
+        model = bed.random.choice(bed.endpoints)
+        share = bed.random.choice((0.0, 0.25, 0.5, 0.75))
+        if model.up and model.capacity == CAPACITY:
+            seconds = bed.random.uniform(0.2, 4.0)
+            asyncio.create_task(bed.resize(model, share, seconds))
+
+
+def draw_disturbance_beside_resizing(bed):
+    """Return the coroutine of a disturbance that leaves the store in reach."""
+    seconds = bed.random.uniform(0.5, 9.0)
+    models = bed.random.sample(bed.endpoints, 2)
+    kind = bed.random.choice(("cut", "kill", "unlist", "restart"))
+    if kind == "cut":
+        return bed.cut(models, bed.random.choice(("refused", "silent")), seconds)
+    if kind == "kill":
+        return bed.kill_scheduler()
+    if kind == "unlist":
+        return bed.unlist_for(models, seconds)
+    return bed.restart(models[0], seconds)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_start_exceeds_a_capacity_that_shrinks_and_grows(seed):
+    async def main():
+        async with TestBed(seed, endpoints=6, daemons=2) as bed:
+            clients = asyncio.create_task(submit_jobs(bed, 0.15))
+            resizing = asyncio.create_task(resize_endpoints(bed))
+            await bed.run(5.0)
+            for _number in range(4):
+                await asyncio.gather(
+                    asyncio.create_task(draw_disturbance_beside_resizing(bed)),
+                    bed.run(3.0),
+                )
+            resizing.cancel()
+            await bed.run(CALM_SECONDS)
+            clients.cancel()
+            assert len(bed.done) > 50
+
+    virtualtime.run(main())
+
+
+def test_successor_starts_nothing_beyond_a_capacity_that_shrank_before_its_term():
+    async def main():
+        async with TestBed(endpoints=1, daemons=2) as bed:
+            long_steps = [Step(count=2, processors_milli=1000, replica=True)]
+            bed.submit("a", long_steps)
+            await bed.run(2.0)
+            assert bed.used(bed.endpoints[0]) == 2000
+            bed.set_capacity(bed.endpoints[0], 1000)
+            await bed.kill_scheduler()
+            task = bed.submit("a", [Step(count=1, processors_milli=500)])
+            await bed.run(10.0)
+            assert task not in bed.done
+            bed.set_capacity(bed.endpoints[0], CAPACITY)
+            await bed.run(4.0)
+            assert task in bed.done
+
+    virtualtime.run(main())
+
+
 def test_successor_uses_endpoints_recorded_by_an_earlier_term_without_a_write():
     async def main():
         async with TestBed() as bed:
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -1,9 +1,10 @@
 """Daemons that run the real `Scheduler` on an in-memory store, in virtual time.
 
 Disturbances may overlap: links cut, calls of the store lost, schedulers killed,
-endpoints unlisted, restarted or replaced by other incarnations at their addresses.  The
-monitor checks runs at the endpoints themselves: no task runs twice, and none waits
-without cause once the disturbances are over.  Late orders to a restarted endpoint are
+endpoints unlisted, resized, restarted or replaced by other incarnations at their
+addresses.  The monitor checks runs at the endpoints themselves: no task runs twice,
+none is started without room, and none waits without cause once the disturbances are
+over.  Late orders to a restarted endpoint are
 left to `tests.workflow.model`.
 """
 
@@ -31,6 +32,9 @@
 CALL_SECONDS = 0.01
 ORDER_TIMEOUT_SECONDS = 0.8
 POLL_SECONDS = 0.05
+#: Time in which the scheduler learns of a change in the registry: an interval between
+#: polls, a round trip, and a start order that was sent before, in seconds.
+REGISTRY_SECONDS = POLL_SECONDS + 4 * CALL_SECONDS
 #: Longest time for which a job may wait without cause, and the time without a
 #: disturbance before it, in seconds.
 MAX_STARVED_SECONDS = 3.0
@@ -245,7 +249,8 @@
     ``cuts`` maps the ids of endpoints whose links are cut to "refused", "silent" or
     "reset".  ``occupants`` has the newest incarnation at each address.  ``done`` has
     the names of the tasks that ended done, ``last_run_at`` the last time of each
-    replica, and ``failures`` what ended a term unexpectedly.
+    replica, and ``failures`` what ended a term unexpectedly.  ``shrunk_at`` has the
+    time of the last shrinking of an endpoint and its capacity before, by id.
     """
 
     __test__ = False
@@ -263,6 +268,7 @@
         self.specs = {}
         self.starved_since = {}
         self.last_run_at = {}
+        self.shrunk_at = {}
         self.active_disturbances = 0
         self.calm_since = 0.0
         self.endpoints = [
@@ -326,7 +332,7 @@
             "born_ms": model.born,
             "address": model.address,
             "failure_domain": model.domain,
-            "processors_milli": CAPACITY,
+            "processors_milli": model.capacity,
         }
         value = json.dumps(fields).encode()
         self.space.commit((), [Put(PREFIX + model.id, value)])
@@ -398,6 +404,19 @@
         for model in models:
             self.list(model)
 
+    async def resize(self, model, share, seconds):
+        """Reduce the capacity of an endpoint to a share of it for a time."""
+        async with self.disturbance(seconds):
+            self.set_capacity(model, int(CAPACITY * share))
+        self.set_capacity(model, CAPACITY)
+
+    def set_capacity(self, model, capacity):
+        """Change the capacity of an endpoint and write it to the registry."""
+        if capacity < model.capacity:
+            self.shrunk_at[model.id] = (self.now(), model.capacity)
+        model.capacity = capacity
+        self.list(model)
+
     async def restart(self, model, seconds):
         """Crash an endpoint and start it again under its id after a time."""
         async with self.disturbance(seconds):
@@ -475,6 +494,14 @@
             if other is not endpoint and other.up:
                 assert task not in other.runs, (task, endpoint.id, other.id, now)
         assert task not in self.acknowledged_tasks, (task, endpoint.id, now)
+        self.check_room(endpoint, now)
+
+    def check_room(self, endpoint, now):
+        """Assert that a start leaves an endpoint within the capacity that it shows."""
+        shrunk_at, limit = self.shrunk_at.get(endpoint.id, (0.0, CAPACITY))
+        if now > shrunk_at + REGISTRY_SECONDS:
+            limit = endpoint.capacity
+        assert self.used(endpoint) <= limit, (endpoint.id, self.used(endpoint), now)
 
     def used(self, model):
         """Return the processors used at an endpoint."""
@@ -524,7 +551,7 @@
     def places(self, step):
         """Return how many tasks of ``step`` fit into the free capacity."""
         return sum(
-            (CAPACITY - self.used(model)) // step.processors_milli
+            max(0, model.capacity - self.used(model)) // step.processors_milli
             for model in self.endpoints
             if model.up
         )
@@ -548,7 +575,8 @@
         """Return whether two tasks of ``step`` fit and under half is in use."""
         models = [model for model in self.endpoints if model.up]
         in_use = sum(self.used(model) for model in models)
-        return self.places(step) >= 2 and 2 * in_use < CAPACITY * len(models)
+        capacity = sum(model.capacity for model in models)
+        return self.places(step) >= 2 and 2 * in_use < capacity
 
     def explain(self):
         """Return the scheduler's view of the tasks that wait, for a failed check."""
