Accept capacities that are not whole numbers

An endpoint whose entry changed to a capacity such as 8000.0 or 7999.5 kept receiving tasks up to its earlier capacity, and a new endpoint with such an entry was never used. Cause: the decoder accepted integers only, so the entry was invalid, and the scheduler kept the last valid one. The protocol states only for some other fields that they are whole numbers.

The values are now decoded as numbers and rounded down, so that no start exceeds them. Before the change, the nine cases of test_capacity_that_is_no_whole_number_is_rounded_down failed with "Expected `int`, got `float`". Values of other types are still invalid.

--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -31,11 +31,14 @@
 
 
 class Capacity(msgspec.Struct):
-    """The capacity of an endpoint; ``cpu`` is in thousandths of a processor."""
+    """The capacity of an endpoint; ``cpu`` is in thousandths of a processor.
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    The protocol does not restrict the values to whole numbers.
+    """
+
+    cpu: float = 0
+    mem_mb: float = 0
+    gpu: float = 0
 
 
 class RegistryEntry(msgspec.Struct):
@@ -89,9 +92,9 @@
         failure_domain=entry.zone,
         leaving=entry.state == "draining",
         cold_ms=entry.cold_left_ms,
-        processors_milli=entry.capacity.cpu,
-        memory_mb=entry.capacity.mem_mb,
-        accelerators=entry.capacity.gpu,
+        processors_milli=int(entry.capacity.cpu),
+        memory_mb=int(entry.capacity.mem_mb),
+        accelerators=int(entry.capacity.gpu),
         labels=tuple(entry.labels),
         rack=entry.labels[1] if len(entry.labels) > 1 else "",
     )
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -48,3 +48,32 @@
     assert decode_endpoint("e1", "servers/e1", ENTRY).id == "e1"
     with pytest.raises(errors.EntryInvalidError):
         decode_endpoint(id, "servers/" + id, ENTRY)
+
+
+@pytest.mark.parametrize(
+    ("number", "expected"), [(b"750.0", 750), (b"7.5e2", 750), (b"749.9", 749)]
+)
+@pytest.mark.parametrize(
+    ("field", "attribute"),
+    [
+        (b"cpu", "processors_milli"),
+        (b"mem_mb", "memory_mb"),
+        (b"gpu", "accelerators"),
+    ],
+)
+def test_capacity_that_is_no_whole_number_is_rounded_down(
+    field, attribute, number, expected
+):
+    entry = ENTRY.replace(b'"cpu":1000', b'"%b":%b' % (field, number))
+    value = getattr(decode_endpoint("e1", "servers/e1", entry), attribute)
+    assert (type(value), value) == (int, expected)
+
+
+@pytest.mark.parametrize(
+    "capacity",
+    [b'{"cpu":"1000"}', b'{"cpu":null}', b'{"cpu":true}', b"[1000]", b"1000", b"null"],
+)
+def test_entry_whose_capacity_has_another_type_is_invalid(capacity):
+    entry = ENTRY.replace(b'{"cpu":1000}', capacity)
+    with pytest.raises(errors.EntryInvalidError):
+        decode_endpoint("e1", "servers/e1", entry)
