Start no tasks at an endpoint whose registry entry is unreadable

If the entry of a known endpoint was replaced by one that could not be decoded, the endpoint kept receiving tasks according to its last valid entry, although it may have shrunk since. The protocol says that such an entry names no endpoint to use. Cause: the scheduler skipped the entry and changed nothing.

An endpoint with such an entry now gets no tasks until a valid entry appears. Its leases are still extended and its runs go on, as they do while it leaves. A removed entry is handled as before.

Before the change, test_endpoint_whose_entry_becomes_unreadable_gets_no_task_and_keeps_its_runs failed: the task was done at the endpoint 9 s after its entry had become unreadable.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -133,9 +133,19 @@
             if info.leaving and not endpoint.info.leaving:
                 self.log.info("endpoint.leaving", endpoint=info.id)
             endpoint.info = info
+            endpoint.has_valid_entry = True
         endpoint.listed = True
         return endpoint
 
+    def suspend_endpoint(self, endpoint_id):
+        """Start no tasks at an endpoint until its registry entry is valid again.
+
+        Its capacity may be less than in the last valid entry.  Its runs go on.
+        """
+        endpoint = self.endpoints.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.has_valid_entry = False
+
     def restart_endpoint(self, endpoint, info, now):
         """Handle the restart of an endpoint, which ended all runs there."""
         self.log.warning(
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -32,6 +32,7 @@
     endpoint has reported to this scheduler; from then on it refuses orders of earlier
     schedulers.  ``has_ended`` is true once the incarnation has certainly ended, with
     all its runs.  ``recorded`` is true if the store names the endpoint as in use.
+    ``has_valid_entry`` is false while its registry entry cannot be decoded.
 
     Ends of runs are numbered: ``last_processed_end`` was processed last, and the
     effects of all up to ``last_acknowledged_end`` are stored.  ``redundant_runs`` has,
@@ -51,6 +52,7 @@
         "info",
         "restarts",
         "listed",
+        "has_valid_entry",
         "recorded",
         "has_reported",
         "has_ended",
@@ -119,6 +121,7 @@
     def reset(self, info):
         """Reset the state for an incarnation that has no runs and no leases yet."""
         self.info = info
+        self.has_valid_entry = True
         self.has_reported = False
         self.has_ended = False
         self.unknown_runs = {}
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -21,6 +21,7 @@
         endpoint
         for endpoint in engine.endpoints.values()
         if endpoint.listed
+        and endpoint.has_valid_entry
         and endpoint.has_reported
         and not endpoint.has_ended
         and endpoint.recorded
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -226,6 +226,7 @@
             info = self.deployment.boundary.decode_endpoint(entry.key, entry.value)
         except errors.EntryInvalidError as error:
             self.log.warning("endpoint.entry_invalid", key=error.key, why=error.reason)
+            self.engine.suspend_endpoint(endpoint_id)
             return endpoint_id
         endpoint = self.engine.register_endpoint(info, self.clock.now())
         self.change_writer.record_endpoint(endpoint)
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -146,6 +146,28 @@
     virtualtime.run(main())
 
 
+def test_endpoint_whose_entry_becomes_unreadable_gets_no_task_and_keeps_its_runs():
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            [model] = bed.endpoints
+            steps = [Step(count=1, processors_milli=1000, replica=True)]
+            replica = bed.submit("a", steps)
+            await bed.run(2.0)
+            run = model.runs[replica][0]
+            spoiled = asyncio.create_task(bed.spoil_entry(model, 10.0))
+            await bed.run(0.5)
+            task = bed.submit()
+            await bed.run(9.0)
+            assert task not in bed.done
+            assert not bed.running_at(task)
+            assert model.runs[replica][0] == run
+            await spoiled
+            await bed.run(4.0)
+            assert task in bed.done
+
+    virtualtime.run(main())
+
+
 def test_successor_uses_endpoints_recorded_by_an_earlier_term_without_a_write():
     async def main():
         async with TestBed() as bed:
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -175,7 +175,10 @@
 
     def decode_endpoint(self, key, value):
         """See `Boundary`."""
-        return factory.make_info(key[len(PREFIX) :], **json.loads(value))
+        fields = json.loads(value)
+        if not fields:
+            raise errors.EntryInvalidError(key, "no fields")
+        return factory.make_info(key[len(PREFIX) :], **fields)
 
     def decode_operator_item(self, key, value):
         """See `Boundary`."""
@@ -404,6 +407,12 @@
         for model in models:
             self.list(model)
 
+    async def spoil_entry(self, model, seconds):
+        """Let another writer replace the registry entry of an endpoint for a time."""
+        async with self.disturbance(seconds):
+            self.space.commit((), [Put(PREFIX + model.id, b"{}")])
+        self.list(model)
+
     async def resize(self, model, share, seconds):
         """Reduce the capacity of an endpoint to a share of it for a time."""
         async with self.disturbance(seconds):
