--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -24,6 +24,7 @@
         endpoint
         for endpoint in engine.endpoints.values()
         if endpoint.listed
+        and endpoint.has_valid_entry
         and endpoint.has_reported
         and not endpoint.has_ended
         and endpoint.recorded
