Failing tests: what a scheduler concludes about incarnations of endpoints

The bed sends calls to the address that the scheduler knows, and its endpoints accept leases as long as its deployment says; no test changed its outcome by that. 18 cases of test_incarnations fail on this code.

--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -27,10 +27,11 @@
 class ModelEndpoint:
     """An endpoint that follows the platform's protocol."""
 
-    def __init__(self, id, domain, world):
+    def __init__(self, id, domain, world, max_lease_seconds=MAX_LEASE_SECONDS):
         self.id = id
         self.domain = domain
         self.world = world
+        self.max_lease_seconds = max_lease_seconds
         self.born = 0
         self.reachable_by = None
         self.up = True
@@ -70,7 +71,7 @@
 
     def extend(self, now, deadline_ms):
         """Extend the lease, but not beyond the longest lease allowed."""
-        longest = self.clock_ms(now) + MAX_LEASE_SECONDS * 1000
+        longest = self.clock_ms(now) + self.max_lease_seconds * 1000
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest))
 
     def stop(self, now, task, run, fence):
--- /dev/null
+++ b/tests/workflow/test_incarnations.py
@@ -0,0 +1,223 @@
+"""What a scheduler may conclude about the incarnations of an endpoint."""
+
+import asyncio
+
+import pytest
+
+from clementinebay.workflow.model import Step, unlisted_endpoint
+from tests.workflow import factory, virtualtime
+from tests.workflow.testbed import ENTRY_SECONDS, TestBed
+
+SMALL = Step(count=1, processors_milli=1000)
+#: More than one endpoint can hold.
+REPLICAS = [Step(count=10, processors_milli=500, replica=True)]
+REPLICA = Step(
+    count=1, processors_milli=1000, replica=True, image="r", latency_ms=100.0
+)
+FILLER = Step(count=1, processors_milli=1000, filler=True, image="f")
+
+
+async def submit_replicas(bed):
+    """Run replicas at all endpoints of a bed."""
+    for _number in range(4):
+        bed.submit(steps=REPLICAS)
+    await bed.run(0.6)
+
+
+# Endpoints of an earlier term that are not listed
+
+
+def await_colocated(engine, listed):
+    """Register an endpoint, listed or awaited, and a job of a replica and a filler."""
+    engine.pressure.load_weights([("r", "f", 2.0, 1.0)])
+    info = factory.make_info()
+    unlisted = unlisted_endpoint(info.id, "a", info.address, info.born_ms)
+    if listed:
+        endpoint = engine.register_endpoint(info, 0.0)
+    else:
+        endpoint = engine.await_endpoint(unlisted, 0.0)
+    spec = factory.make_spec(steps=(REPLICA, FILLER))
+    engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
+    return endpoint, spec
+
+
+def report_colocated(engine, endpoint, spec, number):
+    """Process one report of the replica and the filler."""
+    running = [
+        (f"{spec.id}.0.0.0", 1, "", 100, 20.0 + number % 2),
+        (f"{spec.id}.0.1.0", 1, "", 10, 900.0 + number),
+    ]
+    now = 0.2 + 0.4 * number
+    engine.process_report(endpoint, factory.report(running), now - 0.1, now)
+    return engine.pace(endpoint, now)
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_fillers_of_an_endpoint_that_is_not_listed_are_not_paused(listed):
+    engine = factory.make_engine(term=1)
+    endpoint, spec = await_colocated(engine, listed)
+    orders = report_colocated(engine, endpoint, spec, 0)
+    assert all(order.percent == 100 for order in orders)
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_reports_of_an_endpoint_that_is_not_listed_keep_the_learned_weights(listed):
+    engine = factory.make_engine(term=1)
+    endpoint, spec = await_colocated(engine, listed)
+    for number in range(8):
+        report_colocated(engine, endpoint, spec, number)
+    assert abs(engine.pressure.weight("r", "f") - 2.0) < 1.0
+
+
+# Leases of lost endpoints
+
+
+@pytest.mark.parametrize("how", ["refused", "silent"])
+@pytest.mark.parametrize("seconds", [2.0, 3.0, 4.0])
+def test_replicas_lost_for_good_some_time_before_the_scheduler_run_again_in_time(
+    how, seconds
+):
+    """A successor waits for leases that its predecessor no longer extended."""
+
+    async def main():
+        async with TestBed(endpoints=6) as bed:
+            await bed.run(1.0)
+            bed.submit(steps=REPLICAS)
+            await bed.run(1.0)
+            lost = next(model for model in bed.endpoints if model.runs)
+            losing = asyncio.create_task(bed.lose(lost, how))
+            await bed.run(seconds)
+            await bed.kill_scheduler()
+            await bed.run(14.0)
+            await losing
+
+    virtualtime.run(main())
+
+
+@pytest.mark.parametrize("how", ["refused", "silent"])
+def test_replicas_lost_after_the_first_report_to_a_new_term_run_again_in_time(how):
+    async def main():
+        async with TestBed(endpoints=6, max_lease=10.0) as bed:
+            await bed.run(1.0)
+            bed.submit(steps=REPLICAS)
+            await bed.run(1.0)
+            lost = next(model for model in bed.endpoints if model.runs)
+            await bed.kill_scheduler()
+            while bed.scheduler is None or not reported(bed.scheduler, lost):
+                await bed.run(0.05)
+            losing = asyncio.create_task(bed.lose(lost, how))
+            await bed.run(14.0)
+            await losing
+
+    virtualtime.run(main())
+
+
+def reported(scheduler, model):
+    """Return whether an endpoint has reported to a scheduler."""
+    endpoint = scheduler.engine.endpoints.get(model.id)
+    return endpoint is not None and endpoint.has_reported
+
+
+# Restarts under the same id
+
+
+def test_successor_waits_for_the_longest_lease_of_an_endpoint_that_restarted_unseen():
+    """A deadline on the earlier clock grants a new incarnation the longest lease."""
+
+    async def main():
+        async with TestBed(endpoints=6, max_lease=10.0) as bed:
+            await bed.run(1.0)
+            model = bed.endpoints[0]
+            async with bed.disturbance(0.0):
+                bed.restart_unlisted(model)
+                await submit_replicas(bed)
+                assert model.runs
+                bed.cuts[model.id] = "silent"
+                await bed.kill_scheduler()
+                await bed.run(14.0)
+
+    virtualtime.run(main())
+
+
+@pytest.mark.parametrize("max_lease", [6.0, 10.0])
+def test_run_at_an_endpoint_that_restarted_unseen_is_not_started_again(max_lease):
+    async def main():
+        async with TestBed(endpoints=6, max_lease=max_lease) as bed:
+            await bed.run(1.0)
+            model = bed.endpoints[0]
+            async with bed.disturbance(0.0):
+                bed.restart_unlisted(model)
+                await submit_replicas(bed)
+                assert model.runs
+                await bed.unlist_after(model, 2.5)
+                await bed.run(12.0)
+
+    virtualtime.run(main())
+
+
+@pytest.mark.parametrize("max_lease", [6.0, 10.0])
+def test_replicas_of_an_endpoint_that_restarted_unseen_run_again_in_time(max_lease):
+    """Its reports say that it is another incarnation."""
+
+    async def main():
+        async with TestBed(endpoints=6, max_lease=max_lease) as bed:
+            await bed.run(1.0)
+            bed.submit(steps=REPLICAS)
+            await bed.run(1.0)
+            model = next(model for model in bed.endpoints if model.runs)
+            async with bed.disturbance(0.0):
+                bed.restart_unlisted(model)
+            unlisting = asyncio.create_task(bed.unlist_after(model, ENTRY_SECONDS))
+            await bed.run(20.0)
+            await unlisting
+
+    virtualtime.run(main())
+
+
+def test_stored_address_of_an_earlier_incarnation_does_not_end_a_later_one():
+    async def fail_write(puts, deletes=()):
+        return False
+
+    async def main():
+        async with TestBed(endpoints=6) as bed:
+            await bed.run(3.0)
+            model = bed.endpoints[0]
+            async with bed.disturbance(0.0):
+                bed.scheduler.change_writer.write_optional = fail_write
+                bed.move(model, "10.0.0.2:0")
+                await bed.run(0.3)
+                await submit_replicas(bed)
+                assert model.runs
+                bed.unlist(model)
+                bed.cuts[model.id] = "silent"
+                await bed.kill_scheduler()
+                await bed.run(12.0)
+
+    virtualtime.run(main())
+
+
+def test_run_that_a_restarted_endpoint_has_started_is_not_started_again():
+    """The entry of the new incarnation arrives after its answer to the start."""
+    engine = factory.make_engine()
+    for name in ("e1", "e2"):
+        factory.connect_endpoint(engine, factory.make_info(name))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(1.2)
+    engine.start_answered(order, 1.3)
+    info = factory.make_info(order.endpoint.id, born_ms=1000)
+    engine.register_endpoint(info, 1.5)
+    assert engine.plan(1.6) == []
+
+
+def test_late_order_is_refused_by_an_endpoint_that_is_back_after_its_address_was_not():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    fence = endpoint.fence(100)
+    engine.start_unanswered(order, 0.5)
+    engine.end_incarnation(endpoint, 1.0)
+    engine.unlist_endpoint(endpoint.id)
+    engine.expire(1.1)
+    back = engine.register_endpoint(factory.make_info(born_ms=2), 2.0)
+    assert back.fence(100) > fence
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -106,7 +106,7 @@
         """Execute an order after a round trip; raise the error of a cut link."""
         model = self.bed.by_id[endpoint.id]
         await asyncio.sleep(CALL_SECONDS)
-        occupant = self.bed.occupants[model.address]
+        occupant = self.bed.occupants[endpoint.info.address]
         how = self.bed.cuts.get(occupant.id)
         if how is None and not occupant.up:
             how = occupant.down_as
@@ -266,7 +266,7 @@
         self.active_disturbances = 0
         self.calm_since = 0.0
         self.endpoints = [
-            ModelEndpoint(f"e{number}", "ab"[number % 2], self)
+            ModelEndpoint(f"e{number}", "ab"[number % 2], self, max_lease)
             for number in range(endpoints)
         ]
         self.by_id = {model.id: model for model in self.endpoints}
@@ -407,6 +407,24 @@
         model.restart(self.now())
         self.list(model)
 
+    def restart_unlisted(self, model):
+        """Restart an endpoint that cannot reach the registry, whose entry stays."""
+        model.runs = {}
+        model.restart(self.now())
+
+    def move(self, model, address):
+        """Restart an endpoint at another address; its old one gets another endpoint."""
+        other = ModelEndpoint(
+            f"{model.id}+", model.domain, self, model.max_lease_seconds
+        )
+        other.restart(self.now())
+        self.endpoints.append(other)
+        self.by_id[other.id] = other
+        self.occupy(other, model.address)
+        self.restart_unlisted(model)
+        self.occupy(model, address)
+        self.list(model)
+
     def crash(self, model, how="refused"):
         """Crash an endpoint; calls of it are "refused", or "silent" time out."""
         model.up = False
@@ -418,7 +436,9 @@
         unlisting = asyncio.create_task(self.unlist_after(model, ENTRY_SECONDS))
         async with self.disturbance(seconds):
             self.crash(model, how)
-        successor = ModelEndpoint(f"{model.id}+", model.domain, self)
+        successor = ModelEndpoint(
+            f"{model.id}+", model.domain, self, model.max_lease_seconds
+        )
         successor.restart(self.now())
         self.endpoints[self.endpoints.index(model)] = successor
         self.by_id[successor.id] = successor
