Do not pace or learn at endpoints of unknown capacity

A new term asks endpoints that the registry does not list. Their capacity was taken as 0, so each filler seemed to use hundreds of times the processors: fillers beside replicas were paused at the first report, and after eight reports the learned weight of a pair was 0.0003 instead of 2.0 with a small variance, so that a successor would trust it (engine-level tests).

Both tests failed before.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -268,7 +268,8 @@
             seen.add(row.task)
             self.process_running(endpoint, row, now)
         self.set_orphaned(endpoint, report.running, sent_at)
-        self.pressure.observe(endpoint, now)
+        if endpoint.info.has_known_capacity:
+            self.pressure.observe(endpoint, now)
         self.release_missing(endpoint, seen, sent_at, now)
         self.stop_stuck_runs(endpoint, now)
         endpoint.has_reported = True
@@ -495,6 +496,8 @@
 
     def pace(self, endpoint, now):
         """Return the pace orders that keep fillers from slowing down replicas."""
+        if not endpoint.info.has_known_capacity:
+            return []
         paces = pacing.decide(endpoint.pacing, endpoint, self.pressure, now)
         orders = []
         for task, percent in paces.items():
--- a/clementinebay/workflow/model.py
+++ b/clementinebay/workflow/model.py
@@ -136,6 +136,11 @@
         for name in self.__slots__[1:]:
             setattr(self, name, fields[name])
 
+    @property
+    def has_known_capacity(self):
+        """Whether shares of the capacity can be computed."""
+        return self.processors_milli > 0
+
     def is_same_incarnation(self, other):
         """Return whether ``other`` is an entry of the same incarnation."""
         return (self.born_ms, self.address) == (other.born_ms, other.address)
