Take the report of a newer incarnation as the restart of its endpoint

A report whose born is later than that of the registry's entry was ignored, and the endpoint passed for reachable: its tasks were not run again while its entry was old, new tasks went there and were never seen in a report, leases were extended by deadlines on the earlier clock (which grant the longest lease there), and ends of the new incarnation were acknowledged unseen up to the last number of the earlier one.

Such a report restarts the endpoint: a higher fence, no end acknowledged, no new task before the entry tells its capacity. A task whose start was answered after the last report may run at the new incarnation, also if the entry tells of the restart; it is kept there until that is known.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -13,6 +13,7 @@
 from clementinebay.workflow.fleet import EndpointState, longest_lease
 from clementinebay.workflow.inheritance import InheritedEndpoints
 from clementinebay.workflow.job import Job, JobState, TaskState
+from clementinebay.workflow.model import unlisted_endpoint
 from clementinebay.workflow.orders import PaceOrder, RunEnd
 from clementinebay.workflow.stops import PendingStops
 
@@ -154,7 +155,7 @@
             born_ms=info.born_ms,
         )
         for task in list(endpoint.tasks.values()):
-            if task.state in (TaskState.STARTING, TaskState.UNCONFIRMED):
+            if may_run_at_successor(task, endpoint):
                 self.mark_unconfirmed(task, now)
                 # A late request for a report would extend the lease of its run.
                 self.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
@@ -247,13 +248,20 @@
     def process_report(self, endpoint, report, sent_at, now):
         """Process a report that the endpoint compiled after ``sent_at``.
 
-        Returns ``False`` for a report of another incarnation of the endpoint, of one
-        that has ended, or of a forgotten endpoint.
+        Returns ``False`` for a report of an earlier incarnation of the endpoint, of one
+        that has ended, or of a forgotten endpoint.  The report of a newer incarnation
+        ends the runs of the earlier one.
         """
         if self.endpoints.get(endpoint.id) is not endpoint or endpoint.has_ended:
             return False
         if report.born_ms is not None and report.born_ms != endpoint.info.born_ms:
-            return False
+            if report.born_ms < endpoint.info.born_ms:
+                return False
+            # Its entry may be late, and its capacity may differ.
+            info = unlisted_endpoint(
+                endpoint.id, endpoint.domain, endpoint.info.address, report.born_ms
+            )
+            self.restart_endpoint(endpoint, info, now)
         if endpoint.clock_ms is None:
             # An earlier scheduler may have granted the longest lease possible.
             endpoint.granted_ms = report.clock_ms + self.max_lease_seconds * 1000
@@ -586,3 +594,10 @@
             if not job.has_started:
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
+
+
+def may_run_at_successor(task, endpoint):
+    """Return whether the next incarnation of ``endpoint`` may have started ``task``."""
+    if task.state is TaskState.RUNNING:
+        return task.started_at > endpoint.clock_at
+    return task.state in (TaskState.STARTING, TaskState.UNCONFIRMED)
