Bound the leases that a new term finds at an endpoint as it bounds its wait

Seen in the test bed (leases of 10 s accepted): replicas of an endpoint that was lost just after its first report to a new term were away for 10.5 s, over the 9 s that the platform allows.

Cause: the first report was taken to hold the longest lease that endpoints accept. A scheduler that hears nothing from an endpoint waits only until the leases of earlier terms have expired; the same bound holds for one that it has heard from.

Change: the time until those leases have expired is the bound, except for endpoints that restarted in this term.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -273,8 +273,8 @@
             )
             self.restart_endpoint(endpoint, info, now)
         if endpoint.clock_ms is None:
-            # An earlier scheduler may have granted the longest lease possible.
-            endpoint.granted_ms = report.clock_ms + self.max_lease_seconds * 1000
+            lease_seconds = self.inherited_lease_seconds(endpoint, now)
+            endpoint.granted_ms = report.clock_ms + lease_seconds * 1000
         endpoint.read_clock(report.clock_ms, now)
         endpoint.unreachable_since = None
         for end in report.ended:
@@ -294,6 +294,17 @@
         self.inherited_endpoints.mark_reported(endpoint.id)
         return True
 
+    def inherited_lease_seconds(self, endpoint, now):
+        """Return the longest time for which the leases found at an endpoint may last.
+
+        An earlier scheduler may have granted them.  A deadline on the clock of an
+        earlier incarnation grants the longest lease that the endpoint accepts.
+        """
+        until = self.inherited_endpoints.until
+        if endpoint.restarts or not until:
+            return self.max_lease_seconds
+        return min(self.max_lease_seconds, max(0.0, until - now))
+
     def find_task(self, name):
         """Return the `Task` called ``name``, or ``None``."""
         try:
