Store addresses of endpoints with the endpoints, before they are used

An endpoint that restarts under its id at another address, while another one takes its old address, was taken as ended by a successor that read the address of before, and its tasks ran twice. The side write was unordered, up to a second late, and could fail.

Change: addresses and starts are written with the endpoints in the ordered writes of the term, and an endpoint is used only once its newest address is stored. Addresses that were not written together with the endpoints (by an earlier build) are not used.

--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -6,7 +6,7 @@
     clementine/term/holder      the current scheduler, attached to its lease
     clementine/term/number      the number of the term and of the last write in it
     clementine/term/endpoints   endpoints that the scheduler may have used
-    clementine/term/addresses   their addresses, for a successor's questions
+    clementine/term/addresses   their addresses and starts, for a successor's questions
     clementine/learned          slowdown of replicas by fillers, for a successor
     clementine/pending          number of jobs without a started task, by queue
 
@@ -154,14 +154,20 @@
         return [] if entry is None else _learned_decoder.decode(entry.value)
 
     async def used_endpoints(self):
-        """Return the failure domains of endpoints that may have been used, by id."""
-        entry = await self.store.get(ENDPOINTS)
-        return {} if entry is None else _domains_decoder.decode(entry.value)
+        """Return the endpoints that may have been used, as two dictionaries by id.
 
-    async def endpoint_addresses(self):
-        """Return (address, ``born_ms``) of endpoints that may have been used, by id."""
-        entry = await self.store.get(ADDRESSES)
-        return {} if entry is None else _addresses_decoder.decode(entry.value)
+        The first has their failure domains, the second their (address, ``born_ms``) as
+        far as they are known.
+        """
+        entry = await self.store.get(ENDPOINTS)
+        if entry is None:
+            return {}, {}
+        domains = _domains_decoder.decode(entry.value)
+        addresses = await self.store.get(ADDRESSES)
+        # A scheduler of an earlier build writes the domains only.
+        if addresses is None or addresses.version != entry.version:
+            return domains, {}
+        return domains, _addresses_decoder.decode(addresses.value)
 
 
 class TermWriter:
@@ -219,13 +225,17 @@
             and found.writes == self.writes
         )
 
-    async def save(self, records, endpoints=None):
-        """Store (job id, `Progress`) pairs, and the endpoints in use if given."""
+    async def save(self, records, endpoints=None, addresses=None):
+        """Store (job id, `Progress`) pairs, and the endpoints in use if given.
+
+        ``addresses`` has (address, ``born_ms``) of the endpoints by id.
+        """
         puts = [
             Put(PROGRESS + job_id, _encode(progress)) for job_id, progress in records
         ]
         if endpoints is not None:
             puts.append(Put(ENDPOINTS, _encode(endpoints)))
+            puts.append(Put(ADDRESSES, _encode(addresses or {})))
         await self.commit(puts)
 
 
@@ -239,11 +249,6 @@
     return [Put(LEARNED, _encode(rows))]
 
 
-def address_puts(addresses):
-    """Return the writes that store (address, ``born_ms``) of endpoints by id."""
-    return [Put(ADDRESSES, _encode(addresses))]
-
-
 def job_key_ranges(job_ids):
     """Return the key ranges that hold the records of jobs."""
     keys = []
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -140,8 +140,7 @@
     async def read_state(self):
         """Read the jobs, endpoints and estimates stored by earlier schedulers."""
         self.stored_progress = await self.jobs.all_progress()
-        used_endpoints = await self.jobs.used_endpoints()
-        addresses = await self.jobs.endpoint_addresses()
+        used_endpoints, addresses = await self.jobs.used_endpoints()
         self.change_writer.load_endpoints(used_endpoints, addresses)
         self.engine.pressure.load_weights(await self.jobs.learned_weights())
         for endpoint_id, domain in used_endpoints.items():
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -16,8 +16,6 @@
 STORE_WAIT_SECONDS = 0.25
 #: Interval between writes of the counts of pending jobs, in seconds.
 PENDING_INTERVAL_SECONDS = 1.0
-#: Interval between writes of the addresses of endpoints, in seconds.
-ADDRESS_INTERVAL_SECONDS = 1.0
 #: Interval between writes of learned estimates, in seconds.
 LEARNED_INTERVAL_SECONDS = 4.0
 #: Interval between searches for ended jobs to delete, in seconds.
@@ -28,14 +26,18 @@
 DELETED_JOBS_PER_WRITE = 8
 
 
+#: Address and start of an endpoint that an earlier build stored without them.
+UNKNOWN_ADDRESS = ("", 0)
+
+
 class ChangeWriter:
     """Writes the engine's changes to the store during a term.
 
-    ``recorded`` maps the endpoints to be stored as in use to their failure domains,
-    ``stored_endpoints`` those that the store names whatever comes of the write in
-    progress.  ``addresses`` has what the store names as their (address, ``born_ms``).
-    Ended jobs are kept for ``status_seconds``.  ``request_plan`` is called
-    after a write that opened an endpoint or a failure domain to a job.
+    ``recorded`` maps the endpoints to be stored as in use to their (failure domain,
+    address, ``born_ms``), ``stored_endpoints`` those that the store names whatever
+    comes of the write in progress.  Ended jobs are kept for ``status_seconds``.
+    ``request_plan`` is called after a write that opened an endpoint or a failure domain
+    to a job.
     """
 
     def __init__(self, engine, writer, status_seconds, request_plan, log):
@@ -51,21 +53,28 @@
         self.stored_endpoints = {}
         self.endpoints_changed = False
         self.stored_pending_counts = {}
-        self.addresses = {}
 
     def load_endpoints(self, domains, addresses=()):
         """Adopt the endpoints in use that an earlier scheduler stored."""
-        self.recorded = dict(domains)
-        self.stored_endpoints = dict(domains)
-        self.addresses = dict(addresses)
+        addresses = dict(addresses)
+        self.recorded = {
+            endpoint_id: (domain, *addresses.get(endpoint_id, UNKNOWN_ADDRESS))
+            for endpoint_id, domain in domains.items()
+        }
+        self.stored_endpoints = dict(self.recorded)
 
     def record_endpoint(self, endpoint):
-        """Schedule an endpoint to be stored as in use unless it is stored already."""
-        known = self.recorded.get(endpoint.id) == endpoint.domain
-        if known and self.stored_endpoints.get(endpoint.id) == endpoint.domain:
-            endpoint.recorded = True
-        elif not known:
-            self.recorded[endpoint.id] = endpoint.domain
+        """Schedule an endpoint to be stored as in use unless it is stored already.
+
+        A successor takes what answers at the stored address as proof, so the endpoint
+        is not used before its newest address and start are stored.
+        """
+        info = endpoint.info
+        used = (info.failure_domain, info.address, info.born_ms)
+        known = self.recorded.get(endpoint.id) == used
+        endpoint.recorded = known and self.stored_endpoints.get(endpoint.id) == used
+        if not known:
+            self.recorded[endpoint.id] = used
             self.endpoints_changed = True
             self.changed.set()
 
@@ -87,7 +96,6 @@
         return (
             self.store_loop(),
             self.pending_loop(),
-            self.address_loop(),
             self.learning_loop(),
             self.retention_loop(),
         )
@@ -145,9 +153,9 @@
         endpoints = recorded if self.endpoints_changed else None
         self.endpoints_changed = False
         self.stored_endpoints = {
-            endpoint_id: domain
-            for endpoint_id, domain in self.stored_endpoints.items()
-            if recorded.get(endpoint_id) == domain
+            endpoint_id: used
+            for endpoint_id, used in self.stored_endpoints.items()
+            if recorded.get(endpoint_id) == used
         }
         stored_count = 0
         try:
@@ -155,7 +163,7 @@
                 batch = records[
                     stored_count : stored_count + jobstore.RECORDS_PER_WRITE
                 ]
-                await self.writer.save([(job.id, p) for job, p in batch], endpoints)
+                await self.save([(job.id, p) for job, p in batch], endpoints)
                 endpoints = None
                 stored_count += len(batch)
         except BaseException:
@@ -169,12 +177,28 @@
                 records[:stored_count], ends if stored_count == len(records) else ()
             )
         self.stored_endpoints = recorded
-        for endpoint_id in recorded:
+        for endpoint_id, used in recorded.items():
             endpoint = self.engine.endpoints.get(endpoint_id)
-            if endpoint is not None and not endpoint.recorded:
+            current = self.recorded.get(endpoint_id) == used
+            if endpoint is not None and current and not endpoint.recorded:
                 endpoint.recorded = opened = True
         return opened
 
+    async def save(self, records, used_endpoints):
+        """Write records, and the endpoints in use if given."""
+        if used_endpoints is None:
+            await self.writer.save(records)
+            return
+        await self.writer.save(
+            records,
+            {name: used[0] for name, used in used_endpoints.items()},
+            {
+                name: used[1:]
+                for name, used in used_endpoints.items()
+                if used[1:] != UNKNOWN_ADDRESS
+            },
+        )
+
     async def pending_loop(self):
         """Store the counts of pending jobs after they have changed."""
         while True:
@@ -185,27 +209,6 @@
             if changed and await self.write_optional(jobstore.pending_puts(counts)):
                 self.stored_pending_counts = counts
 
-    async def address_loop(self):
-        """Store the addresses of the endpoints in use after they have changed."""
-        while True:
-            await asyncio.sleep(ADDRESS_INTERVAL_SECONDS)
-            addresses = self.current_addresses()
-            changed = addresses != self.addresses
-            if changed and await self.write_optional(jobstore.address_puts(addresses)):
-                self.addresses = addresses
-
-    def current_addresses(self):
-        """Return (address, ``born_ms``) of the endpoints in use, by id."""
-        addresses = {}
-        for endpoint_id in self.recorded:
-            endpoint = self.engine.endpoints.get(endpoint_id)
-            if endpoint is not None:
-                info = endpoint.info
-                addresses[endpoint_id] = (info.address, info.born_ms)
-            elif endpoint_id in self.addresses:
-                addresses[endpoint_id] = self.addresses[endpoint_id]
-        return addresses
-
     async def learning_loop(self):
         """Store the learned estimates for a successor."""
         while True:
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -17,7 +17,7 @@
         self.saved = []
         self.error = None
 
-    async def save(self, records, endpoints=None):
+    async def save(self, records, endpoints=None, addresses=None):
         """Block until ``unblocked`` is set, then save or raise ``error``."""
         await self.unblocked.wait()
         if self.error is not None:
@@ -108,6 +108,17 @@
     assert "b" in job.domains
 
 
+async def test_endpoint_that_moved_is_not_used_before_its_address_is_stored():
+    changes = make_change_writer()
+    changes.writer.unblocked.set()
+    for info in (factory.make_info(), factory.make_info(born_ms=2, address="h:2")):
+        endpoint = changes.engine.register_endpoint(info, 0.0)
+        changes.record_endpoint(endpoint)
+        assert not endpoint.recorded
+        await changes.store_changes()
+        assert endpoint.recorded
+
+
 @pytest.mark.parametrize("writing", [False, True])
 async def test_endpoint_listed_again_before_its_removal_is_written_stays_stored(
     writing,
