Keep an ended endpoint, with its fence, for the longest delay of an order

Change: it is kept until no order to it can be executed any more.

The test of an endpoint that leaves for good checks both times.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -182,6 +182,7 @@
             return
         endpoint.has_ended = True
         endpoint.granted_ms = 0
+        endpoint.kept_until = now + MAX_ORDER_DELAY_SECONDS
         self.log.warning(
             "endpoint.ended", endpoint=endpoint.id, runs=len(endpoint.tasks)
         )
@@ -217,12 +218,21 @@
                 if now < self.late_order_deadlines.get(task.name, 0.0):
                     continue
                 self.lose_run(task, "lapsed", now)
-            awaited = self.inherited_endpoints.expects(endpoint.id)
-            if not endpoint.listed and not endpoint.tasks and not awaited:
-                del self.endpoints[endpoint.id]
-                self.log.info("endpoint.forgotten", endpoint=endpoint.id)
+            if not endpoint.listed and not endpoint.tasks:
+                self.forget_endpoint(endpoint, now)
         self.inherited_endpoints.expire(now)
 
+    def forget_endpoint(self, endpoint, now):
+        """Drop an endpoint without tasks unless it is awaited or its fence is needed.
+
+        If it comes back under its id, it must refuse late orders to the incarnation
+        that has ended.
+        """
+        awaited = self.inherited_endpoints.expects(endpoint.id)
+        if not awaited and now >= endpoint.kept_until:
+            del self.endpoints[endpoint.id]
+            self.log.info("endpoint.forgotten", endpoint=endpoint.id)
+
     def expire_unconfirmed(self, endpoint, now):
         """Release tasks whose run is over at an incarnation that never reported.
 
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -27,8 +27,9 @@
     ``restarts`` counts the restarts in this term.  ``has_reported`` is true once the
     endpoint has reported to this scheduler; from then on it refuses orders of earlier
     schedulers.  ``has_ended`` is true once the incarnation has certainly ended, with
-    all its runs.  ``recorded`` is true if the store names the endpoint as in use.
-    ``has_valid_entry`` is false while its registry entry cannot be decoded.
+    all its runs; it is not forgotten before ``kept_until``.  ``recorded`` is true if
+    the store names the endpoint as in use.  ``has_valid_entry`` is false while its
+    registry entry cannot be decoded.
 
     Ends of runs are numbered: ``last_processed_end`` was processed last, and the
     effects of all up to ``last_acknowledged_end`` are stored.  ``redundant_runs`` has,
@@ -53,6 +54,7 @@
         "recorded",
         "has_reported",
         "has_ended",
+        "kept_until",
         "tasks",
         "processors_used",
         "memory_used",
@@ -122,6 +124,7 @@
         self.has_valid_entry = True
         self.has_reported = False
         self.has_ended = False
+        self.kept_until = 0.0
         self.unknown_runs = {}
         self.redundant_runs = {}
         self.set_orphaned((), False)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -443,6 +443,8 @@
     engine.end_incarnation(other, 3.0)
     engine.unlist_endpoint("e2")
     engine.expire(3.1)
+    assert "e2" in engine.endpoints
+    engine.expire(3.1 + MAX_ORDER_DELAY_SECONDS)
     assert "e2" not in engine.endpoints
 
 
