Ignore bars for overdue replicas also after a success during the bar

Seen in the test bed (ten endpoints that are nearly full, replicas fail at three of them; 1 of 180 seeds): replicas were away for 13 s while the three were barred and empty.

Cause: the plan of overdue replicas was skipped unless an endpoint was on probation. A run that ends done during a bar ends the probation, not the bar.

Change: it is skipped only if no endpoint is on probation or barred.

Tests: that case, which failed before, and storms in which replicas fail at some endpoints while the others are nearly full.

--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -102,7 +102,7 @@
         if job.spec.steps[number].replica and any(t.due_at <= latest for t in waiting)
     ]
     endpoints = ready_endpoints(engine) if steps else ()
-    if any(endpoint.health.probation for endpoint in endpoints):
+    if any(e.health.probation or e.health.barred(now) for e in endpoints):
         search = Search(endpoints, probing=False)
         for job, number in steps:
             yield from place_step(engine, job, number, search, now, latest)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -525,6 +525,23 @@
     ]
 
 
+def test_replica_waits_no_longer_than_2_seconds_for_a_bar_before_a_success():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    for number in range(3):
+        info = factory.make_info(f"full{number}", processors_milli=0)
+        factory.connect_endpoint(engine, info)
+    for _failure in range(4):
+        endpoint.health.bar(0.0)
+    endpoint.health.succeeded()
+    step = Step(processors_milli=1000, replica=True)
+    job = engine.add_job(factory.make_spec(steps=[step]), factory.QUEUE, 0.0)
+    job.task(0, 0).not_before = 3.0
+    assert engine.plan(4.9) == []
+    [order] = engine.plan(5.0)
+    assert order.endpoint is endpoint
+
+
 def test_replica_waits_no_longer_than_2_seconds_for_the_probe_of_an_endpoint():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -73,11 +73,21 @@
     virtualtime.run(run_storms(seed))
 
 
-async def fail_replicas(bed, interval):
-    """Let replicas fail at random times."""
+async def fail_replicas(bed, interval, addresses):
+    """Let replicas at ``addresses`` fail at random times."""
     while True:
         await asyncio.sleep(bed.random.expovariate(1 / interval))
-        bed.fail_replica()
+        bed.fail_replica(addresses)
+
+
+def submit_replicas(bed, least):
+    """Submit jobs of replicas that need at least ``least`` processors in all."""
+    total = 0
+    while total < least:
+        count, processors = bed.random.choice(((2, 1000), (4, 1000), (3, 2000)))
+        total += count * processors
+        steps = [Step(count=count, processors_milli=processors, replica=True)]
+        bed.submit(bed.random.choice("ab"), steps)
 
 
 def draw_replica_disturbance(bed, losses):
@@ -106,19 +116,19 @@
     return bed.cut(bed.random.sample(models, 2), how, seconds)
 
 
-async def run_replica_storms(seed, losses):
+async def run_replica_storms(seed, least, weak=None, losses=False):
     """Play storms beside jobs of replicas, each with a calm after it.
 
-    If ``losses``, endpoints may be lost for good.
+    The replicas need at least ``least`` processors.  They fail at the first ``weak``
+    endpoints, by default at all.  If ``losses``, endpoints may be lost for good.
     """
     async with TestBed(seed, endpoints=10, daemons=2) as bed:
         clients = asyncio.create_task(submit_jobs(bed, 2.0))
-        failures = asyncio.create_task(fail_replicas(bed, bed.random.choice((1, 5))))
+        interval = bed.random.choice((1.0, 5.0) if weak is None else (0.3, 1.0))
+        addresses = list(bed.occupants)[:weak]
+        failures = asyncio.create_task(fail_replicas(bed, interval, addresses))
         await bed.run(1.0)
-        for _job in range(bed.random.randint(2, 5)):
-            count, processors = bed.random.choice(((2, 1000), (4, 1000), (3, 2000)))
-            steps = [Step(count=count, processors_milli=processors, replica=True)]
-            bed.submit(bed.random.choice("ab"), steps)
+        submit_replicas(bed, least)
         await bed.run(3.0)
         for _storm in range(STORMS):
             storm = []
@@ -134,7 +144,13 @@
 
 @pytest.mark.parametrize("seed", range(8))
 def test_replicas_run_in_time_after_overlapping_disturbances(seed):
-    virtualtime.run(run_replica_storms(seed, losses=False))
+    virtualtime.run(run_replica_storms(seed, least=15000))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_replicas_run_in_time_though_they_fail_at_some_endpoints(seed):
+    """The others are nearly full, so barred endpoints must be used."""
+    virtualtime.run(run_replica_storms(seed, least=34000, weak=3))
 
 
 @pytest.mark.parametrize("seed", range(2))
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -470,13 +470,13 @@
         if not model.up and model.born == born:
             self.unlist(model)
 
-    def fail_replica(self):
-        """Let the run of a random replica fail; that is no disturbance."""
+    def fail_replica(self, addresses):
+        """Let a random replica at ``addresses`` fail; that is no disturbance."""
         runs = [
             (model, name)
             for model in self.endpoints
             for name, run in model.runs.items()
-            if model.up and run[1].replica
+            if model.up and model.address in addresses and run[1].replica
         ]
         if runs:
             model, name = self.random.choice(runs)
@@ -521,6 +521,8 @@
                 assert task not in other.runs, (task, endpoint.id, other.id, now)
         assert task not in self.acknowledged_tasks, (task, endpoint.id, now)
         self.check_room(endpoint, now)
+        if self.step_of(task).replica:
+            self.last_run_at[task] = now
 
     def check_room(self, endpoint, now):
         """Assert that a start leaves an endpoint within the capacity that it shows."""
