Give up tasks under which endpoints crash again and again

Cause: `lose_run` released the task and nothing counted the crashes under it.

A crash that is proved (another incarnation at the address, or a later entry under the same id) now counts under each task whose run there was less than 3 s old, by incarnation, so that it counts once. The count is stored with the progress of the job, for replicas too. The task started last before a crash, and any task with two crashes, is run alone; with two or more, not before they are stored. After the third crash alone, or the fourth, the task is given up and its job fails, with the reason in the log. A run that ends done or failed, or lasts, clears its task; crashes of many endpoints at a time count against none.

--- a/clementinebay/metrics.py
+++ b/clementinebay/metrics.py
@@ -166,6 +166,10 @@
     "Runs abandoned without a reported end, by cause.",
     ["cause"],
 )
+TASKS_GIVEN_UP = Counter(
+    "clementine_tasks_given_up",
+    "Tasks given up because endpoints crashed under them.",
+)
 JOBS_ENDED = Counter("clementine_jobs_ended", "Ended jobs by final state.", ["state"])
 ACTIVE_JOBS = Gauge(
     "clementine_active_jobs", "Active jobs; 0 if this daemon is not the scheduler."
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -6,7 +6,7 @@
 """
 
 from clementinebay import metrics
-from clementinebay.policy import endpointhealth, pacing
+from clementinebay.policy import crashes, endpointhealth, pacing
 from clementinebay.policy import progress as progress_policy
 from clementinebay.policy.pressure import Pressure
 from clementinebay.workflow import planning
@@ -15,6 +15,7 @@
 from clementinebay.workflow.job import Job, JobState, TaskState
 from clementinebay.workflow.orders import PaceOrder, RunEnd
 from clementinebay.workflow.stops import PendingStops
+from clementinebay.workflow.suspects import Suspects
 
 #: Longest time after which an order that was not answered may still be executed, in
 #: seconds.
@@ -55,6 +56,7 @@
         self.urgent = False
         self.late_order_deadlines = {}
         self.stops = PendingStops()
+        self.suspects = Suspects()
         self.pressure = Pressure()
         self.exclusive_until = float("inf")
 
@@ -76,6 +78,7 @@
         self.jobs[spec.id] = job
         if not job.ended:
             self.active[spec.id] = job
+            self.suspects.restore(job)
         return job
 
     def cancel(self, job_id):
@@ -83,14 +86,15 @@
         job = self.jobs.get(job_id)
         if job is None or job.ended:
             return
-        self.end_job(job, JobState.CANCELLED, self.wall_clock.now())
+        self.end_job(job, JobState.CANCELLED, "cancelled")
 
-    def end_job(self, job, state, wall_now):
-        """Move a job to a final state and stop its runs."""
+    def end_job(self, job, state, reason):
+        """Move a job to a final state and stop its runs; ``reason`` is logged."""
         job.state = state
-        job.ended_at = wall_now
+        job.ended_at = self.wall_clock.now()
         self.active.pop(job.id, None)
         self.pressure.forget_job(job.id)
+        self.suspects.forget_job(job)
         metrics.JOBS_ENDED.labels(state.value).inc()
         self.mark_changed(job, urgent=True)
         for task in job.assigned_tasks():
@@ -100,6 +104,7 @@
             job=job.id,
             queue=job.spec.queue,
             state=state.value,
+            reason=reason,
             failures={name: len(runs) for name, runs in job.failures.items()},
         )
 
@@ -144,6 +149,7 @@
             runs=len(endpoint.tasks),
             born_ms=info.born_ms,
         )
+        given_up = self.record_crash(endpoint, now)
         for task in list(endpoint.tasks.values()):
             if task.state in (TaskState.STARTING, TaskState.UNCONFIRMED):
                 self.mark_unconfirmed(task, now)
@@ -152,6 +158,7 @@
             else:
                 self.lose_run(task, "restarted", now)
         endpoint.restart(info)
+        self.give_up(given_up)
 
     def end_incarnation(self, endpoint, now):
         """Release all tasks of an incarnation that has certainly ended.
@@ -165,11 +172,58 @@
         self.log.warning(
             "endpoint.ended", endpoint=endpoint.id, runs=len(endpoint.tasks)
         )
+        given_up = self.record_crash(endpoint, now)
         for task in list(endpoint.tasks.values()):
             self.lose_run(task, "crashed", now)
         for job in self.active.values():
             job.unpin_tasks(endpoint)
         self.inherited_endpoints.mark_reported(endpoint.id)
+        self.give_up(given_up)
+
+    def record_crash(self, endpoint, now):
+        """Count a crash against the runs at ``endpoint``; return the tasks to give up.
+
+        The caller gives them up once it has released the runs.
+        """
+        counted = self.suspects.record_crash(endpoint, self.endpoints.values(), now)
+        for task, _given_up in counted:
+            self.mark_changed(task.job, urgent=True)
+            incarnations = task.job.crashes[task.name]
+            if crashes.is_suspect(len(incarnations)):
+                self.log.warning(
+                    "task.suspected", task=task.name, crashed=list(incarnations)
+                )
+        return [task for task, given_up in counted if given_up]
+
+    def give_up(self, tasks):
+        """End the jobs of tasks under which too many endpoints have crashed."""
+        for task in tasks:
+            if task.job.ended:
+                continue
+            metrics.TASKS_GIVEN_UP.inc()
+            self.log.warning(
+                "task.given_up",
+                task=task.name,
+                crashed=list(task.job.crashes[task.name]),
+            )
+            self.end_job(task.job, JobState.FAILED, "endpoints-crashed")
+
+    def clear_sound(self, endpoint, rows, sent_at):
+        """Clear the tasks whose runs, reported in ``rows``, have lasted long enough."""
+        for row in rows:
+            task = endpoint.tasks.get(row.task)
+            if task is None or task.run != row.run:
+                continue
+            if task.name in task.job.crashes and crashes.is_sound(
+                sent_at - task.started_at
+            ):
+                self.clear_suspicion(task)
+
+    def clear_suspicion(self, task):
+        """Forget the crashes under a task, which has proved sound."""
+        if task.name in task.job.crashes:
+            self.suspects.clear(task)
+            self.mark_changed(task.job)
 
     def unlist_endpoint(self, endpoint_id):
         """Record that an endpoint has left the registry; its leases will expire."""
@@ -259,6 +313,7 @@
         for row in report.running:
             seen.add(row.task)
             self.process_running(endpoint, row, now)
+        self.clear_sound(endpoint, report.running, sent_at)
         self.set_orphaned(endpoint, report.running, sent_at)
         self.pressure.observe(endpoint, now)
         self.release_missing(endpoint, seen, sent_at, now)
@@ -296,6 +351,8 @@
             outcome=end.outcome,
             seconds=round(now - task.started_at, 3) if current else None,
         )
+        if end.outcome in (RunEnd.DONE, RunEnd.FAILED):
+            self.clear_suspicion(task)
         if end.outcome == RunEnd.DONE:
             endpoint.health.succeeded()
             self.process_success(task, current, now)
@@ -320,7 +377,7 @@
             return
         job.finish_task(task, now)
         if job.state is JobState.COMPLETED:
-            self.end_job(job, JobState.COMPLETED, self.wall_clock.now())
+            self.end_job(job, JobState.COMPLETED, "completed")
         else:
             self.mark_changed(job, urgent=True)
 
@@ -341,7 +398,7 @@
         wait = min(RETRY_SECONDS * 2 ** (failures - 1), MAX_RETRY_SECONDS)
         task.not_before = now + wait
         if exhausted:
-            self.end_job(job, JobState.FAILED, self.wall_clock.now())
+            self.end_job(job, JobState.FAILED, "attempts-exhausted")
         elif not task.step.replica:
             self.mark_changed(job, urgent=True)
 
@@ -556,6 +613,7 @@
         for job, progress in records:
             job.domains |= set(progress.domains)
             job.requested_domains -= job.domains
+            job.stored_crashes = progress.crashes
         for endpoint, born_ms, number in ends:
             if endpoint.info.born_ms == born_ms:
                 endpoint.last_acknowledged_end = max(
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -136,6 +136,11 @@
         """The endpoint's id."""
         return self.info.id
 
+    @property
+    def incarnation(self):
+        """The name of the incarnation, unique among all endpoints."""
+        return f"{self.info.id}/{self.info.born_ms}"
+
     @property
     def domain(self):
         """The endpoint's failure domain."""
@@ -236,6 +241,15 @@
         processors = self.processors_used + self.orphaned_processors
         return processors + step.processors_milli <= info.processors_milli
 
+    def fits_alone(self, step):
+        """Return whether the endpoint has capacity for a task of ``step`` if idle."""
+        info = self.info
+        return (
+            step.memory_mb <= info.memory_mb
+            and step.accelerators <= info.accelerators
+            and (step.filler or step.processors_milli <= info.processors_milli)
+        )
+
     # Clock and lease
 
     def read_clock(self, clock_ms, received_at):
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from clementinebay.policy import crashes
+
 
 class JobState(StrEnum):
     """The state of a job; the values are stored and shown to clients."""
@@ -41,7 +43,8 @@
     ``done`` has a hexadecimal number for each step, with one bit set for each completed
     task.  ``failures`` maps the name of a task to its failed runs.  ``domains`` are all
     failure domains in which tasks may have been started.  ``ended_at`` is in seconds
-    since the Unix epoch.
+    since the Unix epoch.  ``crashes`` maps the name of a task to the incarnations that
+    crashed under it.
     """
 
     state: JobState = JobState.QUEUED
@@ -49,6 +52,7 @@
     failures: dict[str, list[int]] = {}
     domains: list[str] = []
     ended_at: float = 0.0
+    crashes: dict[str, list[str]] = {}
 
 
 class Task:
@@ -176,7 +180,8 @@
     not know of.  ``discovered_at`` is when this scheduler first read the job.  Times
     are seconds of the scheduler's clock, except ``ended_at``, which is in seconds since
     the Unix epoch.  ``replica`` is true if the job has a step of replicas, which run
-    until it is cancelled.
+    until it is cancelled.  ``crashes`` maps the names of tasks to the incarnations that
+    crashed under them; ``stored_crashes`` is its last stored value.
     """
 
     __slots__ = (
@@ -188,6 +193,8 @@
         "waiting",
         "remaining",
         "failures",
+        "crashes",
+        "stored_crashes",
         "domains",
         "requested_domains",
         "requested_at",
@@ -210,6 +217,8 @@
         self.requested_at = 0.0
         self.inherited_domains = frozenset()
         self.failures = {}
+        self.crashes = {}
+        self.stored_crashes = {}
         self.tasks = {}
         self.waiting = [{} for _step in spec.steps]
         self.remaining = [step.count for step in spec.steps]
@@ -292,6 +301,24 @@
             runs.append(run)
         return not task.step.replica and len(runs) >= self.spec.attempts
 
+    def record_crash(self, task, incarnation):
+        """Record the crash of an incarnation under a task; return their number."""
+        incarnations = self.crashes.setdefault(task.name, [])
+        if incarnation not in incarnations:
+            incarnations.append(incarnation)
+        return len(incarnations)
+
+    def awaits_crash_write(self, task):
+        """Return whether ``task`` may not run until crashes under it are stored.
+
+        A successor that did not know of them would allow the task as many again.
+        """
+        incarnations = self.crashes.get(task.name, ())
+        stored = self.stored_crashes.get(task.name, ())
+        return crashes.is_suspect(len(incarnations)) and not (
+            set(incarnations) <= set(stored)
+        )
+
     def progress(self):
         """Return the `Progress` to store."""
         bits = [0] * len(self.spec.steps)
@@ -308,6 +335,7 @@
             failures=failures,
             domains=sorted(self.domains | self.requested_domains),
             ended_at=self.ended_at,
+            crashes={name: list(ids) for name, ids in self.crashes.items()},
         )
 
     def restore(self, progress):
@@ -317,6 +345,8 @@
         self.domains = set(progress.domains) or {self.spec.domain}
         self.failures = {name: list(runs) for name, runs in progress.failures.items()}
         self.ended_at = progress.ended_at
+        self.crashes = {name: list(ids) for name, ids in progress.crashes.items()}
+        self.stored_crashes = progress.crashes
         for number, text in enumerate(progress.done):
             bits = int(text, 16)
             for index in range(self.spec.steps[number].count):
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -6,6 +6,7 @@
 from clementinebay.policy import dispatch, endpointhealth, pacing
 from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.orders import StartOrder
+from clementinebay.workflow.suspects import Isolation
 
 #: The first run of a term is numbered one above this times the term's number.
 RUNS_PER_TERM = 1000
@@ -50,13 +51,34 @@
     endpoints = available_endpoints(engine, now) if jobs else ()
     if not endpoints:
         return
-    search = Search(endpoints)
+    isolation = Isolation(engine.suspects, endpoints, now)
+    yield from place_suspects(engine, jobs, isolation, now)
+    if not isolation.others:
+        return
+    search = Search(isolation.others)
     for job in jobs:
         for number, waiting in enumerate(job.waiting):
             if waiting:
                 yield from place_step(engine, job, number, search, now)
 
 
+def place_suspects(engine, jobs, isolation, now):
+    """Place the suspects of ``jobs``; yield the start order of each."""
+    for task, endpoint in isolation.places.items():
+        if task.job in jobs:
+            choice = choose_isolated(engine, task, endpoint, now)
+            order = place(engine, task, choice, now)
+            if order is not None:
+                yield order
+
+
+def choose_isolated(engine, task, endpoint, now):
+    """Return the `Choice` of ``endpoint`` for a suspect."""
+    return dispatch.choose(
+        task, [endpoint], engine.pressure, now, can_wait=False, probing=False
+    )
+
+
 class Search:
     """The search of one plan for endpoints.
 
@@ -138,7 +160,7 @@
         return
     ranking = None
     for task in list(job.waiting[number]):
-        if task.not_before > now:
+        if task.not_before > now or task in engine.suspects.tasks:
             continue
         restricted = task.avoided_endpoints is not None or now < task.pinned_until
         arguments = search.arguments(task, engine.pressure, now)
--- /dev/null
+++ b/clementinebay/workflow/suspects.py
@@ -0,0 +1,154 @@
+"""Tasks that are suspected of crashing their endpoints, and where they may run."""
+
+from clementinebay.policy import crashes, dispatch
+from clementinebay.workflow.job import TaskState
+
+#: Time for which the moments of crashes are kept, in seconds.  Endpoints that crash
+#: together are known to have crashed only as each of them is back.
+CRASH_MEMORY_SECONDS = 30.0
+
+
+class Suspects:
+    """The suspects among the tasks of one term.
+
+    ``tasks`` has the tasks that are to run alone.  ``crashed_at`` has the times of
+    recent crashes by incarnation.
+    """
+
+    __slots__ = ("tasks", "crashed_at")
+
+    def __init__(self):
+        self.tasks = {}
+        self.crashed_at = {}
+
+    def restore(self, job):
+        """Suspect the tasks that an earlier scheduler stored as suspects."""
+        for task in list(job.tasks.values()):
+            if crashes.is_suspect(len(job.crashes.get(task.name, ()))):
+                self.tasks[task] = None
+
+    def clear(self, task):
+        """Forget the crashes under a task that has proved sound."""
+        task.job.crashes.pop(task.name, None)
+        self.tasks.pop(task, None)
+
+    def forget_job(self, job):
+        """Forget the tasks of an ended job."""
+        for task in job.tasks.values():
+            self.tasks.pop(task, None)
+
+    def record_crash(self, endpoint, endpoints, now):
+        """Count the crash of ``endpoint`` against its runs; return their tasks.
+
+        ``endpoints`` are all known endpoints.  The result is a list of (task, whether
+        it is given up).
+        """
+        at = now if endpoint.unreachable_since is None else endpoint.unreachable_since
+        is_mass = self.is_mass_crash(endpoint, at, endpoints, now)
+        recent = [
+            task
+            for task in endpoint.tasks.values()
+            if not task.job.ended and not crashes.is_sound(at - task.started_at)
+        ]
+        alone = len(endpoint.tasks) == 1
+        if endpoint.info.leaving or not recent:
+            return []
+        last = max(recent, key=lambda task: task.started_at)
+        if is_mass:
+            recent = [task for task in recent if alone and task in self.tasks]
+        counted = []
+        for task in recent:
+            count = task.job.record_crash(task, endpoint.incarnation)
+            if task is last or crashes.is_suspect(count):
+                self.tasks[task] = None
+            counted.append((task, crashes.is_given_up(count, alone)))
+        return counted
+
+    def is_mass_crash(self, endpoint, at, endpoints, now):
+        """Return whether a crash is one of many; remember it."""
+        self.crashed_at = {
+            incarnation: time
+            for incarnation, time in self.crashed_at.items()
+            if time > now - CRASH_MEMORY_SECONDS
+        }
+        self.crashed_at[endpoint.incarnation] = at
+        times = dict(self.crashed_at)
+        for other in endpoints:
+            if other.unreachable_since is not None:
+                times.setdefault(other.incarnation, other.unreachable_since)
+        return crashes.is_mass_crash(at, times.values(), len(endpoints))
+
+
+class Isolation:
+    """Endpoints for the suspects of one plan, and for all other tasks.
+
+    ``places`` maps the suspects that may be started to their endpoints, ``others`` are
+    the endpoints open to other tasks.  ``room`` is the number of endpoints that may
+    still be kept for suspects, by service.
+    """
+
+    __slots__ = ("places", "others", "room")
+
+    def __init__(self, suspects, endpoints, now):
+        self.places = {}
+        self.others = list(endpoints)
+        if not suspects.tasks:
+            return
+        services = [endpoint.info.service for endpoint in endpoints]
+        self.room = {
+            service: crashes.max_isolated(services.count(service))
+            for service in set(services)
+        }
+        for task in suspects.tasks:
+            if task.endpoint in self.others:
+                self.keep(task.endpoint)
+        for task in suspects.tasks:
+            if is_startable(task, now):
+                self.find_place(task, now)
+
+    def keep(self, endpoint):
+        """Keep ``endpoint`` for suspects if another one may be."""
+        if self.room[endpoint.info.service] > 0:
+            self.room[endpoint.info.service] -= 1
+            self.others.remove(endpoint)
+
+    def find_place(self, task, now):
+        """Find an endpoint for a suspect, or keep one that other runs are to leave."""
+        hosts = [e for e in self.others if is_host(e, task, now)]
+        usable = [e for e in hosts if dispatch.usable(e, task, now, probing=False)]
+        empty = [e for e in usable if not e.tasks]
+        is_overdue = now >= task.due_at + crashes.MAX_ISOLATION_WAIT_SECONDS
+        choices = empty or (usable if is_overdue else hosts)
+        if not choices:
+            return
+        endpoint = min(choices, key=lambda e: crowding(e, task))
+        if empty or is_overdue:
+            self.places[task] = endpoint
+        self.keep(endpoint)
+
+
+def is_startable(task, now):
+    """Return whether a suspect is due and may be started once it has a place."""
+    return (
+        task.state is TaskState.WAITING
+        and task.step_number in task.job.open_steps
+        and task.not_before <= now
+        and not task.job.awaits_crash_write(task)
+    )
+
+
+def is_host(endpoint, task, now):
+    """Return whether ``endpoint`` can run ``task`` once it has no other runs."""
+    label = task.step.required_label
+    return (
+        endpoint.info.service == task.job.spec.service
+        and task.may_run_at(endpoint, now)
+        and (not label or label in endpoint.info.labels)
+        and endpoint.fits_alone(task.step)
+    )
+
+
+def crowding(endpoint, task):
+    """Return the sort key of an endpoint for a suspect: the fewest runs come first."""
+    is_closed = endpoint.domain not in task.job.domains
+    return (endpoint.replicas, len(endpoint.tasks), is_closed)
--- a/clementinebay/workflow/waiting.py
+++ b/clementinebay/workflow/waiting.py
@@ -4,6 +4,7 @@
 
 from clementinebay.policy import dispatch
 from clementinebay.workflow import planning
+from clementinebay.workflow.suspects import Isolation
 
 
 class Reason(StrEnum):
@@ -21,6 +22,8 @@
     SPREAD = "probation-or-spread"
     FILLER_WAITS = "filler-waits"
     DOMAIN = "domain-not-open"
+    CRASH_NOT_STORED = "crash-not-stored"
+    ISOLATION = "isolation"
     NONE = "none"
 
 
@@ -43,6 +46,10 @@
     if not engine.inherited_endpoints.all_reported(job):
         return Reason.INHERITED
     endpoints = planning.available_endpoints(engine, now)
+    isolation = Isolation(engine.suspects, endpoints, now)
+    if task in engine.suspects.tasks:
+        return suspect_reason(engine, task, isolation, now)
+    endpoints = isolation.others
     may_wait = dispatch.may_wait(job.spec.service, endpoints)
     probing = planning.probes_endpoints(endpoints)
     choice = dispatch.choose(task, endpoints, engine.pressure, now, may_wait, probing)
@@ -53,6 +60,17 @@
     return Reason.NONE
 
 
+def suspect_reason(engine, task, isolation, now):
+    """Return the `Reason` for which a due suspect waits."""
+    if task.job.awaits_crash_write(task):
+        return Reason.CRASH_NOT_STORED
+    endpoint = isolation.places.get(task)
+    if endpoint is None:
+        return Reason.ISOLATION
+    choice = planning.choose_isolated(engine, task, endpoint, now)
+    return Reason.DOMAIN if choice.endpoint is None else Reason.NONE
+
+
 def unusable_reason(task, endpoints, now, probing):
     """Return the `Reason` for which no endpoint can be used for ``task``."""
     step = task.step
--- a/tests/workflow/test_load.py
+++ b/tests/workflow/test_load.py
@@ -69,6 +69,18 @@
     other.task(0, 0).place(endpoint, 1, "running", 0.0)
 
 
+def suspect(engine, task):
+    task.job.crashes = task.job.stored_crashes = {task.name: ["c1/1", "c2/1"]}
+    engine.suspects.restore(task.job)
+    other = engine.add_job(factory.make_spec("f" * 16), factory.QUEUE, 0.0)
+    other.task(0, 0).place(engine.endpoints["e1"], 1, "running", 0.0)
+
+
+def suspect_without_a_write(engine, task):
+    suspect(engine, task)
+    task.job.stored_crashes = {task.name: ["c1/1"]}
+
+
 @pytest.mark.parametrize(
     ("change", "reason"),
     [
@@ -78,6 +90,8 @@
         (pin_elsewhere, Reason.PINNED),
         (fill_endpoint, Reason.NO_ROOM),
         (probe_endpoint, Reason.SPREAD),
+        (suspect, Reason.ISOLATION),
+        (suspect_without_a_write, Reason.CRASH_NOT_STORED),
     ],
 )
 def test_reason_of_a_task_that_no_plan_starts(change, reason):
