Hold an endpoint for a suspect until it has room there

A suspect that fits on no endpoint beside other runs kept an endpoint from other tasks for 2.5 s only; if the runs there lasted longer, it waited on while others took each room that became free. Seen by reading the code and in a test, which failed before: after 9 s no endpoint was held.

--- a/clementinebay/workflow/suspects.py
+++ b/clementinebay/workflow/suspects.py
@@ -118,11 +118,11 @@
         usable = [e for e in hosts if dispatch.usable(e, task, now, probing=False)]
         empty = [e for e in usable if not e.tasks]
         is_overdue = now >= task.due_at + crashes.MAX_ISOLATION_WAIT_SECONDS
-        choices = empty or (usable if is_overdue else hosts)
-        if not choices:
+        places = empty or (usable if is_overdue else [])
+        if not hosts:
             return
-        endpoint = min(choices, key=lambda e: crowding(e, task))
-        if empty or is_overdue:
+        endpoint = min(places or hosts, key=lambda e: crowding(e, task))
+        if places:
             self.places[task] = endpoint
         self.keep(endpoint)
 
--- a/tests/workflow/test_suspects.py
+++ b/tests/workflow/test_suspects.py
@@ -193,7 +193,8 @@
     assert not [o for o in start_all(engine, 0.1) if o.endpoint is task.endpoint]
 
 
-def test_endpoint_is_held_back_until_a_suspect_can_run_alone():
+@pytest.mark.parametrize("now", [1.0, 9.0])
+def test_endpoint_is_held_back_until_a_suspect_has_room(now):
     engine, task = make_engine(steps=(Step(count=1, processors_milli=8000),))
     for number in range(1, 5):
         factory.connect_endpoint(engine, factory.make_info(f"e{number}"))
@@ -205,13 +206,13 @@
     make_suspect(engine, task)
     steps = (Step(count=99, processors_milli=1000),)
     engine.add_job(factory.make_spec("f" * 16, steps), factory.QUEUE, 0.0)
-    start_all(engine, 1.0)
+    start_all(engine, now)
     [held] = [e for e in engine.endpoints.values() if len(e.tasks) == 1]
     [other] = held.tasks.values()
     assert other.job is first
     report = factory.report(ended=[(1, other.name, other.run, "done")])
-    engine.process_report(held, report, 2.0, 2.0)
-    orders = start_all(engine, 2.0)
+    engine.process_report(held, report, 10.0, 10.0)
+    orders = start_all(engine, 10.0)
     assert task.endpoint is held
     assert [order.task for order in orders] == [task]
 
