Hold no endpoint for a suspect that has no room beside its replicas

Replicas do not leave, so an endpoint that was held for a suspect too large to fit beside them was lost to other tasks for as long as the suspect waited. Seen by reading the code and in a test, which failed before.

--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -241,13 +241,15 @@
         processors = self.processors_used + self.orphaned_processors
         return processors + step.processors_milli <= info.processors_milli
 
-    def fits_alone(self, step):
-        """Return whether the endpoint has capacity for a task of ``step`` if idle."""
+    def fits_beside_replicas(self, step):
+        """Return whether a task of ``step`` fits once all but replicas have ended."""
         info = self.info
+        steps = [step, *(task.step for task in self.replica_tasks())]
         return (
-            step.memory_mb <= info.memory_mb
-            and step.accelerators <= info.accelerators
-            and (step.filler or step.processors_milli <= info.processors_milli)
+            sum(s.memory_mb for s in steps) <= info.memory_mb
+            and sum(s.accelerators for s in steps) <= info.accelerators
+            and sum(s.processors_milli for s in steps if not s.filler)
+            <= info.processors_milli
         )
 
     # Clock and lease
--- a/clementinebay/workflow/suspects.py
+++ b/clementinebay/workflow/suspects.py
@@ -138,13 +138,13 @@
 
 
 def is_host(endpoint, task, now):
-    """Return whether ``endpoint`` can run ``task`` once it has no other runs."""
+    """Return whether ``endpoint`` can run ``task`` once all but replicas have ended."""
     label = task.step.required_label
     return (
         endpoint.info.service == task.job.spec.service
         and task.may_run_at(endpoint, now)
         and (not label or label in endpoint.info.labels)
-        and endpoint.fits_alone(task.step)
+        and endpoint.fits_beside_replicas(task.step)
     )
 
 
--- a/tests/workflow/test_suspects.py
+++ b/tests/workflow/test_suspects.py
@@ -217,6 +217,20 @@
     assert [order.task for order in orders] == [task]
 
 
+def test_no_endpoint_is_held_for_a_suspect_that_has_no_room_beside_its_replicas():
+    engine, task = make_engine((Step(count=1, processors_milli=8000),), endpoints=5)
+    start_later = engine.active.pop(task.job.id)
+    steps = (Step(count=5, processors_milli=1000, replica=True, max_per_endpoint=1),)
+    engine.add_job(factory.make_spec("e" * 16, steps), factory.QUEUE, 0.0)
+    start_all(engine, 0.0)
+    engine.active[task.job.id] = start_later
+    make_suspect(engine, task)
+    steps = (Step(count=99, processors_milli=1000),)
+    engine.add_job(factory.make_spec("f" * 16, steps), factory.QUEUE, 0.0)
+    start_all(engine, 1.0)
+    assert all(len(e.tasks) == 8 for e in engine.endpoints.values())
+
+
 def test_suspect_does_not_wait_for_long_if_no_endpoint_becomes_free():
     engine, task = make_engine(endpoints=5)
     start_later = engine.active.pop(task.job.id)
