--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -141,6 +141,11 @@
         """The endpoint's id."""
         return self.info.id
 
+    @property
+    def incarnation(self):
+        """The name of the incarnation, unique among all endpoints."""
+        return f"{self.info.id}/{self.info.born_ms}"
+
     @property
     def domain(self):
         """The endpoint's failure domain."""
@@ -241,6 +246,17 @@
         processors = self.processors_used + self.orphaned_processors
         return processors + step.processors_milli <= info.processors_milli
 
+    def fits_beside_replicas(self, step):
+        """Return whether a task of ``step`` fits once all but replicas have ended."""
+        info = self.info
+        steps = [step, *(task.step for task in self.replica_tasks())]
+        return (
+            sum(s.memory_mb for s in steps) <= info.memory_mb
+            and sum(s.accelerators for s in steps) <= info.accelerators
+            and sum(s.processors_milli for s in steps if not s.filler)
+            <= info.processors_milli
+        )
+
     # Clock and lease
 
     def read_clock(self, clock_ms, received_at):
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -6,6 +6,7 @@
 from clementinebay.policy import dispatch, endpointhealth, pacing
 from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.orders import StartOrder
+from clementinebay.workflow.suspects import Isolation
 
 #: The first run of a term is numbered one above this times the term's number.
 RUNS_PER_TERM = 1000
@@ -64,14 +65,16 @@
     """Place waiting tasks; yield the start order of each."""
     jobs = startable_jobs(engine, now)
     endpoints = available_endpoints(engine, now) if jobs else ()
-    if endpoints:
-        search = Search(endpoints, probes_endpoints(endpoints))
+    isolation = Isolation(engine.suspects, endpoints, now)
+    yield from place_suspects(engine, jobs, isolation, now)
+    if isolation.others:
+        search = Search(isolation.others, probes_endpoints(endpoints))
         yield from generate_pinned_orders(engine, jobs, search, now)
         for job in jobs:
             for number, waiting in enumerate(job.waiting):
                 if waiting:
                     yield from place_step(engine, job, number, search, now)
-    yield from generate_overdue_orders(engine, jobs, now)
+    yield from generate_overdue_orders(engine, jobs, isolation, now)
 
 
 def generate_pinned_orders(engine, jobs, search, now):
@@ -82,7 +85,9 @@
         if job.replica
         for waiting in job.waiting
         for task in waiting
-        if task.step.replica and task.not_before <= now < task.pinned_until
+        if task.step.replica
+        and task.not_before <= now < task.pinned_until
+        and task not in engine.suspects.tasks
     ]
     for task in tasks:
         choice = dispatch.choose(*search.arguments(task, engine.pressure, now))
@@ -91,7 +96,7 @@
             yield order
 
 
-def generate_overdue_orders(engine, jobs, now):
+def generate_overdue_orders(engine, jobs, isolation, now):
     """Place replicas that have waited for too long, whatever the endpoints' health."""
     latest = now - MAX_REPLICA_WAIT_SECONDS
     steps = [
@@ -101,13 +106,34 @@
         for number, waiting in enumerate(job.waiting)
         if job.spec.steps[number].replica and any(t.due_at <= latest for t in waiting)
     ]
-    endpoints = ready_endpoints(engine) if steps else ()
+    endpoints = [
+        endpoint
+        for endpoint in (ready_endpoints(engine) if steps else ())
+        if endpoint not in isolation.kept
+    ]
     if any(e.health.probation or e.health.barred(now) for e in endpoints):
         search = Search(endpoints, probing=False)
         for job, number in steps:
             yield from place_step(engine, job, number, search, now, latest)
 
 
+def place_suspects(engine, jobs, isolation, now):
+    """Place the suspects of ``jobs``; yield the start order of each."""
+    for task, endpoint in isolation.places.items():
+        if task.job in jobs:
+            choice = choose_isolated(engine, task, endpoint, now)
+            order = place(engine, task, choice, now)
+            if order is not None:
+                yield order
+
+
+def choose_isolated(engine, task, endpoint, now):
+    """Return the `Choice` of ``endpoint`` for a suspect."""
+    return dispatch.choose(
+        task, [endpoint], engine.pressure, now, can_wait=False, probing=False
+    )
+
+
 class Search:
     """The search of one plan for endpoints.
 
@@ -192,7 +218,7 @@
     ranking = None
     latest = now if due_by is None else due_by
     for task in list(job.waiting[number]):
-        if task.due_at > latest:
+        if task.due_at > latest or task in engine.suspects.tasks:
             continue
         restricted = task.avoided_endpoints is not None or now < task.pinned_until
         arguments = search.arguments(task, engine.pressure, now)
