Do not take endpoints that were lost before the term for a mass crash

Seen in the test bed: a task crashed six endpoints before it was given up, as the scheduler was killed after the first and the second crash.

Cause: a new term counts the endpoints that it never heard from as lost at its first call to them, so that any crash soon after counted as one of many, and against none.

Change: only endpoints that have reported to this term count.

--- a/clementinebay/workflow/suspects.py
+++ b/clementinebay/workflow/suspects.py
@@ -71,10 +71,12 @@
             for incarnation, time in self.crashed_at.items()
             if time > now - CRASH_MEMORY_SECONDS
         }
-        self.crashed_at[endpoint.incarnation] = at
+        # One that never reported may have been lost long before this term.
+        if endpoint.has_reported:
+            self.crashed_at[endpoint.incarnation] = at
         times = dict(self.crashed_at)
         for other in endpoints:
-            if other.unreachable_since is not None:
+            if other.has_reported and other.unreachable_since is not None:
                 times.setdefault(other.incarnation, other.unreachable_since)
         return crashes.is_mass_crash(at, times.values(), len(endpoints))
 
