Ignore the negative room of shrunk endpoints when tasks move

While an endpoint held more than its reduced capacity, its domain seemed to have less room than it had: tasks that fitted other endpoints of the domain were moved away, and fewer tasks moved there than fitted. Cause: the free capacity of such an endpoint is negative, and the negative number of tasks that fit there was added to those that fit elsewhere.

The number is now 0 at least. Before the change, test_endpoint_that_shrank_below_its_tasks_does_not_hide_room_elsewhere failed: with room for 8 of 10 tasks, 8 were to move instead of 2.

--- a/clementinebay/policy/balance.py
+++ b/clementinebay/policy/balance.py
@@ -75,10 +75,13 @@
 
 
 def max_tasks(capacity, size):
-    """Return how many tasks of ``size`` fit into the capacity of one endpoint."""
+    """Return how many tasks of ``size`` fit into the capacity of one endpoint.
+
+    The free capacity of an endpoint that shrank may be negative.
+    """
     needed = (size.processors_milli, size.memory_mb, size.accelerators)
     free = (capacity.processors, capacity.memory, capacity.accelerators)
-    return min(f // n for f, n in zip(free, needed, strict=True) if n)
+    return max(0, min(f // n for f, n in zip(free, needed, strict=True) if n))
 
 
 def capacity_for_new_tasks(state):
--- a/tests/policy/test_balance.py
+++ b/tests/policy/test_balance.py
@@ -47,6 +47,17 @@
     assert not moves(state, {"b": State(), "c": State()})
 
 
+def test_endpoint_that_shrank_below_its_tasks_does_not_hide_room_elsewhere():
+    state = factory.fleet(1)
+    factory.submit(state, "held", 8)
+    factory.bind_all(state, planner.plan(state, 1.0, 5.0))
+    state.apply(factory.seen("e-000", processors=2000))
+    state.apply(factory.seen("e-001", processors=8000))
+    factory.submit(state, "minutes", 10)
+    [(job, count)] = balance.surplus(state)
+    assert (job.spec.id, count) == ("minutes", 2)
+
+
 def test_target_that_is_out_or_has_waiting_tasks_gets_nothing():
     state = factory.fleet(1)
     factory.submit(state, "minutes", 40)
