Move what counts crashes from the engine to workflow/suspects

No change of behaviour. Pins are looked for among waiting tasks only, which is where they matter, so that the end of an incarnation does not visit every task.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -6,17 +6,16 @@
 """
 
 from clementinebay import metrics
-from clementinebay.policy import crashes, endpointhealth, pacing
+from clementinebay.policy import endpointhealth, pacing
 from clementinebay.policy import progress as progress_policy
 from clementinebay.policy.pressure import Pressure
-from clementinebay.workflow import planning
+from clementinebay.workflow import planning, suspects
 from clementinebay.workflow.fleet import EndpointState, longest_lease
 from clementinebay.workflow.inheritance import InheritedEndpoints
 from clementinebay.workflow.job import Job, JobState, TaskState
 from clementinebay.workflow.model import unlisted_endpoint
 from clementinebay.workflow.orders import PaceOrder, RunEnd
 from clementinebay.workflow.stops import PendingStops
-from clementinebay.workflow.suspects import Suspects
 
 #: Longest time after which an order that was not answered may still be executed, in
 #: seconds.
@@ -57,7 +56,7 @@
         self.urgent = False
         self.late_order_deadlines = {}
         self.stops = PendingStops()
-        self.suspects = Suspects()
+        self.suspects = suspects.Suspects()
         self.pressure = Pressure()
         self.exclusive_until = float("inf")
 
@@ -169,7 +168,7 @@
             runs=len(endpoint.tasks),
             born_ms=info.born_ms,
         )
-        given_up = self.record_crash(endpoint, now)
+        given_up = suspects.count_crash(self, endpoint, now)
         for task in list(endpoint.tasks.values()):
             if may_run_at_successor(task, endpoint):
                 self.mark_unconfirmed(task, now)
@@ -178,7 +177,7 @@
             else:
                 self.lose_run(task, "restarted", now)
         endpoint.restart(info)
-        self.give_up(given_up)
+        suspects.give_up(self, given_up)
 
     def end_incarnation(self, endpoint, now):
         """Release all tasks of an incarnation that has certainly ended.
@@ -193,58 +192,13 @@
         self.log.warning(
             "endpoint.ended", endpoint=endpoint.id, runs=len(endpoint.tasks)
         )
-        given_up = self.record_crash(endpoint, now)
+        given_up = suspects.count_crash(self, endpoint, now)
         for task in list(endpoint.tasks.values()):
             self.lose_run(task, "crashed", now)
         for job in self.active.values():
             job.unpin_tasks(endpoint)
         self.inherited_endpoints.mark_reported(endpoint.id)
-        self.give_up(given_up)
-
-    def record_crash(self, endpoint, now):
-        """Count a crash against the runs at ``endpoint``; return the tasks to give up.
-
-        The caller gives them up once it has released the runs.
-        """
-        counted = self.suspects.record_crash(endpoint, self.endpoints.values(), now)
-        for task, _given_up in counted:
-            self.mark_changed(task.job, urgent=True)
-            incarnations = task.job.crashes[task.name]
-            if crashes.is_suspect(len(incarnations)):
-                self.log.warning(
-                    "task.suspected", task=task.name, crashed=list(incarnations)
-                )
-        return [task for task, given_up in counted if given_up]
-
-    def give_up(self, tasks):
-        """End the jobs of tasks under which too many endpoints have crashed."""
-        for task in tasks:
-            if task.job.ended:
-                continue
-            metrics.TASKS_GIVEN_UP.inc()
-            self.log.warning(
-                "task.given_up",
-                task=task.name,
-                crashed=list(task.job.crashes[task.name]),
-            )
-            self.end_job(task.job, JobState.FAILED, "endpoints-crashed")
-
-    def clear_sound(self, endpoint, rows, sent_at):
-        """Clear the tasks whose runs, reported in ``rows``, have lasted long enough."""
-        for row in rows:
-            task = endpoint.tasks.get(row.task)
-            if task is None or task.run != row.run:
-                continue
-            if task.name in task.job.crashes and crashes.is_sound(
-                sent_at - task.started_at
-            ):
-                self.clear_suspicion(task)
-
-    def clear_suspicion(self, task):
-        """Forget the crashes under a task, which has proved sound."""
-        if task.name in task.job.crashes:
-            self.suspects.clear(task)
-            self.mark_changed(task.job)
+        suspects.give_up(self, given_up)
 
     def unlist_endpoint(self, endpoint_id):
         """Record that an endpoint has left the registry; its leases will expire."""
@@ -349,7 +303,7 @@
         for row in report.running:
             seen.add(row.task)
             self.process_running(endpoint, row, now)
-        self.clear_sound(endpoint, report.running, sent_at)
+        suspects.clear_sound(self, endpoint, report.running, sent_at)
         self.set_orphaned(endpoint, report.running, sent_at)
         if endpoint.info.has_known_capacity:
             self.pressure.observe(endpoint, now)
@@ -400,7 +354,7 @@
             seconds=round(now - task.started_at, 3) if current else None,
         )
         if end.outcome in (RunEnd.DONE, RunEnd.FAILED):
-            self.clear_suspicion(task)
+            suspects.clear(self, task)
         if end.outcome == RunEnd.DONE:
             endpoint.health.succeeded()
             self.process_success(task, current, now)
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -275,9 +275,10 @@
 
     def unpin_tasks(self, endpoint):
         """Record that no start order to ``endpoint`` can be executed late."""
-        for task in self.tasks.values():
-            if task.pinned_endpoint is endpoint:
-                task.pinned_until = 0.0
+        for waiting in self.waiting:
+            for task in waiting:
+                if task.pinned_endpoint is endpoint:
+                    task.pinned_until = 0.0
 
     def finish_task(self, task, now):
         """Record that ``task`` is complete; open the steps that depended on it."""
--- a/clementinebay/workflow/suspects.py
+++ b/clementinebay/workflow/suspects.py
@@ -1,7 +1,8 @@
 """Tasks that are suspected of crashing their endpoints, and where they may run."""
 
+from clementinebay import metrics
 from clementinebay.policy import crashes, dispatch
-from clementinebay.workflow.job import TaskState
+from clementinebay.workflow.job import JobState, TaskState
 
 #: Time for which the moments of crashes are kept, in seconds.  Endpoints that crash
 #: together are known to have crashed only as each of them is back.
@@ -81,6 +82,53 @@
         return crashes.is_mass_crash(at, times.values(), len(endpoints))
 
 
+def count_crash(engine, endpoint, now):
+    """Count a crash against the runs at ``endpoint``; return the tasks to give up.
+
+    The caller passes them to `give_up` once it has released the runs.
+    """
+    counted = engine.suspects.record_crash(endpoint, engine.endpoints.values(), now)
+    for task, _given_up in counted:
+        engine.mark_changed(task.job, urgent=True)
+        incarnations = task.job.crashes[task.name]
+        if crashes.is_suspect(len(incarnations)):
+            engine.log.warning(
+                "task.suspected", task=task.name, crashed=list(incarnations)
+            )
+    return [task for task, given_up in counted if given_up]
+
+
+def give_up(engine, tasks):
+    """End the jobs of tasks under which too many endpoints have crashed."""
+    for task in tasks:
+        if task.job.ended:
+            continue
+        metrics.TASKS_GIVEN_UP.inc()
+        engine.log.warning(
+            "task.given_up",
+            task=task.name,
+            crashed=list(task.job.crashes[task.name]),
+        )
+        engine.end_job(task.job, JobState.FAILED, "endpoints-crashed")
+
+
+def clear_sound(engine, endpoint, rows, sent_at):
+    """Clear the tasks whose runs, reported in ``rows``, have lasted long enough."""
+    for row in rows:
+        task = endpoint.tasks.get(row.task)
+        if task is None or task.run != row.run:
+            continue
+        if crashes.is_sound(sent_at - task.started_at):
+            clear(engine, task)
+
+
+def clear(engine, task):
+    """Forget the crashes under a task, which has proved sound."""
+    if task.name in task.job.crashes:
+        engine.suspects.clear(task)
+        engine.mark_changed(task.job)
+
+
 class Isolation:
     """Endpoints for the suspects of one plan, and for all other tasks.
 
