--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -68,6 +68,20 @@
     return endpoint
 
 
+def start_all(engine, now=0.0):
+    """Plan and confirm all start orders; return them."""
+    orders = engine.plan(now)
+    for order in orders:
+        engine.start_answered(order, now)
+    return orders
+
+
+def report_end(engine, endpoint, order, outcome, number, now):
+    """Report the end of a run."""
+    row = (number, order.task.name, order.run, outcome)
+    engine.process_report(endpoint, report(ended=[row]), now, now)
+
+
 def store(engine):
     """Store the engine's changes; return the records by job id."""
     jobs, ends = engine.drain_changes()
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -15,31 +15,17 @@
 SMALL = Step(count=1, processors_milli=1000, memory_mb=100)
 
 
-def plan_and_confirm(engine, now=0.0):
-    """Plan and confirm all start orders; return them."""
-    orders = engine.plan(now)
-    for order in orders:
-        engine.start_answered(order, now)
-    return orders
-
-
-def report_end(engine, endpoint, order, outcome, number, now):
-    """Report the end of a run."""
-    row = (number, order.task.name, order.run, outcome)
-    engine.process_report(endpoint, factory.report(ended=[row]), now, now)
-
-
 def test_step_starts_after_its_predecessor():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     steps = (SMALL, Step(count=1, processors_milli=1000, after=(0,)))
     job = engine.add_job(factory.make_spec(steps=steps), factory.QUEUE, 0.0)
-    first = plan_and_confirm(engine)
+    first = factory.start_all(engine)
     assert [order.task.name for order in first] == [f"{job.id}.0.0.0"]
-    report_end(engine, endpoint, first[0], "done", 1, 1.0)
-    second = plan_and_confirm(engine, 1.0)
+    factory.report_end(engine, endpoint, first[0], "done", 1, 1.0)
+    second = factory.start_all(engine, 1.0)
     assert [order.task.name for order in second] == [f"{job.id}.0.1.0"]
-    report_end(engine, endpoint, second[0], "done", 2, 2.0)
+    factory.report_end(engine, endpoint, second[0], "done", 2, 2.0)
     assert job.state is JobState.COMPLETED
 
 
@@ -47,8 +33,8 @@
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
-    orders = plan_and_confirm(engine)
-    report_end(engine, endpoint, orders[0], "done", 1, 1.0)
+    orders = factory.start_all(engine)
+    factory.report_end(engine, endpoint, orders[0], "done", 1, 1.0)
     assert endpoint.last_acknowledged_end == 0
     jobs, _ends = engine.drain_changes()
     engine.requeue_changes(jobs)
@@ -61,114 +47,13 @@
     engine = factory.make_engine()
     factory.connect_endpoint(engine, factory.make_info(processors_milli=1000))
     job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    assert len(plan_and_confirm(engine)) == 1
+    assert len(factory.start_all(engine)) == 1
     engine.cancel(job.id)
     other = factory.make_spec(id="f" * 16, steps=(SMALL,))
     engine.add_job(other, factory.QUEUE, 1.0)
     assert engine.plan(1.0) == []
 
 
-def test_capacity_that_shrinks_and_grows_is_in_force_at_once():
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    step = Step(count=16, processors_milli=1000, memory_mb=100)
-    engine.add_job(factory.make_spec(steps=(step,)), factory.QUEUE, 0.0)
-    assert len(engine.plan(0.0, 2)) == 2
-    engine.register_endpoint(factory.make_info(processors_milli=3000), 0.1)
-    assert len(engine.plan(0.1)) == 1
-    engine.register_endpoint(factory.make_info(processors_milli=1000), 0.2)
-    assert engine.plan(0.2) == []
-    assert endpoint.load == 3.0
-    engine.register_endpoint(factory.make_info(processors_milli=4000), 0.3)
-    assert len(engine.plan(0.3)) == 1
-
-
-@pytest.mark.parametrize(
-    ("field", "filler"),
-    [
-        ("processors_milli", False),
-        ("memory_mb", False),
-        ("memory_mb", True),
-        ("accelerators", False),
-        ("accelerators", True),
-    ],
-)
-def test_endpoint_that_shrank_below_its_runs_gets_no_task(field, filler):
-    engine = factory.make_engine()
-    full = {"processors_milli": 4, "memory_mb": 4, "accelerators": 4}
-    factory.connect_endpoint(engine, factory.make_info(**full))
-    run = Step(count=1, processors_milli=2, memory_mb=2, accelerators=2)
-    engine.add_job(factory.make_spec(steps=(run,)), factory.QUEUE, 0.0)
-    assert len(plan_and_confirm(engine)) == 1
-    other = Step(count=1, filler=filler, **{field: 1})
-    engine.add_job(factory.make_spec("f" * 16, (other,)), factory.QUEUE, 0.0)
-    for value in (2, 1, 0):
-        engine.register_endpoint(factory.make_info(**full | {field: value}), 1.0)
-        assert engine.plan(1.0) == [], value
-    engine.register_endpoint(factory.make_info(**full | {field: 3}), 2.0)
-    assert len(engine.plan(2.0)) == 1
-
-
-def test_endpoint_that_shrank_keeps_room_for_runs_that_are_being_stopped():
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    step = Step(count=4, processors_milli=1000)
-    job = engine.add_job(factory.make_spec(steps=(step,)), factory.QUEUE, 0.0)
-    orders = plan_and_confirm(engine)
-    engine.register_endpoint(factory.make_info(processors_milli=4000), 1.0)
-    engine.cancel(job.id)
-    engine.add_job(factory.make_spec("f" * 16, (step,)), factory.QUEUE, 1.0)
-    assert engine.plan(1.0) == []
-    report_end(engine, endpoint, orders[0], "stopped", 1, 1.5)
-    assert len(engine.plan(1.5)) == 1
-
-
-def test_unanswered_start_counts_against_a_capacity_that_shrank_meanwhile():
-    engine = factory.make_engine()
-    factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(0.0)
-    engine.register_endpoint(factory.make_info(processors_milli=1500), 0.1)
-    engine.start_unanswered(order, 0.8)
-    engine.add_job(factory.make_spec("f" * 16, (SMALL,)), factory.QUEUE, 0.8)
-    assert engine.plan(0.8) == []
-
-
-def test_successor_counts_adopted_runs_against_a_capacity_that_shrank():
-    engine = factory.make_engine(term=1)
-    spec = factory.make_spec()
-    engine.add_job(spec, factory.QUEUE, 0.0, inherited=True)
-    running = [(f"{spec.id}.0.0.{index}", 1) for index in range(2)]
-    info = factory.make_info(processors_milli=1500)
-    factory.connect_endpoint(engine, info, running=running)
-    engine.add_job(factory.make_spec("f" * 16, (SMALL,)), factory.QUEUE, 0.0)
-    assert engine.plan(0.0) == []
-    engine.register_endpoint(factory.make_info(processors_milli=3000), 1.0)
-    assert len(engine.plan(1.0)) == 1
-
-
-def test_entry_of_an_earlier_incarnation_does_not_restore_its_capacity():
-    engine = factory.make_engine()
-    factory.connect_endpoint(engine, factory.make_info(born_ms=1))
-    small = factory.make_info(born_ms=2, processors_milli=500)
-    factory.connect_endpoint(engine, small, born_ms=2)
-    engine.register_endpoint(factory.make_info(born_ms=1), 0.1)
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.1)
-    assert engine.plan(0.1) == []
-
-
-def test_fillers_may_wait_once_a_shrunk_service_is_half_reserved():
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
-    assert len(plan_and_confirm(engine)) == 2
-    assert not dispatch.may_wait("s", [endpoint])
-    engine.register_endpoint(factory.make_info(processors_milli=4000), 1.0)
-    assert dispatch.may_wait("s", [endpoint])
-    engine.register_endpoint(factory.make_info(processors_milli=5000), 2.0)
-    assert not dispatch.may_wait("s", [endpoint])
-
-
 def test_capacity_counts_runs_of_ended_jobs_found_by_a_successor():
     engine = factory.make_engine(term=1, inherited_until=10.0)
     spec = factory.make_spec(steps=(SMALL,))
@@ -258,7 +143,7 @@
     row = (order.task.name, order.run)
     if not ended:
         engine.process_report(first, factory.report(running=[row]), 0.2, 0.2)
-    report_end(engine, first, order, "failed", 1, 0.3)
+    factory.report_end(engine, first, order, "failed", 1, 0.3)
     assert dispatch.usable(second, order.task, 0.3)
 
 
@@ -274,7 +159,7 @@
     engine.process_report(first, factory.report(), 0.3, 0.3)
     [again] = engine.plan(0.3)
     engine.start_unanswered(again, 0.4)
-    report_end(engine, first, again, "failed", 1, 0.5)
+    factory.report_end(engine, first, again, "failed", 1, 0.5)
     second = factory.connect_endpoint(engine, factory.make_info("e2"))
     assert not dispatch.usable(second, order.task, 1.0)
 
@@ -404,59 +289,13 @@
     assert engine.plan(late + factory.MAX_LEASE * 1.03 + 2.0)
 
 
-def test_ended_incarnation_releases_its_tasks_and_their_pins():
-    engine = factory.make_engine()
-    first = factory.connect_endpoint(engine, factory.make_info("e1"))
-    job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
-    running, unanswered = engine.plan(0.0)
-    engine.start_answered(running, 0.0)
-    engine.start_unanswered(unanswered, 0.1)
-    second = factory.connect_endpoint(engine, factory.make_info("e2"))
-    engine.end_incarnation(first, 1.0)
-    assert engine.stops.due(1.0, engine.endpoints) == []
-    factory.store(engine)
-    orders = engine.plan(1.0)
-    assert {order.task for order in orders} == set(job.tasks.values())
-    assert {order.endpoint for order in orders} == {second}
-
-
-def test_report_of_an_ended_incarnation_places_no_task():
-    engine = factory.make_engine()
-    first = factory.connect_endpoint(engine, factory.make_info("e1"))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = plan_and_confirm(engine)
-    engine.end_incarnation(first, 1.0)
-    late = factory.report(running=[(order.task.name, order.run)])
-    assert not engine.process_report(first, late, 0.5, 1.1)
-    assert order.task.endpoint is None
-
-
-def test_ended_endpoint_is_used_again_once_it_restarts_and_forgotten_if_it_leaves():
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    engine.end_incarnation(endpoint, 1.0)
-    engine.register_endpoint(factory.make_info(), 1.5)
-    assert engine.plan(1.5) == []
-    engine.register_endpoint(factory.make_info(born_ms=2), 2.0)
-    engine.process_report(endpoint, factory.report(born_ms=2), 2.1, 2.1)
-    assert len(engine.plan(2.2)) == 1
-    other = factory.connect_endpoint(engine, factory.make_info("e2"))
-    engine.end_incarnation(other, 3.0)
-    engine.unlist_endpoint("e2")
-    engine.expire(3.1)
-    assert "e2" in engine.endpoints
-    engine.expire(3.1 + MAX_ORDER_DELAY_SECONDS)
-    assert "e2" not in engine.endpoints
-
-
 def test_stuck_run_is_stopped_and_its_endpoint_is_barred():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     for id in ("e2", "e3"):
         factory.connect_endpoint(engine, factory.make_info(id, service="x"))
     engine.add_job(factory.make_spec(steps=[SMALL]), factory.QUEUE, 0.0)
-    [order] = plan_and_confirm(engine)
+    [order] = factory.start_all(engine)
     row = (order.task.name, order.run, "", 20, 1000)
     engine.process_report(endpoint, factory.report(running=[row]), 0.5, 0.5)
     engine.process_report(endpoint, factory.report(running=[row]), 1.9, 1.9)
@@ -475,11 +314,11 @@
         factory.connect_endpoint(engine, factory.make_info(id, service="x"))
     replica = Step(count=1, processors_milli=1000, replica=True)
     engine.add_job(factory.make_spec("a" * 16, steps=[replica]), factory.QUEUE, 0.0)
-    plan_and_confirm(engine)
+    factory.start_all(engine)
     endpoint.health.bar(0.0)
     engine.add_job(factory.make_spec("b" * 16), factory.QUEUE, 0.0)
     assert engine.plan(0.1) == []
-    orders = plan_and_confirm(engine, endpoint.health.barred_until)
+    orders = factory.start_all(engine, endpoint.health.barred_until)
     assert [order.endpoint for order in orders] == [endpoint]
 
 
@@ -494,7 +333,7 @@
         endpoint.health.bar(0.0)
     steps = [Step(count=6, processors_milli=1000)]
     engine.add_job(factory.make_spec(steps=steps), factory.QUEUE, 0.0)
-    assert len(plan_and_confirm(engine, 5.0)) == 6
+    assert len(factory.start_all(engine, 5.0)) == 6
 
 
 def test_tasks_run_if_all_endpoints_of_their_service_are_barred():
@@ -506,7 +345,7 @@
     for _failure in range(3):
         endpoint.health.bar(0.0)
     assert engine.plan(1.9) == []
-    assert plan_and_confirm(engine, 3.0)
+    assert factory.start_all(engine, 3.0)
 
 
 def test_replica_pinned_to_an_endpoint_gets_its_room_before_other_replicas():
@@ -522,7 +361,7 @@
     assert pinned.task.endpoint is None
     factory.connect_endpoint(engine, factory.make_info("e2"))
     engine.add_job(factory.make_spec("b" * 16, steps=[step]), factory.QUEUE, 0.5)
-    orders = plan_and_confirm(engine, 2.1)
+    orders = factory.start_all(engine, 2.1)
     assert [(order.task.job.id[0], order.endpoint.id) for order in orders] == [
         ("a", "e1"),
         ("b", "e2"),
@@ -554,13 +393,13 @@
         factory.connect_endpoint(engine, info)
     endpoint.health.bar(0.0)
     engine.add_job(factory.make_spec("a" * 16, steps=[SMALL]), factory.QUEUE, 2.0)
-    [probe] = plan_and_confirm(engine, 2.0)
+    [probe] = factory.start_all(engine, 2.0)
     step = Step(count=1, processors_milli=1000, replica=True)
     spec = factory.make_spec("b" * 16, steps=[step])
     job = engine.add_job(spec, factory.QUEUE, 3.0)
     job.task(0, 0).not_before = 3.0
     assert engine.plan(4.9) == []
-    [order] = plan_and_confirm(engine, 5.0)
+    [order] = factory.start_all(engine, 5.0)
     assert order.endpoint is probe.endpoint is endpoint
 
 
@@ -568,7 +407,7 @@
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    plan_and_confirm(engine)
+    factory.start_all(engine)
     endpoint.grant(0.0, 5.0)
     engine.unlist_endpoint("e1")
     engine.expire(5.0)
@@ -582,7 +421,7 @@
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = plan_and_confirm(engine)
+    [order] = factory.start_all(engine)
     engine.unlist_endpoint("e1")
     engine.expire(20.0)
     assert "e1" not in engine.endpoints
@@ -596,9 +435,9 @@
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    order = plan_and_confirm(engine)[0]
-    report_end(engine, endpoint, order, "done", 1, 1.0)
-    report_end(engine, endpoint, order, "done", 1, 2.0)
+    order = factory.start_all(engine)[0]
+    factory.report_end(engine, endpoint, order, "done", 1, 1.0)
+    factory.report_end(engine, endpoint, order, "done", 1, 2.0)
     assert job.remaining == [0]
 
 
@@ -612,7 +451,7 @@
     first = factory.connect_endpoint(engine, factory.make_info("e1"))
     spec = factory.make_spec(steps=[Step(count=1, processors_milli=6000)])
     engine.add_job(spec, factory.QUEUE, 0.0)
-    [order] = plan_and_confirm(engine)
+    [order] = factory.start_all(engine)
     row = (order.task.name, order.run, "done")
     engine.lose_run(order.task, "lapsed", 1.0)
     first.unreachable_since = 1.0
@@ -623,7 +462,7 @@
 def test_redundant_run_keeps_its_resources_until_it_has_ended():
     """A report sent before the stop was executed may still list the run."""
     engine, first, second, spec, row = lose_first_run()
-    [again] = plan_and_confirm(engine, 1.0)
+    [again] = factory.start_all(engine, 1.0)
     assert again.endpoint is second
     engine.process_report(first, factory.report(ended=[(1, *row)]), 2.0, 2.0)
     assert not second.fits(spec.steps[0])
@@ -656,12 +495,12 @@
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     spec = factory.make_spec(steps=(SMALL,), attempts=2)
     job = engine.add_job(spec, factory.QUEUE, 0.0)
-    order = plan_and_confirm(engine)[0]
-    report_end(engine, endpoint, order, "failed", 1, 1.0)
+    order = factory.start_all(engine)[0]
+    factory.report_end(engine, endpoint, order, "failed", 1, 1.0)
     assert not job.record_failure(order.task, order.run)
     assert job.state is JobState.QUEUED
-    second = plan_and_confirm(engine, 10.0)[0]
-    report_end(engine, endpoint, second, "failed", 2, 11.0)
+    second = factory.start_all(engine, 10.0)[0]
+    factory.report_end(engine, endpoint, second, "failed", 2, 11.0)
     assert job.state is JobState.FAILED
 
 
@@ -673,8 +512,8 @@
     for number in range(1, 6):
         now = 10.0 * number
         endpoint.health.barred_until = 0.0
-        order = plan_and_confirm(engine, now)[0]
-        report_end(engine, endpoint, order, "failed", number, now + 1)
+        order = factory.start_all(engine, now)[0]
+        factory.report_end(engine, endpoint, order, "failed", number, now + 1)
     assert not job.ended
 
 
@@ -682,13 +521,13 @@
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
-    orders = plan_and_confirm(engine)
+    orders = factory.start_all(engine)
     engine.cancel(job.id)
     assert {order.task for order in engine.stops.due(0.5, engine.endpoints)} == {
         order.task.name for order in orders
     }
     for number, order in enumerate(orders, 1):
-        report_end(engine, endpoint, order, "done", number, 1.0)
+        factory.report_end(engine, endpoint, order, "done", number, 1.0)
     assert job.state is JobState.CANCELLED
     assert engine.plan(2.0) == []
 
@@ -701,8 +540,8 @@
     endpoint = factory.connect_endpoint(first, factory.make_info())
     spec = factory.make_spec()
     first.add_job(spec, factory.QUEUE, 0.0)
-    orders = plan_and_confirm(first)
-    report_end(first, endpoint, orders[0], "done", 1, 1.0)
+    orders = factory.start_all(first)
+    factory.report_end(first, endpoint, orders[0], "done", 1, 1.0)
     progress = factory.reload(factory.store(first)[spec.id])
 
     second = factory.make_engine(term=1, inherited_until=20.0)
@@ -804,16 +643,16 @@
     first = factory.connect_endpoint(engine, factory.make_info("e1"))
     second = factory.connect_endpoint(engine, factory.make_info("e2"))
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = plan_and_confirm(engine)
+    [order] = factory.start_all(engine)
     first, second = (first, second) if order.endpoint is first else (second, first)
     engine.lose_run(order.task, "lapsed", 1.0)
     first.unreachable_since = 1.0
-    [again] = plan_and_confirm(engine, 1.0)
+    [again] = factory.start_all(engine, 1.0)
     engine.lose_run(again.task, "lapsed", 1.0)
     row = (order.task.name, order.run)
     engine.process_report(first, factory.report(running=[row]), 2.0, 2.0)
     assert order.task.endpoint is first
-    report_end(engine, first, order, "failed", 1, 3.0)
+    factory.report_end(engine, first, order, "failed", 1, 3.0)
     [last] = engine.plan(10.0)
     assert last.run > again.run
 
@@ -874,7 +713,7 @@
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = plan_and_confirm(engine)
+    [order] = factory.start_all(engine)
     endpoint.grant(0.0, 5.0)
     engine.exclusive_until = 2.0
     engine.expire(20.0)
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinebay.workflow.engine import MAX_ORDER_DELAY_SECONDS
 from clementinebay.workflow.model import Step, unlisted_endpoint
 from tests.workflow import factory, virtualtime
 from tests.workflow.testbed import ENTRY_SECONDS, TestBed
@@ -24,6 +25,55 @@
     await bed.run(0.6)
 
 
+# Incarnations that have ended
+
+
+def test_ended_incarnation_releases_its_tasks_and_their_pins():
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    job = engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    running, unanswered = engine.plan(0.0)
+    engine.start_answered(running, 0.0)
+    engine.start_unanswered(unanswered, 0.1)
+    second = factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.end_incarnation(first, 1.0)
+    assert engine.stops.due(1.0, engine.endpoints) == []
+    factory.store(engine)
+    orders = engine.plan(1.0)
+    assert {order.task for order in orders} == set(job.tasks.values())
+    assert {order.endpoint for order in orders} == {second}
+
+
+def test_report_of_an_ended_incarnation_places_no_task():
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = factory.start_all(engine)
+    engine.end_incarnation(first, 1.0)
+    late = factory.report(running=[(order.task.name, order.run)])
+    assert not engine.process_report(first, late, 0.5, 1.1)
+    assert order.task.endpoint is None
+
+
+def test_ended_endpoint_is_used_again_once_it_restarts_and_forgotten_if_it_leaves():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    engine.end_incarnation(endpoint, 1.0)
+    engine.register_endpoint(factory.make_info(), 1.5)
+    assert engine.plan(1.5) == []
+    engine.register_endpoint(factory.make_info(born_ms=2), 2.0)
+    engine.process_report(endpoint, factory.report(born_ms=2), 2.1, 2.1)
+    assert len(engine.plan(2.2)) == 1
+    other = factory.connect_endpoint(engine, factory.make_info("e2"))
+    engine.end_incarnation(other, 3.0)
+    engine.unlist_endpoint("e2")
+    engine.expire(3.1)
+    assert "e2" in engine.endpoints
+    engine.expire(3.1 + MAX_ORDER_DELAY_SECONDS)
+    assert "e2" not in engine.endpoints
+
+
 # Endpoints of an earlier term that are not listed
 
 
--- a/tests/workflow/test_suspects.py
+++ b/tests/workflow/test_suspects.py
@@ -26,14 +26,6 @@
     return engine, job.task(0, 0)
 
 
-def start_all(engine, now):
-    """Plan and confirm all start orders; return them."""
-    orders = engine.plan(now)
-    for order in orders:
-        engine.start_answered(order, now)
-    return orders
-
-
 def crash(engine, task, now, successor):
     """Crash the endpoint of a task at ``now``; it is back as ``successor`` later."""
     endpoint = task.endpoint
@@ -47,7 +39,7 @@
     for number in range(times):
         now = 10.0 * number
         factory.store(engine)
-        assert [order.task for order in start_all(engine, now)] == [task]
+        assert [order.task for order in factory.start_all(engine, now)] == [task]
         crash(engine, task, now + 0.01, f"s{number}")
 
 
@@ -69,7 +61,7 @@
     engine, task = make_engine()
     for born_ms in (2, 3, 4):
         factory.store(engine)
-        start_all(engine, born_ms)
+        factory.start_all(engine, born_ms)
         info = factory.make_info("e0", born_ms=born_ms)
         engine.register_endpoint(info, born_ms + 0.1)
         factory.connect_endpoint(engine, info, born_ms + 0.2, born_ms=born_ms)
@@ -78,7 +70,7 @@
 
 def test_one_crash_counts_once():
     engine, task = make_engine()
-    start_all(engine, 0.0)
+    factory.start_all(engine, 0.0)
     endpoint = task.endpoint
     crash(engine, task, 0.01, "s0")
     engine.end_incarnation(endpoint, 4.0)
@@ -99,7 +91,7 @@
 @pytest.mark.parametrize("end", [lapse, leave])
 def test_end_of_an_endpoint_that_is_no_proven_crash_is_not_counted(end):
     engine, task = make_engine()
-    [order] = start_all(engine, 0.0)
+    [order] = factory.start_all(engine, 0.0)
     end(engine, order.endpoint)
     assert task.endpoint is None
     assert not task.job.crashes
@@ -107,7 +99,7 @@
 
 def test_run_that_has_lasted_is_not_counted_for_a_crash():
     engine, task = make_engine()
-    start_all(engine, 0.0)
+    factory.start_all(engine, 0.0)
     crash(engine, task, crashes.SOUND_SECONDS, "s0")
     assert not task.job.crashes
 
@@ -117,7 +109,7 @@
     engine, task = make_engine(steps)
     crash_alone(engine, task, 2)
     factory.store(engine)
-    [order] = start_all(engine, 20.0)
+    [order] = factory.start_all(engine, 20.0)
     row = (task.name, order.run)
     report = factory.report(running=[row])
     engine.process_report(order.endpoint, report, 22.0, 22.0)
@@ -132,7 +124,7 @@
     engine, task = make_engine()
     crash_alone(engine, task, 1)
     factory.store(engine)
-    [order] = start_all(engine, 20.0)
+    [order] = factory.start_all(engine, 20.0)
     report = factory.report(ended=[(1, task.name, order.run, outcome)])
     engine.process_report(order.endpoint, report, 20.1, 20.1)
     assert not task.job.crashes
@@ -147,7 +139,7 @@
     successor = factory.make_engine(1)
     factory.connect_endpoint(successor, factory.make_info("s1"))
     job = successor.add_job(task.job.spec, factory.QUEUE, 20.0, progress)
-    [order] = start_all(successor, 20.0)
+    [order] = factory.start_all(successor, 20.0)
     crash(successor, order.task, 20.01, "s2")
     assert job.state is JobState.FAILED
 
@@ -165,7 +157,7 @@
     engine, task = make_engine()
     crash_alone(engine, task, 1)
     factory.store(engine)
-    start_all(engine, 10.0)
+    factory.start_all(engine, 10.0)
     engine.mark_changed(task.job)
     jobs, _ends = engine.drain_changes()
     records = [(job, job.progress()) for job in jobs]
@@ -190,10 +182,11 @@
         factory.QUEUE,
         0.0,
     )
-    orders = start_all(engine, 0.0)
+    orders = factory.start_all(engine, 0.0)
     assert len(orders) == 31
     assert list(task.endpoint.tasks) == [task.name]
-    assert not [o for o in start_all(engine, 0.1) if o.endpoint is task.endpoint]
+    later = factory.start_all(engine, 0.1)
+    assert not [order for order in later if order.endpoint is task.endpoint]
 
 
 @pytest.mark.parametrize("now", [1.0, 9.0])
@@ -204,18 +197,18 @@
     steps = (Step(count=5, processors_milli=1000, max_per_endpoint=1),)
     first = engine.add_job(factory.make_spec("e" * 16, steps), factory.QUEUE, 0.0)
     start = engine.active.pop(task.job.id)
-    start_all(engine, 0.0)
+    factory.start_all(engine, 0.0)
     engine.active[task.job.id] = start
     make_suspect(engine, task)
     steps = (Step(count=99, processors_milli=1000),)
     engine.add_job(factory.make_spec("f" * 16, steps), factory.QUEUE, 0.0)
-    start_all(engine, now)
+    factory.start_all(engine, now)
     [held] = [e for e in engine.endpoints.values() if len(e.tasks) == 1]
     [other] = held.tasks.values()
     assert other.job is first
     report = factory.report(ended=[(1, other.name, other.run, "done")])
     engine.process_report(held, report, 10.0, 10.0)
-    orders = start_all(engine, 10.0)
+    orders = factory.start_all(engine, 10.0)
     assert task.endpoint is held
     assert [order.task for order in orders] == [task]
 
@@ -225,12 +218,12 @@
     start_later = engine.active.pop(task.job.id)
     steps = (Step(count=5, processors_milli=1000, replica=True, max_per_endpoint=1),)
     engine.add_job(factory.make_spec("e" * 16, steps), factory.QUEUE, 0.0)
-    start_all(engine, 0.0)
+    factory.start_all(engine, 0.0)
     engine.active[task.job.id] = start_later
     make_suspect(engine, task)
     steps = (Step(count=99, processors_milli=1000),)
     engine.add_job(factory.make_spec("f" * 16, steps), factory.QUEUE, 0.0)
-    start_all(engine, 1.0)
+    factory.start_all(engine, 1.0)
     assert all(len(e.tasks) == 8 for e in engine.endpoints.values())
 
 
@@ -239,7 +232,7 @@
     start_later = engine.active.pop(task.job.id)
     steps = (Step(count=5, processors_milli=1000, replica=True, max_per_endpoint=1),)
     engine.add_job(factory.make_spec("e" * 16, steps), factory.QUEUE, 0.0)
-    start_all(engine, 0.0)
+    factory.start_all(engine, 0.0)
     engine.active[task.job.id] = start_later
     make_suspect(engine, task)
     wait = crashes.MAX_ISOLATION_WAIT_SECONDS
@@ -249,16 +242,16 @@
 
 def test_last_start_before_a_crash_is_suspected_first():
     engine, task = make_engine(endpoints=1)
-    start_all(engine, 0.0)
+    factory.start_all(engine, 0.0)
     spec = factory.make_spec("f" * 16, steps=ONE_TASK)
     other = engine.add_job(spec, factory.QUEUE, 1.0).task(0, 0)
-    start_all(engine, 1.0)
+    factory.start_all(engine, 1.0)
     for number in range(1, 5):
         factory.connect_endpoint(engine, factory.make_info(f"e{number}"))
     crash(engine, task, 1.01, "s0")
     assert set(engine.suspects.tasks) == {other}
     factory.store(engine)
-    start_all(engine, 5.0)
+    factory.start_all(engine, 5.0)
     assert list(other.endpoint.tasks) == [other.name]
 
 
@@ -267,7 +260,7 @@
     for round_number in range(5):
         now = 10.0 * round_number
         factory.store(engine)
-        orders = start_all(engine, now)
+        orders = factory.start_all(engine, now)
         assert len(orders) == 8
         crashed = [order.endpoint for order in orders]
         for endpoint in crashed:
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -4,8 +4,7 @@
 endpoints unlisted, resized, restarted or replaced by other incarnations at their
 addresses.  The monitor checks runs at the endpoints themselves: no task runs twice,
 none is started without room, and none waits without cause once the disturbances are
-over.  Late orders to a restarted endpoint are
-left to `tests.workflow.model`.
+over.  Late orders to a restarted endpoint are left to `tests.workflow.model`.
 """
 
 import asyncio
@@ -16,23 +15,22 @@
 
 import msgspec
 
-from clementinebay import errors
-from clementinebay.services.term import RENEW_SHARE, TTL_SECONDS
 from clementinebay.store.base import Put
-from clementinebay.store.keyspace import KeySpace, MemoryStore
+from clementinebay.store.keyspace import KeySpace
 from clementinebay.workflow import jobstore
-from clementinebay.workflow.boundary import Boundary, EndpointDriver
 from clementinebay.workflow.job import JobState
 from clementinebay.workflow.model import QueueTable
-from clementinebay.workflow.schedule import Scheduler
 from tests.workflow import factory
+from tests.workflow.beddaemon import (
+    CALL_SECONDS,
+    POLL_SECONDS,
+    PREFIX,
+    BedBoundary,
+    Daemon,
+)
 from tests.workflow.model import CAPACITY, MAX_DELAY_SECONDS, ModelEndpoint
 from tests.workflow.virtualtime import LoopClock
 
-PREFIX = "servers/"
-CALL_SECONDS = 0.01
-ORDER_TIMEOUT_SECONDS = 0.8
-POLL_SECONDS = 0.05
 #: Time in which the scheduler learns of a change in the registry: an interval between
 #: polls, a round trip, and a start order that was sent before, in seconds.
 REGISTRY_SECONDS = POLL_SECONDS + 4 * CALL_SECONDS
@@ -50,207 +48,6 @@
 REPLACEMENT_SECONDS = 3.2
 
 
-class FaultyStore(MemoryStore):
-    """One daemon's access to the store; ``away`` and ``lossy`` are its faults.
-
-    A ``lossy`` store loses half of the answers to writes, before or after their effect.
-    """
-
-    def __init__(self, bed):
-        super().__init__(bed.space)
-        self.bed = bed
-        self.away = False
-        self.lossy = False
-
-    async def pass_link(self):
-        """Wait for the round trip; raise an error if the store is away."""
-        await asyncio.sleep(CALL_SECONDS)
-        if self.away:
-            raise errors.PlatformUnavailableError("away")
-
-    async def get(self, key):
-        """See `KeyValueStore`."""
-        await self.pass_link()
-        return self.space.get(key)
-
-    async def scan(self, start, end, limit=0):
-        """See `KeyValueStore`."""
-        await self.pass_link()
-        return self.space.range(start, end, limit), self.space.revision
-
-    async def commit(self, compares, puts=(), deletes=()):
-        """See `KeyValueStore`."""
-        await self.pass_link()
-        is_lost = self.lossy and self.bed.random.random() < 0.5
-        if is_lost and self.bed.random.random() < 0.5:
-            raise errors.PlatformOutcomeUnknownError("lost before its effect")
-        revision = self.space.commit(compares, puts, deletes)
-        if is_lost:
-            raise errors.PlatformOutcomeUnknownError("lost after its effect")
-        return revision
-
-    async def keep_alive(self, lease):
-        """See `KeyValueStore`."""
-        await self.pass_link()
-        return self.space.keep_alive(lease)
-
-    async def watch(self, start, end, revision):
-        """See `KeyValueStore`."""
-        while True:
-            await self.pass_link()
-            entries = self.space.changes(start, end, revision)
-            revision = self.space.revision
-            if entries:
-                yield entries, revision
-            await asyncio.sleep(POLL_SECONDS)
-
-
-class Driver(EndpointDriver):
-    """Sends orders to the bed's endpoints, over links that may be cut."""
-
-    def __init__(self, bed):
-        self.bed = bed
-
-    async def call(self, endpoint, action, *args):
-        """Execute an order after a round trip; raise the error of a cut link."""
-        model = self.bed.by_id[endpoint.id]
-        await asyncio.sleep(CALL_SECONDS)
-        occupant = self.bed.occupants[endpoint.info.address]
-        how = self.bed.cuts.get(occupant.id)
-        if how is None and not occupant.up:
-            how = occupant.down_as
-        if how is None and occupant is not model:
-            reason = errors.OrderRefusedError.OTHER_INCARNATION
-            raise errors.OrderRefusedError(model.id, reason)
-        if how == "refused":
-            raise errors.CallNotSentError(model.id, "refused")
-        if how == "reset":
-            if occupant is model:
-                self.bed.execute_late(model, action, args)
-            raise errors.CallUnansweredError(model.id, "/", "reset")
-        if how == "silent":
-            await asyncio.sleep(ORDER_TIMEOUT_SECONDS)
-            raise errors.CallUnansweredError(model.id, "/", "timeout")
-        fence = args[-1]
-        if fence < model.fence:
-            reason = errors.OrderRefusedError.FENCED
-            raise errors.OrderRefusedError(model.id, reason)
-        result = action(self.bed.now(), *args)
-        await asyncio.sleep(CALL_SECONDS)
-        if model.id in self.bed.cuts or not model.up:
-            raise errors.CallUnansweredError(model.id, "/", "reset")
-        return result
-
-    async def start(self, order, deadline_ms, fence):
-        """See `EndpointDriver`."""
-        model = self.bed.by_id[order.endpoint.id]
-        task = order.task
-        args = (task.name, order.run, task.step, deadline_ms, fence)
-        if not await self.call(order.endpoint, model.start, *args):
-            reason = errors.OrderRefusedError.SUPERSEDED
-            raise errors.OrderRefusedError(model.id, reason)
-
-    async def stop(self, order, fence):
-        """See `EndpointDriver`."""
-        model = self.bed.by_id[order.endpoint.id]
-        await self.call(order.endpoint, model.stop, order.task, order.run, fence)
-
-    async def pace(self, order, fence):
-        """See `EndpointDriver`."""
-
-    async def report(self, endpoint, deadline_ms, acknowledged, wait, fence):
-        """See `EndpointDriver`."""
-        model = self.bed.by_id[endpoint.id]
-        args = (deadline_ms, acknowledged, fence)
-        report = await self.call(endpoint, model.report, *args)
-        until = self.bed.now() + wait
-        while self.bed.now() < until and not report.ended:
-            await asyncio.sleep(POLL_SECONDS)
-            report = await self.call(endpoint, model.report, None, acknowledged, fence)
-        return report
-
-
-class BedBoundary(Boundary):
-    """Decodes the bed's registry entries."""
-
-    endpoint_prefix = PREFIX
-
-    def __init__(self, bed):
-        self.driver = Driver(bed)
-
-    def decode_endpoint(self, key, value):
-        """See `Boundary`."""
-        fields = json.loads(value)
-        if not fields:
-            raise errors.EntryInvalidError(key, "no fields")
-        return factory.make_info(key[len(PREFIX) :], **fields)
-
-    def decode_operator_item(self, key, value):
-        """See `Boundary`."""
-
-
-class Daemon:
-    """A daemon that becomes the scheduler whenever there is none."""
-
-    def __init__(self, bed, name):
-        self.bed = bed
-        self.name = name
-        self.store = FaultyStore(bed)
-        self.scheduler = None
-        self.process = asyncio.create_task(self.serve())
-
-    async def serve(self):
-        """Stand for election and schedule, until killed."""
-        while True:
-            with contextlib.suppress(errors.NotLeaderError, errors.PlatformError):
-                await self.run_term()
-            self.scheduler = None
-            await asyncio.sleep(0.1)
-
-    async def run_term(self):
-        """Acquire the term and schedule until it ends."""
-        token = f"{self.name}-{self.bed.now()}"
-        requested_at = self.bed.now()
-        writer, lease = await jobstore.acquire_term(
-            self.store, self.name, "", token, TTL_SECONDS
-        )
-        self.scheduler = Scheduler(
-            self.bed.deployment,
-            self.bed.queues,
-            writer,
-            TTL_SECONDS,
-            self.bed.clock,
-            factory.quiet_log(),
-        )
-        self.scheduler.engine.wall_clock = self.bed.clock
-        self.scheduler.confirm(requested_at)
-        try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self.scheduler.run())
-                group.create_task(self.renew(lease))
-        except* (errors.NotLeaderError, errors.PlatformError):
-            pass
-        except* Exception as failures:
-            self.bed.failures += failures.exceptions
-
-    async def renew(self, lease):
-        """Renew the term's lease until it is lost."""
-        while True:
-            await asyncio.sleep(TTL_SECONDS * RENEW_SHARE)
-            requested_at = self.bed.now()
-            with contextlib.suppress(errors.PlatformError):
-                if not await self.store.keep_alive(lease):
-                    raise errors.NotLeaderError(jobstore.HOLDER)
-                self.scheduler.confirm(requested_at)
-
-    async def kill(self):
-        """Kill the daemon and start it again."""
-        self.process.cancel()
-        await asyncio.wait([self.process])
-        self.scheduler = None
-        self.process = asyncio.create_task(self.serve())
-
-
 class TestBed:
     """Endpoints, a store and daemons; use it with ``async with``.
 
