Take a later entry at an address as the end of the earlier incarnation

Cause: only the refusal of an order counted as proof, though the registry had it as well: one incarnation at a time answers at an address.

Change: if two incarnations are listed at one address, the one that started earlier has ended. Endpoints of the tests have addresses of their own now.

Both new tests failed before.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -38,6 +38,7 @@
     until this time is extended, because a successor would not expect runs of the job.
     ``wall_clock`` is a `Clock` of the time of day.  ``changed`` holds the jobs whose
     progress must be stored; ``urgent`` is true if that write must not be delayed.
+    ``occupants`` has the newest incarnation at each address.
     ``late_order_deadlines`` maps the names of tasks with an unanswered start order to
     the time until which the order may still be executed.
     """
@@ -51,6 +52,7 @@
         self.jobs = {}
         self.active = {}
         self.endpoints = {}
+        self.occupants = {}
         self.disabled_domains = frozenset()
         self.changed = {}
         self.urgent = False
@@ -140,8 +142,21 @@
             endpoint.info = info
             endpoint.has_valid_entry = True
         endpoint.listed = True
+        self.end_earlier_occupant(endpoint, now)
         return endpoint
 
+    def end_earlier_occupant(self, endpoint, now):
+        """End the earlier of two incarnations that were listed at one address."""
+        address = endpoint.info.address
+        other = self.occupants.setdefault(address, endpoint)
+        if other is endpoint or other.info.address != address:
+            self.occupants[address] = endpoint
+            return
+        earlier, later = sorted((other, endpoint), key=lambda e: e.info.born_ms)
+        if earlier.info.born_ms < later.info.born_ms:
+            self.occupants[address] = later
+            self.end_incarnation(earlier, now)
+
     def await_endpoint(self, info, now):
         """Add an endpoint of an earlier term that is not listed; return its state.
 
@@ -239,6 +254,8 @@
         awaited = self.inherited_endpoints.expects(endpoint.id)
         if not awaited and now >= endpoint.kept_until:
             del self.endpoints[endpoint.id]
+            if self.occupants.get(endpoint.info.address) is endpoint:
+                del self.occupants[endpoint.info.address]
             self.log.info("endpoint.forgotten", endpoint=endpoint.id)
 
     def expire_unconfirmed(self, endpoint, now):
--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -27,7 +27,7 @@
     fields = {
         "born_ms": 1,
         "service": "s",
-        "address": "127.0.0.1:1",
+        "address": f"{id}:1",
         "failure_domain": "a",
         "leaving": False,
         "cold_ms": 0,
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -74,6 +74,26 @@
     assert "e2" not in engine.endpoints
 
 
+def test_entry_of_a_later_incarnation_at_the_address_ends_the_earlier_one():
+    """The later one may crash again before it is asked."""
+    engine = factory.make_engine()
+    first = factory.connect_endpoint(engine, factory.make_info("e1", address="h:1"))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = factory.start_all(engine)
+    later = factory.make_info("e2", address="h:1", born_ms=2)
+    engine.register_endpoint(later, 3.0)
+    assert first.has_ended
+    assert order.task.endpoint is None
+
+
+def test_late_entry_of_an_earlier_incarnation_does_not_end_the_later_one():
+    engine = factory.make_engine()
+    later = factory.make_info("e2", address="h:1", born_ms=2)
+    second = factory.connect_endpoint(engine, later, born_ms=2)
+    first = engine.register_endpoint(factory.make_info("e1", address="h:1"), 1.0)
+    assert (first.has_ended, second.has_ended) == (True, False)
+
+
 # Endpoints of an earlier term that are not listed
 
 
--- a/tests/workflow/test_sending.py
+++ b/tests/workflow/test_sending.py
@@ -61,7 +61,7 @@
 
 @pytest.mark.parametrize(
     ("changes", "has_ended"),
-    [({}, True), ({"born_ms": 2}, False), ({"address": "127.0.0.1:2"}, False)],
+    [({}, True), ({"born_ms": 2}, False), ({"address": "e1:2"}, False)],
 )
 async def test_refusal_at_an_earlier_address_does_not_end_a_newer_incarnation(
     changes, has_ended
