Count the crash of a suspect's endpoint in advance

Seen in logs of deadly with the scheduler killed: the crash that was under way was never counted, since a successor cannot know of a run that its predecessor has lost; the task got one more start for each scheduler.

Change: as a suspect is started, the crash of its endpoint is counted and stored; it is discounted if the run ends without a crash, and with all others if the run ends well or lasts.

The three tests of the count failed before (no such record). The tests with killed schedulers on the bed kept their limits before, too.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -286,6 +286,7 @@
         """Remove a task from its endpoint once its run has ended or cannot start."""
         self.late_order_deadlines.pop(task.name, None)
         self.stops.drop(task.endpoint, task.name, task.run)
+        suspects.withdraw_presumed(self, task)
         task.unplace(now)
 
     # Reports of endpoints
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -4,9 +4,9 @@
 
 from clementinebay import metrics
 from clementinebay.policy import dispatch, endpointhealth, pacing
+from clementinebay.workflow import suspects
 from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.orders import StartOrder
-from clementinebay.workflow.suspects import Isolation
 
 #: The first run of a term is numbered one above this times the term's number.
 RUNS_PER_TERM = 1000
@@ -65,7 +65,7 @@
     """Place waiting tasks; yield the start order of each."""
     jobs = startable_jobs(engine, now)
     endpoints = available_endpoints(engine, now) if jobs else ()
-    isolation = Isolation(engine.suspects, endpoints, now)
+    isolation = suspects.Isolation(engine.suspects, endpoints, now)
     yield from place_suspects(engine, jobs, isolation, now)
     if isolation.others:
         search = Search(isolation.others, probes_endpoints(endpoints))
@@ -124,6 +124,7 @@
             choice = choose_isolated(engine, task, endpoint, now)
             order = place(engine, task, choice, now)
             if order is not None:
+                suspects.presume_crash(engine, task)
                 yield order
 
 
--- a/clementinebay/workflow/suspects.py
+++ b/clementinebay/workflow/suspects.py
@@ -12,14 +12,17 @@
 class Suspects:
     """The suspects among the tasks of one term.
 
-    ``tasks`` has the tasks that are to run alone.  ``crashed_at`` has the times of
-    recent crashes by incarnation.
+    ``tasks`` has the tasks that are to run alone.  ``presumed`` maps those that run to
+    their incarnation, whose crash is counted in advance: a successor cannot know of a
+    run that this scheduler has lost.  ``crashed_at`` has the times of recent crashes by
+    incarnation.
     """
 
-    __slots__ = ("tasks", "crashed_at")
+    __slots__ = ("tasks", "presumed", "crashed_at")
 
     def __init__(self):
         self.tasks = {}
+        self.presumed = {}
         self.crashed_at = {}
 
     def restore(self, job):
@@ -32,11 +35,13 @@
         """Forget the crashes under a task that has proved sound."""
         task.job.crashes.pop(task.name, None)
         self.tasks.pop(task, None)
+        self.presumed.pop(task, None)
 
     def forget_job(self, job):
         """Forget the tasks of an ended job."""
         for task in job.tasks.values():
             self.tasks.pop(task, None)
+            self.presumed.pop(task, None)
 
     def record_crash(self, endpoint, endpoints, now):
         """Count the crash of ``endpoint`` against its runs; return their tasks.
@@ -60,6 +65,7 @@
         counted = []
         for task in recent:
             count = task.job.record_crash(task, endpoint.incarnation)
+            self.presumed.pop(task, None)
             if task is last or crashes.is_suspect(count):
                 self.tasks[task] = None
             counted.append((task, crashes.is_given_up(count, alone)))
@@ -98,6 +104,22 @@
     return [task for task, given_up in counted if given_up]
 
 
+def presume_crash(engine, task):
+    """Count the crash of the endpoint of a suspect that is being started."""
+    incarnation = task.endpoint.incarnation
+    engine.suspects.presumed[task] = incarnation
+    task.job.record_crash(task, incarnation)
+    engine.mark_changed(task.job, urgent=True)
+
+
+def withdraw_presumed(engine, task):
+    """Discount the presumed crash under a task whose run is over without one."""
+    incarnation = engine.suspects.presumed.pop(task, None)
+    if incarnation is not None:
+        task.job.crashes[task.name].remove(incarnation)
+        engine.mark_changed(task.job)
+
+
 def give_up(engine, tasks):
     """End the jobs of tasks under which too many endpoints have crashed."""
     for task in tasks:
