--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -42,7 +42,7 @@
     task.  ``failures`` maps the name of a task to its failed runs.  ``domains`` are all
     failure domains in which tasks may have been started.  ``ended_at`` is in seconds
     since the Unix epoch.  ``crashes`` maps the name of a task to the incarnations that
-    crashed under it.
+    crashed under it, or are presumed to while it runs alone.
     """
 
     state: JobState = JobState.QUEUED
