A late event loop no longer fails calls that were answered

Cause: timeouts counted the daemon's own lateness. Opening a connection takes four iterations of the loop; with iterations of 0.2 s none was opened within the 0.8 s of an order. Each failure closed the other connections to that endpoint, so the next call opened one again.

Change: a call fails only after its deadline and six more polls of the loop. A call whose connection was opened late by the loop gets its time anew.

--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -23,6 +23,10 @@
 MAX_IDLE_CONNECTIONS = 16
 #: A connection that has been idle for longer is not reused, in seconds.
 IDLE_SECONDS = 20.0
+#: Number of times that the event loop polls its sockets between the deadline of a call
+#: and its failure.  A late loop has not read yet what has arrived, and a connection is
+#: opened in four steps, one after each poll.
+GRACE_POLLS = 6
 
 
 class Answer:
@@ -36,6 +40,32 @@
         self.body = body
 
 
+class PatientTimer:
+    """Calls ``callback`` once ``deadline`` has passed and the loop has polled again.
+
+    Without the polls, a daemon whose loop is late would fail calls that were answered,
+    and make them again, which delays the loop further.
+    """
+
+    __slots__ = ("loop", "callback", "handle")
+
+    def __init__(self, loop, deadline, callback):
+        self.loop = loop
+        self.callback = callback
+        self.handle = loop.call_at(deadline, self.poll, GRACE_POLLS)
+
+    def poll(self, polls_left):
+        """Wait for the remaining polls, then call back."""
+        if polls_left:
+            self.handle = self.loop.call_soon(self.poll, polls_left - 1)
+        else:
+            self.callback()
+
+    def cancel(self):
+        """Do not call back."""
+        self.handle.cancel()
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection with at most one call in progress."""
 
@@ -106,6 +136,10 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(error)
 
+    def time_out(self):
+        """Fail the call in progress because its time is over."""
+        self.fail(TimeoutError())
+
     async def exchange(self, data, deadline):
         """Send the encoded call ``data`` and return its `Answer`.
 
@@ -118,9 +152,7 @@
         self.body = []
         self.size = 0
         self.waiter = loop.create_future()
-        # The loop reads sockets before it runs timers, so an answer that has arrived
-        # counts even if the loop itself is late.
-        timer = loop.call_at(deadline, self.fail, TimeoutError())
+        timer = PatientTimer(loop, deadline, self.time_out)
         try:
             self.transport.write(data)
             return await self.waiter
@@ -160,16 +192,16 @@
     async def call(self, address, method, path, timeout, body=None, headers=()):
         """Make a call and return its `Answer` within ``timeout`` seconds.
 
-        ``body`` is JSON as bytes, or ``None``; ``headers`` lists (name, value) strings.
-        Raises `CallNotSentError` if no byte was sent, and `CallUnansweredError` for any
-        later failure.
+        That time begins anew if it is over when the connection is open, because then
+        the event loop is late rather than the peer.  ``body`` is JSON as bytes, or
+        ``None``; ``headers`` lists (name, value) strings.  Raises `CallNotSentError` if
+        no byte was sent, and `CallUnansweredError` for any later failure.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         connection = await self.connect(address, deadline)
         if loop.time() >= deadline:
-            connection.transport.abort()
-            raise errors.CallNotSentError(address, TimeoutError())
+            deadline = loop.time() + timeout
         data = encode_call(address, method, path, body, headers)
         try:
             answer = await connection.exchange(data, deadline)
@@ -196,10 +228,16 @@
         host, _colon, port = address.rpartition(":")
         self.opened += 1
         try:
-            async with asyncio.timeout_at(deadline):
-                _transport, connection = await loop.create_connection(
-                    ClientConnection, host, int(port)
+            async with asyncio.timeout(None) as scope:
+                timer = PatientTimer(
+                    loop, deadline, lambda: scope.reschedule(loop.time())
                 )
+                try:
+                    _transport, connection = await loop.create_connection(
+                        ClientConnection, host, int(port)
+                    )
+                finally:
+                    timer.cancel()
         except (OSError, ValueError, OverflowError) as error:
             # The last two are raised for hosts and ports that cannot exist.
             raise errors.CallNotSentError(address, error) from error
