A late scheduler no longer gives up runs whose ends it has not read

Cause: once the leases at an endpoint had ended by the clock, its tasks were released, whether or not the endpoint had been asked, or its answer read, since. A successor did the same with endpoints of the terms before.

Change: time alone does not decide while the endpoint has not failed to answer. `EndpointState.is_silent` is set when a request for a report fails, which takes as long as before for endpoints that are gone, and only then are expired leases taken as the end of the runs. Tests that meant a silent endpoint now say so; two new ones failed before.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -234,9 +234,11 @@
             )
 
     def expire(self, now):
-        """Release the tasks of endpoints whose leases have certainly expired.
+        """Release the tasks of silent endpoints whose leases have certainly expired.
 
-        A successor may have extended leases once the term is not exclusive.
+        An endpoint that has not failed to answer may have listed the ends of its runs
+        to a scheduler that is late, so these are waited for.  A successor may have
+        extended leases once the term is not exclusive.
         """
         if now > self.exclusive_until:
             return
@@ -246,6 +248,8 @@
                 continue
             if now < endpoint.leases_expire_at():
                 continue
+            if endpoint.tasks and not endpoint.is_silent:
+                continue
             for task in list(endpoint.tasks.values()):
                 if now < self.late_order_deadlines.get(task.name, 0.0):
                     continue
@@ -327,6 +331,7 @@
             endpoint.granted_ms = report.clock_ms + lease_seconds * 1000
         endpoint.read_clock(report.clock_ms, sent_at, now)
         endpoint.unreachable_since = None
+        endpoint.is_silent = False
         for end in report.ended:
             if end.number > endpoint.last_processed_end:
                 endpoint.last_processed_end = end.number
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -45,7 +45,8 @@
     and ``granted_ms`` the latest that any scheduler may have sent, on the endpoint's
     clock; ``clock_ms`` is a reading of that clock, received at
     ``clock_at`` of the scheduler's clock, and ``clock_lead_ms`` the most by which the
-    endpoint's clock may be ahead of the scheduler's.
+    endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true while the
+    last request for a report has failed.
     """
 
     __slots__ = (
@@ -76,6 +77,7 @@
         "clock_at",
         "clock_lead_ms",
         "unreachable_since",
+        "is_silent",
         "health",
         "pacing",
         "unknown_runs",
@@ -140,6 +142,7 @@
         self.clock_at = 0.0
         self.clock_lead_ms = float("inf")
         self.unreachable_since = None
+        self.is_silent = False
 
     @property
     def id(self):
@@ -294,6 +297,12 @@
         left = max(0.0, clock_ms - self.earliest_clock(now)) / 1000
         return now + left / (1 - MAX_CLOCK_DRIFT)
 
+    def mark_silent(self, now):
+        """Record that a request for a report has failed."""
+        self.is_silent = True
+        if self.unreachable_since is None:
+            self.unreachable_since = now
+
     def extend(self, now, seconds):
         """Return the lease deadline to send with a request for a report, or ``None``.
 
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -118,8 +118,10 @@
     def expire(self, endpoints, now):
         """Stop waiting for endpoints once the leases left there have expired.
 
-        ``endpoints`` are the known endpoints by id; their clocks tell the time.
-        Returns the ids of those that are not awaited any more.
+        ``endpoints`` are the known endpoints by id; their clocks tell the time.  Those
+        that have not failed to answer are waited for, because a late scheduler may not
+        have read the ends of their runs.  Returns the ids of those that are not awaited
+        any more.
         """
         self.read_clocks(endpoints, now)
         late_until = self.until + LATE_ORDER_MARGIN_SECONDS
@@ -127,7 +129,9 @@
         for endpoint_id in self.awaited():
             inherited = self.by_id[endpoint_id]
             endpoint = endpoints.get(endpoint_id)
-            if now >= late_until:
+            if endpoint is not None and not endpoint.is_silent:
+                is_over = False
+            elif now >= late_until:
                 is_over = True
             elif endpoint is not None and self.has_restarted(endpoint):
                 # Orders to the earlier incarnation may be executed late.
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -357,6 +357,7 @@
         except (errors.CallError, errors.OrderRefusedError) as error:
             metrics.ORDERS.labels("report", error.code).inc()
             self.sender.mark_unreachable(endpoint, error)
+            endpoint.mark_silent(self.clock.now())
             self.sender.check_fenced(endpoint, fence, error)
             self.sender.check_incarnation(endpoint, info, error)
             return False
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -212,8 +212,7 @@
         if endpoint.clock_ms is not None and lease_length > 0:
             deadline_ms = endpoint.grant(now, lease_length)
         if not self.reaches(model):
-            if endpoint.unreachable_since is None:
-                endpoint.unreachable_since = now
+            endpoint.mark_silent(now)
             return
         fence = endpoint.fence(self.fence)
         report = model.report(now, deadline_ms, endpoint.last_acknowledged_end, fence)
--- a/tests/workflow/seriesmodel.py
+++ b/tests/workflow/seriesmodel.py
@@ -110,7 +110,7 @@
         random = self.world.random
         args = (deadline_ms, endpoint.last_acknowledged_end, endpoint.fence(self.fence))
         if not self.reaches(model) or random.random() < 0.03:
-            endpoint.unreachable_since = endpoint.unreachable_since or now
+            endpoint.mark_silent(now)
             if random.random() < 0.3:
                 delay = random.uniform(0.1, MAX_DELAY_SECONDS)
                 self.world.execute_late(model, model.report, args, delay)
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -219,6 +219,7 @@
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
     order = engine.plan(0.0)[0]
     engine.start_unanswered(order, 1.0)
+    order.endpoint.mark_silent(1.0)
     engine.unlist_endpoint("e1")
     for now in (5.0, factory.MAX_LEASE + 2.0):
         engine.expire(now)
@@ -409,6 +410,7 @@
     job = engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
     factory.start_all(engine)
     endpoint.grant(0.0, 5.0)
+    endpoint.mark_silent(1.0)
     engine.unlist_endpoint("e1")
     engine.expire(5.0)
     assert len(job.assigned_tasks()) == 1
@@ -416,12 +418,26 @@
     assert job.assigned_tasks() == []
 
 
+def test_late_scheduler_gives_up_runs_whose_ends_it_has_not_read():
+    """Their tasks, done already, would run again."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = factory.start_all(engine)
+    endpoint.grant(0.0, 5.0)
+    engine.expire(20.0)
+    assert order.task.endpoint is endpoint
+    factory.report_end(engine, endpoint, order, "done", 1, 20.1)
+    assert order.task.state is TaskState.DONE
+
+
 def test_late_report_of_a_forgotten_endpoint_places_no_task():
     """The leases of a forgotten endpoint are no longer watched."""
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
     [order] = factory.start_all(engine)
+    endpoint.mark_silent(1.0)
     engine.unlist_endpoint("e1")
     engine.expire(20.0)
     assert "e1" not in engine.endpoints
@@ -715,6 +731,7 @@
     engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
     [order] = factory.start_all(engine)
     endpoint.grant(0.0, 5.0)
+    endpoint.mark_silent(1.0)
     engine.exclusive_until = 2.0
     engine.expire(20.0)
     assert order.task.endpoint is endpoint
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -234,13 +234,27 @@
     assert [order.task.job.id for order in engine.plan(bound)] == [JOB]
 
 
+def test_late_successor_starts_tasks_whose_ends_it_has_not_read():
+    """An earlier scheduler left them; the bound of their leases is over."""
+    engine = make_successor(None)
+    endpoint = engine.register_endpoint(factory.make_info("e1"), 0.0)
+    connect(engine, "e2")
+    job = add_job(engine, JOB)
+    late = LONGEST + LATE_ORDER_MARGIN_SECONDS + 1.0
+    engine.expire(late)
+    assert not engine.plan(late)
+    ends = [(1, task.name, 1, "done") for task in job.tasks.values()]
+    engine.process_report(endpoint, factory.report(ended=ends), late, late)
+    assert job.ended
+
+
 def test_restarted_endpoint_that_does_not_report_is_awaited_for_the_own_bound():
     """Orders to its earlier incarnation may be executed late."""
     engine = make_successor(None)
     stored = leases.EndpointLeases([("w", 1, 0)], [JOB])
     engine.inherited_endpoints.expect("e2", "a", stored, born_ms=1)
     connect(engine, "w")
-    engine.register_endpoint(factory.make_info("e2", born_ms=2), 0.0)
+    engine.register_endpoint(factory.make_info("e2", born_ms=2), 0.0).mark_silent(1.0)
     engine.inherited_endpoints.mark_reported("e1")
     add_job(engine, JOB)
     engine.expire(LONGEST)
--- a/tests/workflow/test_leases.py
+++ b/tests/workflow/test_leases.py
@@ -57,7 +57,7 @@
 
 def silence(endpoint, now):
     """Let an endpoint be silent for as long as makes its leases final at ``now``."""
-    endpoint.unreachable_since = now - leases.SILENT_SECONDS
+    endpoint.mark_silent(now - leases.SILENT_SECONDS)
 
 
 def clocks(deadline):
--- a/tests/workflow/test_suspects.py
+++ b/tests/workflow/test_suspects.py
@@ -79,6 +79,7 @@
 
 
 def lapse(engine, endpoint):
+    endpoint.mark_silent(1.0)
     engine.unlist_endpoint(endpoint.id)
     engine.expire(60.0)
 
