Starts and reports follow the lag of the event loop

Seen: on 0.069 of a processor a burst made the loop late by 0.4 to 1.2 s, terms lost their leases, and the backlog was never worked off.

Cause: up to 200 starts at a time, whatever the daemon can answer for, and a report each 0.4 s of every endpoint with fillers beside replicas.

A late scheduler measures less and collects ends. A term that was fenced sends no further start.

--- a/clementinebay/workflow/load.py
+++ b/clementinebay/workflow/load.py
@@ -7,6 +7,8 @@
 
 #: Interval of the timer whose delay is measured, in seconds.
 LAG_INTERVAL_SECONDS = 0.05
+#: Factor by which the recent lag fades with each measurement.
+LAG_FADING = 0.85
 #: Interval between log lines, in seconds.
 LINE_INTERVAL_SECONDS = 1.0
 #: Greatest number of endpoints that a log line names.
@@ -16,11 +18,15 @@
 class TermLoad:
     """The load of the scheduler since the last log line of its term.
 
-    ``processors`` is the processor time granted to the daemon per second.
+    ``starts`` is the `StartWindow` to adapt, and ``processors`` the processor time
+    granted to the daemon per second.  ``recent_lag`` is the greatest delay of a timer,
+    which fades within a second.
     """
 
-    def __init__(self, engine, processors, clock, log):
+    def __init__(self, engine, starts, processors, clock, log):
         self.engine = engine
+        self.starts = starts
+        self.recent_lag = 0.0
         self.processors = processors
         self.clock = clock
         self.log = log
@@ -38,6 +44,8 @@
         """Record the delay of a timer."""
         metrics.LOOP_LAG_SECONDS.observe(seconds)
         self.max_lag_seconds = max(self.max_lag_seconds, seconds)
+        self.recent_lag = max(seconds, self.recent_lag * LAG_FADING)
+        self.starts.observe(seconds)
 
     def record_plan(self, seconds):
         """Record the time of one plan."""
@@ -65,6 +73,8 @@
         engine = self.engine
         fields = {
             "lag_ms": milliseconds(self.max_lag_seconds),
+            "starts": self.starts.in_progress,
+            "most_starts": int(self.starts.size),
             "plans": self.plans,
             "plan_ms": milliseconds(self.plan_seconds),
             "max_plan_ms": milliseconds(self.max_plan_seconds),
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -4,6 +4,7 @@
 
 from clementinebay import errors, metrics
 from clementinebay.clock import SystemClock
+from clementinebay.policy import polling
 from clementinebay.workflow import jobstore, leases
 from clementinebay.workflow.engine import MAX_ORDER_DELAY_SECONDS, Engine
 from clementinebay.workflow.fleet import longest_lease
@@ -21,12 +22,6 @@
 SPACING_FACTOR = 4.0
 #: Longest such wait, in seconds.
 MAX_SPACING_SECONDS = 0.1
-#: Longest time for which an endpoint may delay its report until a run ends, in
-#: seconds.
-REPORT_WAIT_SECONDS = 1.0
-#: The same for an endpoint that runs fillers beside replicas, in seconds.  It is
-#: shorter because measurements cover the last half second.
-COLOCATED_WAIT_SECONDS = 0.4
 #: Wait after a failed request for a report, in seconds.
 REPORT_RETRY_SECONDS = 0.25
 #: Wait after a failed read at the start of a term, in seconds.
@@ -67,8 +62,10 @@
             deployment.max_lease_seconds,
             leases.inherited_until(deployment.max_lease_seconds, now),
         )
-        self.load_meter = TermLoad(self.engine, deployment.processors, clock, log)
         self.sender = Sender(self.engine, writer, deployment, clock, log)
+        self.load_meter = TermLoad(
+            self.engine, self.sender.starts, deployment.processors, clock, log
+        )
         self.change_writer = ChangeWriter(
             self.engine,
             writer,
@@ -340,12 +337,8 @@
     async def request_report(self, endpoint):
         """Request one report; return whether it was received and processed."""
         sent_at = self.clock.now()
-        unstored = endpoint.has_unstored_ends
         was_unreachable = endpoint.unreachable_since is not None
-        wait = 0.0
-        if endpoint.has_reported and not unstored and not was_unreachable:
-            colocated = endpoint.replicas and endpoint.fillers
-            wait = COLOCATED_WAIT_SECONDS if colocated else REPORT_WAIT_SECONDS
+        wait = polling.report_wait(endpoint, self.load_meter.recent_lag, sent_at)
         lease_seconds = self.sender.lease_seconds(endpoint, sent_at)
         deadline_ms = endpoint.extend(sent_at, lease_seconds)
         fence = endpoint.fence(self.writer.fence)
@@ -376,4 +369,11 @@
         if endpoint.has_unstored_ends:
             self.change_writer.changed.set()
             await self.change_writer.wait_stored()
+            await self.pause_after_ends()
         return True
+
+    async def pause_after_ends(self):
+        """Let further runs of an endpoint end before its next report if late."""
+        seconds = polling.pause_after_ends(self.load_meter.recent_lag)
+        if seconds:
+            await asyncio.sleep(seconds)
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -4,13 +4,11 @@
 
 from clementinebay import errors, metrics
 from clementinebay.policy import pressure
+from clementinebay.policy.startwindow import StartWindow
 from clementinebay.workflow import jobstore
 
 #: Wait after an endpoint was unreachable or refused an order, in seconds.
 RETRY_SECONDS = 0.25
-#: Greatest number of start orders in progress.  More at a time would delay the renewal
-#: of the term's lease.
-MAX_STARTS_IN_PROGRESS = 200
 #: Wait while no lease may be granted, in seconds.
 LEASE_WAIT_SECONDS = 0.1
 
@@ -18,7 +16,8 @@
 class Sender:
     """Sends the engine's orders through the driver.
 
-    ``plan_requested`` is set when the engine should plan.
+    ``plan_requested`` is set when the engine should plan; ``starts`` limits the start
+    orders in progress.
     """
 
     def __init__(self, engine, writer, deployment, clock, log):
@@ -31,7 +30,7 @@
         self.term_end = asyncio.get_running_loop().create_future()
         self.plan_requested = asyncio.Event()
         self.tasks = set()
-        self.starts_in_progress = 0
+        self.starts = StartWindow()
 
     def request_plan(self):
         """Request that the engine plans again."""
@@ -55,6 +54,11 @@
         if not self.term_end.done():
             self.term_end.set_exception(error)
 
+    @property
+    def is_over(self):
+        """Whether the term has ended, so that no further order may be sent."""
+        return self.term_end.done()
+
     async def watch(self):
         """Wait for the end of the term; raise `NotLeaderError` or a task's failure."""
         await self.term_end
@@ -94,20 +98,20 @@
 
     def start_allowance(self):
         """Return how many more start orders may be sent now."""
-        if self.clock.now() >= self.engine.leases.limit:
+        if self.is_over or self.clock.now() >= self.engine.leases.limit:
             return 0
-        return MAX_STARTS_IN_PROGRESS - self.starts_in_progress
+        return self.starts.allowance()
 
     def begin_start(self, order):
         """Send a start order in a task of its own."""
-        self.starts_in_progress += 1
+        self.starts.in_progress += 1
         self.spawn(self.send_start(order)).add_done_callback(self.finish_start)
 
     def finish_start(self, _task):
         """Count the end of a start order; plan if others had to wait for it."""
-        if self.starts_in_progress >= MAX_STARTS_IN_PROGRESS:
+        if self.starts.is_full:
             self.request_plan()
-        self.starts_in_progress -= 1
+        self.starts.in_progress -= 1
 
     async def send_start(self, order):
         """Send a start order and report its outcome to the engine."""
