--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -9,6 +9,9 @@
 
 #: Wait after an endpoint was unreachable or refused an order, in seconds.
 RETRY_SECONDS = 0.25
+#: Greatest number of start orders in progress at one endpoint.  Endpoints serve eight
+#: calls at a time and accept 64 connections, and each order in progress needs one.
+MAX_STARTS_PER_ENDPOINT = 4
 #: Wait while no lease may be granted, in seconds.
 LEASE_WAIT_SECONDS = 0.1
 
@@ -17,7 +20,7 @@
     """Sends the engine's orders through the driver.
 
     ``plan_requested`` is set when the engine should plan; ``starts`` limits the start
-    orders in progress.
+    orders in progress, and ``lanes`` has a semaphore for those of each endpoint.
     """
 
     def __init__(self, engine, writer, deployment, clock, log):
@@ -31,6 +34,7 @@
         self.plan_requested = asyncio.Event()
         self.tasks = set()
         self.starts = StartWindow()
+        self.lanes = {}
 
     def request_plan(self):
         """Request that the engine plans again."""
@@ -114,12 +118,25 @@
         self.starts.in_progress -= 1
 
     async def send_start(self, order):
-        """Send a start order and report its outcome to the engine."""
+        """Send a start order, after earlier ones to its endpoint."""
+        endpoint_id = order.endpoint.id
+        lane = self.lanes.get(endpoint_id)
+        if lane is None:
+            lane = self.lanes[endpoint_id] = asyncio.Semaphore(MAX_STARTS_PER_ENDPOINT)
+        async with lane:
+            await self.make_start(order)
+
+    async def make_start(self, order):
+        """Send a start order now and report its outcome to the engine."""
         now = self.clock.now()
         lease_length = self.lease_seconds(order.endpoint, now)
-        if lease_length <= 0 or order.endpoint.clock_ms is None:
+        if lease_length <= 0 or order.endpoint.clock_ms is None or self.is_over:
             self.engine.start_refused(order, now, LEASE_WAIT_SECONDS)
             return
+        if order.endpoint.unreachable_since is not None:
+            self.engine.start_refused(order, now, RETRY_SECONDS)
+            self.request_plan()
+            return
         deadline_ms = order.endpoint.grant(now, lease_length)
         fence = order.endpoint.fence(self.writer.fence)
         info = order.endpoint.info
--- a/tests/workflow/test_sending.py
+++ b/tests/workflow/test_sending.py
@@ -9,7 +9,7 @@
 from clementinebay.policy.startwindow import INITIAL_STARTS, MAX_STARTS
 from clementinebay.workflow import jobstore, schedule
 from clementinebay.workflow.model import Step
-from clementinebay.workflow.sending import Sender
+from clementinebay.workflow.sending import MAX_STARTS_PER_ENDPOINT, Sender
 from tests.workflow import factory
 
 
@@ -116,6 +116,47 @@
     assert len(engine.plan(1.0, sender.start_allowance())) == INITIAL_STARTS
 
 
+class SlowDriver:
+    """A driver that counts the start orders in progress by endpoint."""
+
+    def __init__(self):
+        self.in_progress = {}
+        self.most = 0
+        self.sent = 0
+
+    async def start(self, order, deadline_ms, fence):
+        """Take a while to answer."""
+        endpoint_id = order.endpoint.id
+        self.sent += 1
+        self.in_progress[endpoint_id] = self.in_progress.get(endpoint_id, 0) + 1
+        self.most = max(self.most, self.in_progress[endpoint_id])
+        await asyncio.sleep(0.001)
+        self.in_progress[endpoint_id] -= 1
+
+
+async def test_wide_step_uses_up_the_connections_of_an_endpoint():
+    engine = factory.make_engine()
+    info = factory.make_info(processors_milli=10**6, memory_mb=10**6)
+    endpoint = factory.connect_endpoint(engine, info)
+    steps = (Step(count=40, processors_milli=1),)
+    engine.add_job(factory.make_spec(steps=steps), factory.QUEUE, 0.0)
+    deployment = FakeDeployment()
+    deployment.driver = SlowDriver()
+    sender = Sender(
+        engine, deployment, deployment, ManualClock(1.0), factory.quiet_log()
+    )
+    orders = engine.plan(1.0)
+    await asyncio.gather(*map(sender.send_start, orders[:20]))
+    assert (deployment.driver.sent, deployment.driver.most) == (
+        20,
+        MAX_STARTS_PER_ENDPOINT,
+    )
+    endpoint.mark_silent(1.0)
+    await asyncio.gather(*map(sender.send_start, orders[20:]))
+    assert deployment.driver.sent == 20
+    assert len(endpoint.tasks) == 20
+
+
 async def test_term_that_was_fenced_sends_another_start():
     engine = factory.make_engine()
     factory.connect_endpoint(engine, factory.make_info())
