--- a/clementinebay/policy/startwindow.py
+++ b/clementinebay/policy/startwindow.py
@@ -13,11 +13,14 @@
 INITIAL_STARTS = 32
 MIN_STARTS = 4
 MAX_STARTS = 200
-#: Delay above which fewer starts are sent, in seconds: a third of what the renewal of
-#: the term's lease can bear.
-MAX_DELAY_SECONDS = 0.15
-#: Delay up to which more starts may be sent, in seconds.
-LOW_DELAY_SECONDS = 0.06
+#: Lag of the loop above which fewer starts are sent, in seconds: a third of what the
+#: renewal of the term's lease can bear, and the lag up to which more may be sent.
+MAX_LAG_SECONDS = 0.15
+LOW_LAG_SECONDS = 0.06
+#: The same for the time that the fastest answers take, which is several iterations of
+#: the loop and the queue of the link, in seconds.
+MAX_ANSWER_SECONDS = 0.3
+LOW_ANSWER_SECONDS = 0.15
 #: Number of the last answers of which the fastest shows the delay of the link.  A few
 #: slow endpoints do not count.
 ANSWERS = 8
@@ -53,19 +56,19 @@
         """Record how long an order was under way until its answer or failure."""
         self.answers.append(seconds)
 
-    def link_delay(self):
-        """Return the delay of orders on the link, 0 if there were too few lately."""
+    def fastest_answer(self):
+        """Return the time of the fastest answer, 0 if there were too few lately."""
         if not self.in_progress:
             self.answers.clear()
         return min(self.answers) if len(self.answers) == ANSWERS else 0.0
 
     def observe(self, lag_seconds):
         """Adapt the window; ``lag_seconds`` is the delay of a timer of the loop."""
-        delay = max(lag_seconds, self.link_delay())
-        if delay > MAX_DELAY_SECONDS:
+        answer_seconds = self.fastest_answer()
+        if lag_seconds > MAX_LAG_SECONDS or answer_seconds > MAX_ANSWER_SECONDS:
             # From what was in progress: an unused window says nothing of the load.
             used = min(self.size, max(self.in_progress, MIN_STARTS))
             self.size = max(MIN_STARTS, used * DECREASE_FACTOR)
             self.answers.clear()
-        elif delay <= LOW_DELAY_SECONDS:
+        elif lag_seconds <= LOW_LAG_SECONDS and answer_seconds <= LOW_ANSWER_SECONDS:
             self.size = min(MAX_STARTS, max(self.size * INCREASE_FACTOR, self.size + 1))
