--- a/clementinebay/policy/backlog.py
+++ b/clementinebay/policy/backlog.py
@@ -12,11 +12,12 @@
 
 from clementinebay.policy import ordering
 
-#: Backlog up to which every job is accepted, in seconds that its starts take.
-FREE_SECONDS = 3.0
+#: Backlog, in seconds that its starts take, up to which jobs are accepted that can be
+#: finished before they are worth nothing.
+FREE_SECONDS = 6.0
 #: Backlog at which no job is accepted, in seconds.  Accepted work has to be worked off
-#: within 14 s of the last submission, and each job has further steps.
-FULL_SECONDS = 8.0
+#: within 14 s of the last submission.
+FULL_SECONDS = 12.0
 #: Lower and upper bound of Retry-After, in seconds.
 MIN_RETRY_SECONDS = 1
 MAX_RETRY_SECONDS = 15
@@ -68,11 +69,11 @@
 def patience(backlog, objective_seconds):
     """Return the latest finish of a job that is accepted, in seconds from now.
 
-    It falls from the objective to nothing while the backlog fills up.
+    It falls from the age at which the job is worth nothing while the backlog fills up.
     """
     span = FULL_SECONDS - FREE_SECONDS
     share = min(1.0, max(0.0, (FULL_SECONDS - backlog.seconds) / span))
-    return objective_seconds * share
+    return objective_seconds * ordering.WORTHLESS_AGE * share
 
 
 def retry_after(backlog, priority, work_seconds, objective_seconds, draw):
@@ -83,7 +84,7 @@
     """
     finish = backlog.wait(priority) + work_seconds
     excess = finish - patience(backlog, objective_seconds)
-    if excess <= 0 or backlog.seconds <= FREE_SECONDS:
+    if excess <= 0:
         return None
     seconds = max(excess, backlog.seconds - FREE_SECONDS) * (1 + SPREAD * draw)
     return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, math.ceil(seconds)))
