Worthless jobs are kept going, one task each first

Change: of the jobs that are worth nothing, each that stands still gets one start before any gets the rest of its step.

--- a/clementinebay/policy/ordering.py
+++ b/clementinebay/policy/ordering.py
@@ -51,6 +51,20 @@
     return LATE if age <= WORTHLESS_AGE else WORTHLESS
 
 
+def is_stalled(job):
+    """Return whether no task of a job is assigned to an endpoint."""
+    return all(task.endpoint is None for task in job.tasks.values())
+
+
+def starts_one(job, now, start_seconds=0.0):
+    """Return whether only one task of a job is to be started before other jobs.
+
+    Worthless jobs still have to be finished, and none may stand still for seconds while
+    there is room: one task each keeps all of them going.
+    """
+    return classify(job, now, start_seconds) == WORTHLESS and is_stalled(job)
+
+
 def rank(job, now, start_seconds=0.0):
     """Return the sort key of a job: the first in order has the lowest.
 
@@ -58,14 +72,14 @@
     Jobs that can meet their objective come by priority.  Of these, jobs that have begun
     go on, as a job has no value before its last task, and the fewest tasks left come
     first, which lets the most jobs be in time.  Late jobs have the same value until
-    they are worth nothing.  The others come in the order of their acceptance.
+    they are worth nothing.  Of the others, those that stand still come first.
     """
     kind = classify(job, now, start_seconds)
     priority = job.queue.priority if job.queue is not None else 0
     if kind == REPLICAS:
         return (kind, priority, job.accepted_at)
     if kind == WORTHLESS:
-        return (kind, 0, job.accepted_at)
+        return (kind, not is_stalled(job), job.accepted_at)
     tasks_left = sum(job.remaining)
     if kind == LATE:
         return (kind, 0, tasks_left, job.accepted_at)
--- a/clementinebay/policy/startwindow.py
+++ b/clementinebay/policy/startwindow.py
@@ -15,12 +15,12 @@
 MAX_STARTS = 200
 #: Lag of the loop above which fewer starts are sent, in seconds: a third of what the
 #: renewal of the term's lease can bear, and the lag up to which more may be sent.
-MAX_LAG_SECONDS = 0.15
-LOW_LAG_SECONDS = 0.06
+MAX_LAG_SECONDS = 0.12
+LOW_LAG_SECONDS = 0.05
 #: The same for the time that the fastest answers take, which is several iterations of
 #: the loop and the queue of the link, in seconds.
-MAX_ANSWER_SECONDS = 0.3
-LOW_ANSWER_SECONDS = 0.15
+MAX_ANSWER_SECONDS = 0.25
+LOW_ANSWER_SECONDS = 0.12
 #: Number of the last answers of which the fastest shows the delay of the link.  A few
 #: slow endpoints do not count.
 ANSWERS = 8
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -71,10 +71,15 @@
     if isolation.others:
         search = Search(isolation.others, probes_endpoints(endpoints))
         yield from generate_pinned_orders(engine, jobs, search, now)
+        begun = []
         for job in jobs:
-            for number, waiting in enumerate(job.waiting):
-                if waiting:
-                    yield from place_step(engine, job, number, search, now)
+            orders = place_job(engine, job, search, now)
+            if ordering.starts_one(job, now, engine.start_seconds):
+                orders = itertools.islice(orders, 1)
+                begun.append(job)
+            yield from orders
+        for job in begun:
+            yield from place_job(engine, job, search, now)
     yield from generate_overdue_orders(engine, jobs, isolation, now)
 
 
@@ -205,6 +210,13 @@
     return jobs
 
 
+def place_job(engine, job, search, now):
+    """Place the waiting tasks of a job; yield the start order of each."""
+    for number, waiting in enumerate(job.waiting):
+        if waiting:
+            yield from place_step(engine, job, number, search, now)
+
+
 def place_step(engine, job, number, search, now, due_by=None):
     """Place the tasks of one step that were due at ``due_by``, by default ``now``.
 
--- a/tests/policy/test_ordering.py
+++ b/tests/policy/test_ordering.py
@@ -130,3 +130,17 @@
     replica.replica = True
     urgent = make_job(2, URGENT, URGENT_STEPS, 0.0)
     assert ordering.rank(replica, 50.0) < ordering.rank(urgent, 50.0)
+
+
+def test_backlog_of_worthless_jobs_leaves_some_standing_still():
+    """Each has room; the platform takes a job that stands still as lost."""
+    engine = factory.make_engine()
+    for number in range(4):
+        info = factory.make_info(f"e{number}", processors_milli=64_000)
+        factory.connect_endpoint(engine, info)
+    for number in range(6):
+        spec = factory.make_spec(f"{number:016x}", (Step(count=30),))
+        engine.add_job(spec, factory.QUEUE, 0.0)
+    orders = engine.plan(100.0, limit=6)
+    assert len({order.task.job.id for order in orders}) == 6
+    assert len(engine.plan(100.0)) == 6 * 30 - 6
