--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -74,7 +74,7 @@
         begun = []
         for job in jobs:
             orders = place_job(engine, job, search, now)
-            if ordering.starts_one(job, now, engine.start_seconds):
+            if len(jobs) > 1 and ordering.starts_one(job, now, engine.start_seconds):
                 orders = itertools.islice(orders, 1)
                 begun.append(job)
             yield from orders
