Fewer reports: ends are waited for until stored, measurements only while they matter

Now headroom counts as ample from 0.4, only new fillers and replicas need a reading, and the ends' own write is waited for.

--- a/clementinebay/policy/polling.py
+++ b/clementinebay/policy/polling.py
@@ -19,9 +19,10 @@
 MEASURED_WAIT_SECONDS = 0.4
 #: Headroom above which fillers are not about to slow the replicas beside them: levels
 #: fall by less within a busy wait and the time that a pace takes to act.
-AMPLE_HEADROOM = 0.6
-#: Time after a start in which the measurements do not show its effect, in seconds.
-UNSETTLED_SECONDS = 1.2
+AMPLE_HEADROOM = 0.4
+#: Time after the start of a filler or replica in which measurements do not show its
+#: effect, in seconds.
+UNSETTLED_SECONDS = 0.8
 #: Recent lag of the event loop above which measurements are given up, in seconds.
 LATE_SECONDS = 0.15
 #: Longest pause before the next request to an endpoint that has reported ends, in
@@ -48,7 +49,11 @@
         return False
     if any(headroom < AMPLE_HEADROOM for _image, headroom in endpoint.spare_headroom):
         return True
-    return any(now < t.started_at + UNSETTLED_SECONDS for t in endpoint.tasks.values())
+    return any(
+        (task.step.filler or task.step.replica)
+        and now < task.started_at + UNSETTLED_SECONDS
+        for task in endpoint.tasks.values()
+    )
 
 
 def pause_after_ends(lag_seconds):
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -373,7 +373,7 @@
             self.change_writer.check_changes()
         if endpoint.has_unstored_ends:
             self.change_writer.changed.set()
-            await self.change_writer.wait_stored()
+            await self.change_writer.wait_stored(endpoint)
             await self.pause_after_ends()
         return True
 
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -102,11 +102,16 @@
             self.retention_loop(),
         )
 
-    async def wait_stored(self):
-        """Wait for the next write, but at most `STORE_WAIT_SECONDS`."""
+    async def wait_stored(self, endpoint):
+        """Wait until the ends of an endpoint are stored, at most `STORE_WAIT_SECONDS`.
+
+        A write that was under way when they were reported does not include them.
+        """
         try:
             async with asyncio.timeout(STORE_WAIT_SECONDS), self.stored_condition:
-                await self.stored_condition.wait()
+                await self.stored_condition.wait_for(
+                    lambda: not endpoint.has_unstored_ends
+                )
         except TimeoutError:
             pass
 
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -208,3 +208,21 @@
     factory.connect_endpoint(changes.engine, factory.make_info())
     await changes.store_changes()
     assert len(changes.writer.saved) == 1
+
+
+async def test_ends_reported_during_a_write_are_asked_for_again_before_their_own():
+    """The write does not include them, so the next report lists them once more."""
+    changes = make_change_writer()
+    endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
+    changes.record_endpoint(endpoint)
+    earlier_write = asyncio.create_task(changes.store_changes())
+    await asyncio.sleep(0)
+    endpoint.last_processed_end = 1
+    waiting = asyncio.create_task(changes.wait_stored(endpoint))
+    await asyncio.sleep(0)
+    changes.writer.unblocked.set()
+    await earlier_write
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    await changes.store_changes()
+    await asyncio.wait_for(waiting, 0.1)
