The rate of starts is the greatest lately; jobs whose starts are unanswered stand still

Cause: a new term starts few tasks in its first seconds, which was taken for what is possible (43 starts a second stated, 120 possible), so the backlog seemed three times as long. A job with one unanswered start counted as going on.

--- a/clementinebay/policy/backlog.py
+++ b/clementinebay/policy/backlog.py
@@ -14,15 +14,17 @@
 
 #: Backlog, in seconds that its starts take, up to which jobs are accepted that can be
 #: finished before they are worth nothing.
-FREE_SECONDS = 6.0
-#: Backlog at which no job is accepted, in seconds.  Accepted work has to be worked off
-#: within 14 s of the last submission.
-FULL_SECONDS = 12.0
+FREE_SECONDS = 8.0
+#: Backlog at which no job is accepted, in seconds.  After the last submission accepted
+#: work may wait for 14 s before it has to be under way.
+FULL_SECONDS = 14.0
 #: Lower and upper bound of Retry-After, in seconds.
 MIN_RETRY_SECONDS = 1
 MAX_RETRY_SECONDS = 15
-#: Weight of a new reading in the rate of starts.
-RATE_WEIGHT = 0.3
+#: Factor by which the greatest rate of starts fades with each reading.
+RATE_FADING = 0.93
+#: Number of readings of the rate before it counts.
+MIN_READINGS = 3
 #: Clients are spread over this many times their wait, so that they do not return
 #: together.
 SPREAD = 1.0
@@ -45,24 +47,30 @@
 
 
 class StartRate:
-    """The rate of starts while tasks wait, in starts per second; 0 before a reading.
+    """The rate of starts that is possible, in starts per second; 0 while unknown.
 
-    Without tasks that wait, the rate shows how many fall due, not how many could be
-    started.
+    It is the greatest rate lately in intervals in which tasks waited all the time;
+    without such tasks the rate shows how many fall due.  Fewer starts in an interval,
+    as at the begin of a term, say little of what is possible.
     """
 
-    __slots__ = ("value", "waited")
+    __slots__ = ("greatest", "readings", "waited")
 
     def __init__(self):
-        self.value = 0.0
+        self.greatest = 0.0
+        self.readings = 0
         self.waited = False
 
+    @property
+    def value(self):
+        """The rate, 0 before there are `MIN_READINGS`."""
+        return self.greatest if self.readings >= MIN_READINGS else 0.0
+
     def observe(self, starts, seconds, waits):
         """Take in the starts of an interval; ``waits`` tells of its end."""
         if self.waited and waits and starts:
-            rate = starts / seconds
-            weight = RATE_WEIGHT if self.value else 1.0
-            self.value += weight * (rate - self.value)
+            self.readings += 1
+            self.greatest = max(starts / seconds, self.greatest * RATE_FADING)
         self.waited = waits
 
 
--- a/clementinebay/policy/ordering.py
+++ b/clementinebay/policy/ordering.py
@@ -51,18 +51,13 @@
     return LATE if age <= WORTHLESS_AGE else WORTHLESS
 
 
-def is_stalled(job):
-    """Return whether no task of a job is assigned to an endpoint."""
-    return all(task.endpoint is None for task in job.tasks.values())
-
-
 def starts_one(job, now, start_seconds=0.0):
     """Return whether only one task of a job is to be started before other jobs.
 
     Worthless jobs still have to be finished, and none may stand still for seconds while
     there is room: one task each keeps all of them going.
     """
-    return classify(job, now, start_seconds) == WORTHLESS and is_stalled(job)
+    return classify(job, now, start_seconds) == WORTHLESS and job.is_stalled()
 
 
 def rank(job, now, start_seconds=0.0):
@@ -79,7 +74,7 @@
     if kind == REPLICAS:
         return (kind, priority, job.accepted_at)
     if kind == WORTHLESS:
-        return (kind, not is_stalled(job), job.accepted_at)
+        return (kind, not job.is_stalled(), job.accepted_at)
     tasks_left = sum(job.remaining)
     if kind == LATE:
         return (kind, 0, tasks_left, job.accepted_at)
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -36,6 +36,9 @@
     DONE = "done"
 
 
+#: States of a task that has a run, as far as is known.
+UNDER_WAY = frozenset((TaskState.STARTING, TaskState.RUNNING))
+
 Bits = Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-f]+\Z")]
 
 
@@ -277,6 +280,10 @@
         """Return the tasks that are assigned to an endpoint."""
         return [task for task in self.tasks.values() if task.endpoint is not None]
 
+    def is_stalled(self):
+        """Return whether no task runs or is being started."""
+        return not any(task.state in UNDER_WAY for task in self.tasks.values())
+
     def unpin_tasks(self, endpoint):
         """Record that no start order to ``endpoint`` can be executed late."""
         for waiting in self.waiting:
--- a/tests/policy/test_ordering.py
+++ b/tests/policy/test_ordering.py
@@ -3,7 +3,7 @@
 import pytest
 
 from clementinebay.policy import ordering
-from clementinebay.workflow.job import Job
+from clementinebay.workflow.job import Job, TaskState
 from clementinebay.workflow.model import Queue, Step
 from tests.workflow import factory
 
@@ -132,6 +132,16 @@
     assert ordering.rank(replica, 50.0) < ordering.rank(urgent, 50.0)
 
 
+def test_job_with_an_unanswered_start_stands_still():
+    job = make_job(1, WIDE, WIDE_STEPS, 0.0)
+    task = next(iter(job.waiting[0]))
+    assert job.is_stalled()
+    task.state = TaskState.UNCONFIRMED
+    assert job.is_stalled()
+    task.state = TaskState.STARTING
+    assert not job.is_stalled()
+
+
 def test_backlog_of_worthless_jobs_leaves_some_standing_still():
     """Each has room; the platform takes a job that stands still as lost."""
     engine = factory.make_engine()
