--- a/bench/term.py
+++ b/bench/term.py
@@ -1,12 +1,14 @@
 """Processor time of one scheduler's term at the size of the grown Chilean site.
 
     python -m bench.term [--processors N] [--profile] [--seconds S] [--seed N]
+                         [--endpoints N] [--load SHARE]
 
 Runs the real `Scheduler`, its driver and HTTP client against endpoints in memory, in
 simulated time: 246 endpoints in four domains, replicas that reserve over half of the
-processors, and jobs of the three kinds.  Sockets and the kernel are left out.  Printed
-for a steady stretch and for a burst of fillers: processor time per simulated second,
-calls, and how long tasks were due when they started.  With ``--processors`` simulated
+processors, and jobs of the three kinds; with ``--load`` a share of both.  Sockets and
+the kernel are left out.  Printed for a steady stretch and for a burst of fillers:
+processor time per simulated second, calls, how long tasks were due when they started,
+and the lag of the loop.  With ``--processors`` simulated
 time also passes by the processor time used, as on a VM of that size.  Processor time is
 normalized by a fixed piece of work, because other programs slow the machine; *speed* is
 the last factor.
@@ -42,6 +44,7 @@
 BURST_FACTOR = 2.6
 RENEW_SECONDS = 0.45
 CALIBRATION_INTERVAL_SECONDS = 0.02
+LAG_INTERVAL_SECONDS = 0.05
 
 #: Functions listed with their cumulative time by ``--profile``.
 PARTS = (
@@ -126,7 +129,7 @@
 
 
 class Stretch:
-    """The processor time, calls and waits of a stretch of simulated time."""
+    """The processor time, calls, waits and lags of a stretch of simulated time."""
 
     def __init__(self, name, fleet, loop):
         self.name = name
@@ -134,9 +137,19 @@
         self.loop = loop
         self.from_time = loop.time()
         self.used = loop.used_seconds()
+        self.lags = []
+        self.watching = asyncio.ensure_future(self.watch())
+
+    async def watch(self):
+        """Measure the delay of a timer."""
+        while True:
+            due_at = self.loop.time() + LAG_INTERVAL_SECONDS
+            await asyncio.sleep(LAG_INTERVAL_SECONDS)
+            self.lags.append(self.loop.time() - due_at)
 
     def print(self):
-        """Print the figures up to now."""
+        """Print the figures up to now; the stretch ends."""
+        self.watching.cancel()
         seconds = self.loop.time() - self.from_time
         used = self.loop.used_seconds() - self.used
         calls = Counter(p for at, p in self.fleet.calls if at >= self.from_time)
@@ -147,6 +160,8 @@
             "wait p50 ms": quantile(waits, 0.5) * 1000,
             "p95 ms": quantile(waits, 0.95) * 1000,
             "p99 ms": quantile(waits, 0.99) * 1000,
+            "lag p99 ms": quantile(sorted(self.lags), 0.99) * 1000,
+            "most": max(self.lags, default=0.0) * 1000,
             "speed %": self.loop.factor * 100,
         }
         text = "  ".join(f"{name} {value:.0f}" for name, value in row.items())
@@ -158,7 +173,7 @@
     return values[min(len(values) - 1, int(share * len(values)))] if values else 0.0
 
 
-async def submit(store, fleet, maker, clock, rows):
+async def submit(store, fleet, maker, options, rows):
     """Submit the jobs that are due, and cancel a replica job for each new one."""
     loop = asyncio.get_running_loop()
     replicas = []
@@ -171,7 +186,7 @@
             puts = [fleets.put_of(spec)]
             if kind == "voto":
                 replicas.append(spec.id)
-                if len(replicas) > REPLICA_JOBS:
+                if len(replicas) > REPLICA_JOBS * options.load:
                     key = jobstore.JOBS + replicas.pop(0) + jobstore.CANCEL
                     puts.append(Put(key, b"{}"))
         await store.write(puts)
@@ -195,9 +210,9 @@
     """Run the term and print its figures."""
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
-    fleet = fleets.Fleet(ENDPOINTS, loop)
+    fleet = fleets.Fleet(options.endpoints, loop)
     store = fleets.MemoryStore()
-    await store.write([Put(f"servers/e{n}", str(n)) for n in range(ENDPOINTS)])
+    await store.write([Put(f"servers/e{n}", str(n)) for n in range(options.endpoints)])
     driver = PlatformDriver(fleets.FakeClient(fleet))
     settings = Settings(MemoryBoundary(driver, fleet), options.processors or 1.0)
     log = eventlog.EventLog("bench", os.open(os.devnull, os.O_WRONLY), clock=clock.now)
@@ -207,14 +222,15 @@
     maker = fleets.JobMaker(options.seed, clock)
     burst_at = WARM_SECONDS + options.seconds
     until = burst_at + BURST_SECONDS
+    rates = {kind: rate * options.load for kind, rate in RATES.items()}
     rows = fleets.arrivals(
-        maker, RATES, until + 1, (burst_at, burst_at + BURST_SECONDS, BURST_FACTOR)
+        maker, rates, until + 1, (burst_at, burst_at + BURST_SECONDS, BURST_FACTOR)
     )
-    for number in range(REPLICA_JOBS):
+    for number in range(int(REPLICA_JOBS * options.load)):
         heapq.heappush(rows, (number * 0.02, -1 - number, "voto"))
     tasks = [
         asyncio.ensure_future(scheduler.run()),
-        asyncio.ensure_future(submit(store, fleet, maker, clock, rows)),
+        asyncio.ensure_future(submit(store, fleet, maker, options, rows)),
         asyncio.ensure_future(renew(scheduler, clock)),
         asyncio.ensure_future(calibrate(loop)),
     ]
@@ -263,6 +279,8 @@
     parser.add_argument("--processors", type=float, default=0.0)
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--endpoints", type=int, default=ENDPOINTS)
+    parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--profile", action="store_true")
     options = parser.parse_args()
     profile = cProfile.Profile() if options.profile else None
--- a/tests/workflow/test_handover.py
+++ b/tests/workflow/test_handover.py
@@ -84,3 +84,62 @@
             await losing
 
     virtualtime.run(main())
+
+
+SMALL = [Step(count=1, processors_milli=500)]
+
+
+@pytest.mark.parametrize("way", ["unlisted", "leaving"])
+@pytest.mark.parametrize("how", ["stop", "kill"])
+def test_restarted_scheduler_uses_an_endpoint_that_has_left_and_still_answers(way, how):
+    async def main():
+        async with TestBed(
+            endpoints=4, daemons=2, election_seconds=ELECTION_SECONDS
+        ) as bed:
+            await bed.run(2.0)
+            gone = bed.endpoints[0]
+            if way == "unlisted":
+                bed.unlist(gone)
+            else:
+                bed.leaving.add(gone.id)
+                bed.list(gone)
+            await bed.run(1.0)
+            for _restart in range(2):
+                ending = bed.stop_scheduler() if how == "stop" else bed.kill_scheduler()
+                await asyncio.gather(ending, bed.run(4.0))
+                tasks = {bed.submit("a", SMALL) for _job in range(12)}
+                await bed.run(2.0)
+                assert not gone.runs
+                assert bed.scheduler.engine.find_task(min(tasks)).last_run
+            assert gone.fence
+            assert not gone.ended
+
+    virtualtime.run(main())
+
+
+def test_paused_scheduler_goes_on_with_starts_after_its_successor_has_begun():
+    """Its permission ran out in the pause; the monitor looks for tasks that run twice.
+
+    It may send one order to each endpoint, which refuses it by its fence.
+    """
+
+    async def main():
+        async with TestBed(endpoints=4, daemons=2) as bed:
+            await bed.run(2.0)
+            paused = bed.scheduling_daemons()[0]
+            scheduler = paused.scheduler
+            for _job in range(6):
+                bed.submit("a", SMALL)
+            freezing = asyncio.create_task(bed.freeze_scheduler(6.0))
+            await bed.run(5.0)
+            assert bed.scheduler is not scheduler
+            started = scheduler.sender.started
+            for _job in range(6):
+                bed.submit("a", SMALL)
+            await bed.run(4.0)
+            await freezing
+            assert scheduler.sender.started == started
+            assert scheduler.sender.start_allowance() == 0
+            assert paused.scheduler is not scheduler
+
+    virtualtime.run(main())
--- a/tests/workflow/virtualtime.py
+++ b/tests/workflow/virtualtime.py
@@ -49,17 +49,20 @@
             waiting.append(self)
         elif not self.handle.cancelled():
             self.callback(*self.args)
+            self.loop.selector.time += self.loop.costs.get(self.process, 0.0)
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """An event loop whose time advances only when all coroutines wait.
 
-    ``frozen`` has the callbacks that wait, by frozen process.
+    ``frozen`` has the callbacks that wait, by frozen process, ``costs`` the seconds
+    that each callback of a process takes.
     """
 
     def __init__(self):
         self.selector = VirtualSelector()
         self.frozen = {}
+        self.costs = {}
         super().__init__(self.selector)
 
     def call_soon(self, callback, *args, context=None):
