A start that waited for others is not sent once its run was given up

Orders are checked once they have their turn; three new tests failed before. The gauge of the backlog is reset at the end of a term.

--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -251,8 +251,7 @@
     """Makes the writes of one scheduler in its term.
 
     ``fence`` increases from term to term, and ``lease`` is the leader lease.  Writes
-    raise `NotLeaderError` once the term
-    is over.
+    raise `NotLeaderError` once the term is over.
     """
 
     def __init__(self, store, token, number, fence, version, lease=0):
--- a/clementinebay/workflow/orders.py
+++ b/clementinebay/workflow/orders.py
@@ -1,5 +1,7 @@
 """Orders to endpoints, and the reports of endpoints."""
 
+from clementinebay.workflow.job import TaskState
+
 
 class RunEnd:
     """The end of a run as reported by its endpoint."""
@@ -57,6 +59,12 @@
         self.run = task.run
         self.checkpoint = task.checkpoint
 
+    def is_current(self):
+        """Return whether the task still waits for this order to be sent."""
+        task = self.task
+        is_assigned = task.endpoint is self.endpoint and task.run == self.run
+        return is_assigned and task.state is TaskState.STARTING
+
 
 class StopOrder:
     """An order to stop a run at ``endpoint`` and to refuse it from then on.
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -108,6 +108,7 @@
             metrics.ACTIVE_JOBS.set(0)
             metrics.DUE_TASKS.set(0)
             metrics.OLDEST_DUE_SECONDS.set(0)
+            metrics.BACKLOG_SECONDS.set(0)
             self.sender.stop()
 
     async def load(self):
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -126,7 +126,9 @@
         if lane is None:
             lane = self.lanes[endpoint_id] = asyncio.Semaphore(MAX_STARTS_PER_ENDPOINT)
         async with lane:
-            await self.make_start(order)
+            # The wait may have been long enough for the run to be given up.
+            if order.is_current():
+                await self.make_start(order)
 
     async def make_start(self, order):
         """Send a start order now and report its outcome to the engine."""
--- a/tests/workflow/test_sending.py
+++ b/tests/workflow/test_sending.py
@@ -157,6 +157,47 @@
     assert len(endpoint.tasks) == 20
 
 
+def restart(engine, order):
+    """Restart the endpoint of an order under its id."""
+    info = factory.make_info(born_ms=2, processors_milli=10**6, memory_mb=10**6)
+    engine.register_endpoint(info, 1.5)
+    factory.connect_endpoint(engine, info, 1.5, born_ms=2)
+
+
+def cancel(engine, order):
+    """Cancel the job of an order."""
+    engine.cancel(order.task.job.id)
+
+
+def lapse(engine, order):
+    """Let the leases at the endpoint of an order end, and the endpoint come back."""
+    order.endpoint.mark_silent(1.5)
+    engine.expire(60.0)
+    engine.process_report(order.endpoint, factory.report(), 60.0, 60.0)
+
+
+@pytest.mark.parametrize("change", [restart, cancel, lapse])
+async def test_start_that_waited_for_others_is_sent_after_its_run_was_given_up(change):
+    """The task may have been started elsewhere by then."""
+    engine = factory.make_engine()
+    info = factory.make_info(processors_milli=10**6, memory_mb=10**6)
+    factory.connect_endpoint(engine, info)
+    steps = (Step(count=MAX_STARTS_PER_ENDPOINT + 1, processors_milli=1),)
+    engine.add_job(factory.make_spec(steps=steps), factory.QUEUE, 0.0)
+    deployment = FakeDeployment()
+    deployment.driver = SlowDriver()
+    sender = Sender(
+        engine, deployment, deployment, ManualClock(1.0), factory.quiet_log()
+    )
+    orders = engine.plan(1.0)
+    sending = [asyncio.create_task(sender.send_start(order)) for order in orders]
+    await asyncio.sleep(0)
+    assert deployment.driver.sent == MAX_STARTS_PER_ENDPOINT
+    change(engine, orders[-1])
+    await asyncio.gather(*sending)
+    assert deployment.driver.sent == MAX_STARTS_PER_ENDPOINT
+
+
 async def test_term_that_was_fenced_sends_another_start():
     engine = factory.make_engine()
     factory.connect_endpoint(engine, factory.make_info())
