Endpoints without runs are asked as often as others

The whole tests failed in 8 cases of two tests of lost endpoints (1,729 passed): replicas stayed away too long when their endpoint and the scheduler were lost within 2 s of their start.

--- a/clementinebay/policy/polling.py
+++ b/clementinebay/policy/polling.py
@@ -4,16 +4,14 @@
 without an end: leases, progress, and the tails of replicas beside fillers.  Endpoints
 charge for each report, and each takes processor time of the scheduler.
 
-Load patterns: a service at rest, whose endpoints have nothing to tell; replicas whose
-tails are far below their bounds; a scheduler that is late, where reports that nobody
-needs delay the renewal of leases.
+Load patterns: replicas whose tails are far below their bounds beside fillers; a
+scheduler that is late, where reports that nobody needs delay the renewal of leases.
 """
 
-#: Longest wait that endpoints accept, for endpoints without runs, in seconds.
-IDLE_WAIT_SECONDS = 2.0
-#: Wait of endpoints with runs, in seconds.  Leases last 5 s, so two more requests may
-#: fail before they end.
-BUSY_WAIT_SECONDS = 1.0
+#: Wait while nothing asks for less, in seconds.  A start counts as unconfirmed until a
+#: report shows it, also at an endpoint without runs, and delays its task if endpoint
+#: and scheduler are lost before.
+USUAL_WAIT_SECONDS = 1.0
 #: Wait while fillers may be slowing replicas, in seconds: measurements cover the last
 #: half second.
 MEASURED_WAIT_SECONDS = 0.4
@@ -36,11 +34,9 @@
         return 0.0
     if endpoint.unreachable_since is not None:
         return 0.0
-    if not endpoint.tasks and not endpoint.has_orphans:
-        return IDLE_WAIT_SECONDS
     if lag_seconds <= LATE_SECONDS and needs_measurement(endpoint, now):
         return MEASURED_WAIT_SECONDS
-    return BUSY_WAIT_SECONDS
+    return USUAL_WAIT_SECONDS
 
 
 def needs_measurement(endpoint, now):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -332,9 +332,5 @@
 
 
 def test_waits_fit_the_watch():
-    waits = (
-        polling.IDLE_WAIT_SECONDS,
-        polling.BUSY_WAIT_SECONDS,
-        polling.MEASURED_WAIT_SECONDS,
-    )
+    waits = (polling.USUAL_WAIT_SECONDS, polling.MEASURED_WAIT_SECONDS)
     assert max(waits) <= 2.0
--- a/tests/policy/test_polling.py
+++ b/tests/policy/test_polling.py
@@ -23,16 +23,13 @@
     return endpoint
 
 
-def test_endpoint_without_runs_is_asked_as_rarely_as_it_accepts():
-    assert polling.report_wait(make_endpoint(), 0.0, 9.0) == polling.IDLE_WAIT_SECONDS
-
-
 @pytest.mark.parametrize(
     ("steps", "headroom", "now", "wait"),
     [
-        ((REPLICA,), 0.0, 9.0, polling.BUSY_WAIT_SECONDS),
-        ((FILLER,), 0.0, 9.0, polling.BUSY_WAIT_SECONDS),
-        ((REPLICA, FILLER), 2.0, 9.0, polling.BUSY_WAIT_SECONDS),
+        ((), 0.0, 9.0, polling.USUAL_WAIT_SECONDS),
+        ((REPLICA,), 0.0, 9.0, polling.USUAL_WAIT_SECONDS),
+        ((FILLER,), 0.0, 9.0, polling.USUAL_WAIT_SECONDS),
+        ((REPLICA, FILLER), 2.0, 9.0, polling.USUAL_WAIT_SECONDS),
         ((REPLICA, FILLER), 0.1, 9.0, polling.MEASURED_WAIT_SECONDS),
         ((REPLICA, FILLER), 2.0, 0.5, polling.MEASURED_WAIT_SECONDS),
     ],
@@ -46,7 +43,7 @@
 
 def test_late_scheduler_gives_measurements_up_and_collects_ends():
     endpoint = make_endpoint(REPLICA, FILLER, headroom=0.1)
-    assert polling.report_wait(endpoint, 0.5, 9.0) == polling.BUSY_WAIT_SECONDS
+    assert polling.report_wait(endpoint, 0.5, 9.0) == polling.USUAL_WAIT_SECONDS
     assert polling.pause_after_ends(0.0) == 0.0
     assert polling.pause_after_ends(0.2) == 0.2
     assert polling.pause_after_ends(5.0) == polling.MAX_PAUSE_SECONDS
