--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -35,15 +36,20 @@
     "status_s": 120,
     "lease_ms": 3000,
 }
-#: The exit codes of a case.
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+#: The exit codes of a case; a failure to start exits with 1. `run.sh` translates them.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 
 
 def free_port(host):
-    """Return a free port."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a free port below those that systems give to outgoing connections.
+
+    A worker that is down for a while must find its port free again.
+    """
+    while True:
+        port = random.randrange(15_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((host, port))
+            return port
 
 
 class Store(PlatformStandIn):
@@ -152,6 +158,7 @@
         await self.gate.open()
         await self.to_store.open()
         await self.start()
+        await self.until_serving()
 
     async def start(self):
         """Start a life of the worker."""
@@ -197,6 +204,8 @@
             try:
                 _reader, writer = await asyncio.open_connection(host, int(port))
             except OSError:
+                if self.process.returncode is not None:
+                    raise
                 await asyncio.sleep(0.01)
                 continue
             writer.close()
