Review, case 3: a late order reaches the next life of an endpoint

Cause: a start that was not answered, and is barred by a stop, is forgotten once its task is done; an endpoint that restarts behind a cut has forgotten the stop and carries the order out.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -153,6 +153,11 @@
         }
         self.process = None
 
+    def use_gate(self, gate):
+        """Use another network path to the worker."""
+        self.gate = gate
+        self.options["address"] = gate.address
+
     async def open(self):
         """Open the network paths and start the process."""
         await self.gate.open()
@@ -288,10 +293,15 @@
         }
         await self.store.put("op/config", document)
 
-    async def add_worker(self, name, zone="z1", cpu=8000, label="plain"):
-        """Start a worker and return it."""
+    def new_worker(self, name, zone="z1", cpu=8000, label="plain"):
+        """Return a worker that is still to be opened."""
         worker = Worker(self, name, zone, "127.0.0.1", cpu, label)
         self.workers.append(worker)
+        return worker
+
+    async def add_worker(self, name, zone="z1", cpu=8000, label="plain"):
+        """Start a worker and return it."""
+        worker = self.new_worker(name, zone, cpu, label)
         await worker.open()
         return worker
 
