Count jobs as pending until one of their runs is known to have started

Callers saw a `pending` of 0 or 1 for up to 14 s while up to five accepted jobs waited, and `running` as the state of jobs of which nothing ran: their only start order had been sent to an endpoint that was lost for good.

Cause: `planning.place` marked a job as started as it chose an endpoint, before the order was sent. Nothing took that back if the order was refused, not sent, lost or barred by a stop, and the mark was stored as the state `running`, so a successor took it over.

In the engine, in each of seven cases (order in transit, refused, unanswered, stopped, endpoint restarted, ended, lapsed) the job was left out of the count.

Change: a job has started once a start is answered, also late, or a run of it is listed as running or ended, wherever that is; this stays. It is stored in a field of its own, since records of earlier builds say `running` for jobs whose start may have been lost: these count as pending until a run is found, a task is done or a failure is stored. The order of waiting jobs goes by placement as before.

Of the new tests, 19 cases fail on the code before and pass now, among them a killed, stopped and frozen scheduler and a reload of all jobs after the starts were lost.

--- a/clementinebay/policy/ordering.py
+++ b/clementinebay/policy/ordering.py
@@ -78,4 +78,4 @@
     tasks_left = sum(job.remaining)
     if kind == LATE:
         return (kind, 0, tasks_left, job.accepted_at)
-    return (kind, priority, not job.has_started, tasks_left, job.objective_at)
+    return (kind, priority, not job.was_placed, tasks_left, job.objective_at)
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -408,6 +408,7 @@
         task = self.find_task(end.task)
         if task is None:
             return
+        self.confirm_start(task.job)
         current = task.endpoint is endpoint and task.run == end.run
         task.last_run = max(task.last_run, end.run)
         task.settle_start(endpoint, end.run)
@@ -478,6 +479,8 @@
         if task is None and row.task.partition(".")[0] not in self.jobs:
             self.stop_unknown_run(endpoint, row, now)
             return
+        if task is not None:
+            self.confirm_start(task.job)
         if task is None or task.state is TaskState.DONE or task.job.ended:
             known = task is not None and task.endpoint is endpoint
             if not known or task.run != row.run:
@@ -488,7 +491,6 @@
         if task.endpoint is None and task.state is TaskState.WAITING:
             task.place(endpoint, row.run, TaskState.RUNNING, now)
             task.pace = None
-            task.job.has_started = True
             self.log.info(
                 "task.adopted", task=row.task, run=row.run, endpoint=endpoint.id
             )
@@ -571,11 +573,18 @@
     def start_answered(self, order, now):
         """Record that a start order was executed."""
         task = order.task
+        self.confirm_start(task.job)
         current = task.endpoint is order.endpoint and task.run == order.run
         if current and task.state is TaskState.STARTING:
             task.state = TaskState.RUNNING
             task.started_at = now
 
+    def confirm_start(self, job):
+        """Record that a run of ``job`` has started, whatever became of it."""
+        if not job.has_started and not job.ended:
+            job.has_started = True
+            self.mark_changed(job)
+
     def start_refused(self, order, now, wait=0.0):
         """Record that a start order had no effect, and never will have."""
         task = order.task
@@ -703,7 +712,10 @@
         self.urgent = True
 
     def pending_job_counts(self):
-        """Return the number of jobs without a started task, by queue."""
+        """Return the number of jobs of which no run is known to have started, by queue.
+
+        A start order may be lost, or executed seconds later.
+        """
         counts = {}
         for job in self.active.values():
             if not job.has_started:
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -49,7 +49,9 @@
     task.  ``failures`` maps the name of a task to its failed runs.  ``domains`` are all
     failure domains in which tasks may have been started.  ``ended_at`` is in seconds
     since the Unix epoch.  ``crashes`` maps the name of a task to the incarnations that
-    crashed under it, or are presumed to while it runs alone.
+    crashed under it, or are presumed to while it runs alone.  ``has_started`` is true
+    if a run is known to have started.  Earlier builds do not store it; they store a job
+    as running from its first start order on, whether or not it was executed.
     """
 
     state: JobState = JobState.QUEUED
@@ -58,6 +60,7 @@
     domains: list[str] = []
     ended_at: float = 0.0
     crashes: dict[str, list[str]] = {}
+    has_started: bool = False
 
 
 class Task:
@@ -153,6 +156,7 @@
     def place(self, endpoint, run, state, now):
         """Assign a run of the task to ``endpoint``."""
         self.job.waiting[self.step_number].pop(self, None)
+        self.job.was_placed = True
         self.endpoint = endpoint
         self.run = run
         self.last_run = max(self.last_run, run)
@@ -186,7 +190,9 @@
     are seconds of the scheduler's clock, except ``ended_at``, which is in seconds since
     the Unix epoch.  ``replica`` is true if the job has a step of replicas, which run
     until it is cancelled.  ``crashes`` maps the names of tasks to the incarnations that
-    crashed under them; ``stored_crashes`` is its last stored value.
+    crashed under them; ``stored_crashes`` is its last stored value.  ``was_placed`` is
+    true once a task was assigned to an endpoint, ``has_started`` once a run is known to
+    have started there.
     """
 
     __slots__ = (
@@ -209,6 +215,7 @@
         "ended_at",
         "objective_at",
         "open_steps",
+        "was_placed",
         "has_started",
     )
 
@@ -232,6 +239,7 @@
         self.discovered_at = now
         self.ended_at = 0.0
         self.objective_at = self.accepted_at + objective_seconds(spec, queue)
+        self.was_placed = False
         self.has_started = False
         self.open_ready_steps(self.accepted_at)
 
@@ -344,12 +352,18 @@
             domains=sorted(self.domains | self.requested_domains),
             ended_at=self.ended_at,
             crashes={name: list(ids) for name, ids in self.crashes.items()},
+            has_started=self.has_started,
         )
 
     def restore(self, progress):
         """Restore the state that an earlier scheduler stored."""
-        self.state = progress.state
-        self.has_started = progress.state is not JobState.QUEUED
+        if progress.state in ENDED:
+            self.state = progress.state
+        self.was_placed = progress.state is not JobState.QUEUED
+        has_results = any(int(bits, 16) for bits in progress.done)
+        self.has_started = (
+            progress.has_started or has_results or bool(progress.failures)
+        )
         self.domains = set(progress.domains) or {self.spec.domain}
         self.failures = {name: list(runs) for name, runs in progress.failures.items()}
         self.ended_at = progress.ended_at
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -280,12 +280,10 @@
         return None
     metrics.DUE_SECONDS.observe(max(0.0, now - task.due_at))
     run = max(task.last_run, engine.term * RUNS_PER_TERM) + 1
+    if not job.was_placed:
+        metrics.FIRST_START_SECONDS.observe(max(0.0, now - job.accepted_at))
     task.place(endpoint, run, TaskState.STARTING, now)
     task.pace = pacing.FULL_PACE
     if task.step.filler or task.step.replica:
         endpoint.spare_headroom = engine.pressure.spare_headroom(endpoint)
-    if not job.has_started:
-        job.has_started = True
-        metrics.FIRST_START_SECONDS.observe(max(0.0, now - job.accepted_at))
-        engine.mark_changed(job)
     return StartOrder(endpoint, task)
--- a/tests/policy/test_ordering.py
+++ b/tests/policy/test_ordering.py
@@ -59,7 +59,7 @@
                     if credit < 1:
                         break
                     credit -= 1
-                    job.has_started = True
+                    job.was_placed = True
                     del job.waiting[number_of_step][task]
                     running.append((now + task.step.estimate_ms / 1000, task))
         now += 0.05
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -1,5 +1,6 @@
 """The engine: one run per task, order of steps, capacity, adoption by successors."""
 
+import msgspec
 import pytest
 
 from clementinebay.policy import dispatch, progress
@@ -8,7 +9,7 @@
     MAX_ORDER_DELAY_SECONDS,
     UNKNOWN_JOB_GRACE_SECONDS,
 )
-from clementinebay.workflow.job import JobState, TaskState
+from clementinebay.workflow.job import JobState, Progress, TaskState
 from clementinebay.workflow.model import Step
 from tests.workflow import factory
 
@@ -195,6 +196,114 @@
     assert order.task.state is TaskState.RUNNING
 
 
+def order_first_start(engine):
+    """Add a job of one task; return its endpoint and its start order."""
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    return endpoint, engine.plan(0.0)[0]
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    ["in-transit", "refused", "unanswered", "stopped", "restarted", "ended", "lapsed"],
+)
+def test_job_whose_start_was_not_executed_counts_as_pending(outcome):
+    """A job whose first start order was lost was shown as running and not counted."""
+    engine = factory.make_engine()
+    endpoint, order = order_first_start(engine)
+    if outcome == "refused":
+        engine.start_refused(order, 1.0)
+    elif outcome != "in-transit":
+        engine.start_unanswered(order, 1.0)
+    if outcome == "stopped":
+        [stop] = engine.stops.due(1.0, engine.endpoints)
+        engine.stop_answered(stop, 1.1)
+        engine.process_report(endpoint, factory.report(), 1.2, 1.3)
+        assert order.task.state is TaskState.WAITING
+    elif outcome == "restarted":
+        engine.register_endpoint(factory.make_info(born_ms=2), 2.0)
+    elif outcome == "ended":
+        engine.end_incarnation(endpoint, 2.0)
+    elif outcome == "lapsed":
+        endpoint.mark_silent(2.0)
+        engine.expire(30.0)
+        assert order.task.state is TaskState.WAITING
+    assert engine.pending_job_counts() == {"q": 1}
+    assert order.task.job.progress().state is JobState.QUEUED
+
+
+@pytest.mark.parametrize(
+    "evidence", ["answer", "late-answer", "row", "duplicate", "end"]
+)
+def test_job_no_longer_counts_as_pending_once_a_start_is_known(evidence):
+    """Jobs that have begun stay so, also if their runs are lost afterwards."""
+    engine = factory.make_engine()
+    endpoint, order = order_first_start(engine)
+    counts = [engine.pending_job_counts()]
+    row = (order.task.name, order.run)
+    if evidence == "answer":
+        engine.start_answered(order, 1.0)
+    else:
+        engine.start_unanswered(order, 1.0)
+    if evidence == "late-answer":
+        engine.end_incarnation(endpoint, 1.1)
+        engine.start_answered(order, 1.2)
+    elif evidence == "row":
+        engine.process_report(endpoint, factory.report(running=[row]), 1.2, 1.3)
+    elif evidence == "duplicate":
+        other = factory.connect_endpoint(engine, factory.make_info("e2"), 1.2)
+        engine.process_report(other, factory.report(running=[row]), 1.2, 1.3)
+    elif evidence == "end":
+        ended = factory.report(ended=[(1, *row, "lapsed")])
+        engine.process_report(endpoint, ended, 1.2, 1.3)
+    counts.append(engine.pending_job_counts())
+    assert counts == [{"q": 1}, {}]
+    assert factory.store(engine)[order.task.job.id].state is JobState.RUNNING
+    engine.end_incarnation(endpoint, 3.0)
+    assert engine.pending_job_counts() == {}
+
+
+def test_successor_counts_a_job_whose_start_was_lost_as_pending():
+    """The predecessor stored such a job as running, so the successor left it out."""
+    first = factory.make_engine()
+    _endpoint, order = order_first_start(first)
+    first.start_unanswered(order, 1.0)
+    stored = factory.store(first).get(order.task.job.id, Progress())
+    second = factory.make_engine(term=1)
+    spec = order.task.job.spec
+    second.add_job(spec, factory.QUEUE, 2.0, factory.reload(stored), inherited=True)
+    assert second.pending_job_counts() == {"q": 1}
+
+
+def test_job_stored_as_running_by_an_earlier_build_is_pending_until_a_run_is_known():
+    """Earlier builds stored jobs as running before their start was answered."""
+    engine = factory.make_engine(term=1)
+    spec = factory.make_spec(steps=(SMALL,))
+    progress = Progress(state=JobState.RUNNING, done=["0"])
+    job = engine.add_job(spec, factory.QUEUE, 0.0, progress, inherited=True)
+    assert engine.pending_job_counts() == {"q": 1}
+    assert job.progress().state is JobState.QUEUED
+    row = (f"{job.id}.0.0.0", 1)
+    factory.connect_endpoint(engine, factory.make_info(), running=[row])
+    assert engine.pending_job_counts() == {}
+    assert factory.store(engine)[job.id].state is JobState.RUNNING
+
+
+@pytest.mark.parametrize(
+    "stored",
+    [
+        b'{"state": "running", "done": ["2"]}',
+        b'{"state": "running", "done": ["0"], "failures": {"t": [1]}}',
+        b'{"state": "running", "done": ["0"], "has_started": true}',
+    ],
+)
+def test_job_that_has_begun_in_an_earlier_term_is_not_pending(stored):
+    engine = factory.make_engine(term=1)
+    progress = msgspec.json.decode(stored, type=Progress)
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0, progress, inherited=True)
+    assert engine.pending_job_counts() == {}
+
+
 def test_unanswered_start_at_restarted_endpoint_blocks_its_task_until_stopped():
     engine = factory.make_engine()
     factory.connect_endpoint(engine, factory.make_info())
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -455,6 +455,34 @@
     virtualtime.run(main())
 
 
+@pytest.mark.parametrize("then", ["nothing", "kill", "stop", "freeze", "reload"])
+def test_jobs_whose_starts_were_lost_are_counted_as_pending(then):
+    """They were left out, so clients were told of no waiting jobs for 13 s."""
+
+    async def main():
+        async with TestBed(endpoints=1, daemons=2) as bed:
+            await bed.run(1.0)
+            losing = asyncio.create_task(bed.lose(bed.endpoints[0], "silent"))
+            for _number in range(3):
+                bed.submit(steps=[Step(processors_milli=500)])
+            await bed.run(1.0)
+            if then == "kill":
+                await bed.kill_scheduler()
+            elif then == "stop":
+                await bed.stop_scheduler()
+            elif then == "freeze":
+                await bed.freeze_scheduler(4.0)
+            elif then == "reload":
+                await bed.scheduler.job_mirror.load()
+            await bed.run(4.0)
+            for _second in range(6):
+                assert bed.pending_counts() == {"q": 3}
+                await bed.run(1.0)
+            await losing
+
+    virtualtime.run(main())
+
+
 def test_replicas_run_again_though_the_endpoint_with_room_is_barred():
     async def main():
         async with TestBed(endpoints=3) as bed:
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -193,6 +193,11 @@
         self.space.commit((), [Put(jobstore.JOBS + job_id, value)])
         return f"{job_id}.0.0.0"
 
+    def pending_counts(self):
+        """Return the stored numbers of pending jobs, by queue."""
+        entry = self.space.get(jobstore.PENDING)
+        return {} if entry is None else json.loads(entry.value)
+
     def execute_late(self, model, action, args):
         """Execute an order at once, late or never, as if its answer were lost."""
         delay = self.random.choice((None, 0.0, self.random.uniform(1, 12)))
