Write the counts of pending jobs at the begin of each term

Callers saw the count of the scheduler before: for a second after its successor had read all jobs, and for good if no job waited any more.

Cause: a new term waited an interval before it counted, and took "no jobs" as stored, so that it did not write an empty count at all.

Evidence: in virtual time, three jobs accepted between two terms were not counted 0.6 s after the election of the next one, and a count of 1 stayed after the only job had been cancelled between two terms.

Change: the count of a new term is taken as unknown and written at once.

Result: the new test fails on the code before in both places and passes now.

--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -53,7 +53,7 @@
         self.recorded = {}
         self.stored_endpoints = {}
         self.endpoints_changed = False
-        self.stored_pending_counts = {}
+        self.stored_pending_counts = None
 
     def load_endpoints(self, domains, addresses=()):
         """Adopt the endpoints in use that an earlier scheduler stored."""
@@ -215,14 +215,14 @@
         )
 
     async def pending_loop(self):
-        """Store the counts of pending jobs after they have changed."""
+        """Store the counts of pending jobs at once and after they have changed."""
         while True:
-            await asyncio.sleep(PENDING_INTERVAL_SECONDS)
             metrics.ACTIVE_JOBS.set(len(self.engine.active))
             counts = self.engine.pending_job_counts()
             changed = counts != self.stored_pending_counts
             if changed and await self.write_optional(jobstore.pending_puts(counts)):
                 self.stored_pending_counts = counts
+            await asyncio.sleep(PENDING_INTERVAL_SECONDS)
 
     async def learning_loop(self):
         """Store the learned estimates for a successor."""
--- a/tests/workflow/test_handover.py
+++ b/tests/workflow/test_handover.py
@@ -6,6 +6,7 @@
 
 from clementinebay.workflow.model import Step
 from tests.workflow import virtualtime
+from tests.workflow.model import CAPACITY
 from tests.workflow.testbed import TestBed
 
 #: More than one endpoint can hold.
@@ -143,3 +144,27 @@
             assert paused.scheduler is not scheduler
 
     virtualtime.run(main())
+
+
+def test_new_term_replaces_the_count_of_pending_jobs_at_once():
+    """The count of the term before stayed for a second, or for good if none waits."""
+
+    async def main():
+        async with TestBed(endpoints=1, daemons=2, election_seconds=1.0) as bed:
+            await bed.run(1.0)
+            too_large = [Step(processors_milli=2 * CAPACITY)]
+            bed.submit("a", too_large)
+            await bed.run(2.0)
+            assert bed.pending_counts() == {"q": 1}
+            await bed.stop_scheduler()
+            for _job in range(3):
+                bed.submit("a", too_large)
+            await bed.run(1.6)
+            assert bed.pending_counts() == {"q": 4}
+            await bed.stop_scheduler()
+            for job_id in bed.specs:
+                bed.cancel(job_id)
+            await bed.run(4.0)
+            assert bed.pending_counts() == {}
+
+    virtualtime.run(main())
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -193,6 +193,10 @@
         self.space.commit((), [Put(jobstore.JOBS + job_id, value)])
         return f"{job_id}.0.0.0"
 
+    def cancel(self, job_id):
+        """Mark a job as cancelled by its client."""
+        self.space.commit((), [Put(jobstore.JOBS + job_id + jobstore.CANCEL, b"{}")])
+
     def pending_counts(self):
         """Return the stored numbers of pending jobs, by queue."""
         entry = self.space.get(jobstore.PENDING)
