Keep late writes from replacing newer counts, backlogs and estimates

Callers saw an old `pending` (1 to 4 while 31 jobs waited) until the number of waiting jobs changed, also long after the store had recovered.

Cause: values that the scheduler writes outside of its chain of writes compared the holder of the term alone, so a write that the store executed late replaced a newer one. After a write without an answer the value before it was taken as stored, so that it was not written again when the count went back to it. The backlog was written the same way, and a deletion of it did not bar a late write that creates the key again.

Change: such a write names the version of the key that it replaces and, after a failure, reads it first; until a write has succeeded the value counts as unknown. An empty backlog is written instead of being deleted. One class does this for counts, backlog and estimates.

The test of an endpoint's stored address made these writes fail by replacing the method that is gone; it now replaces the one that takes its place.

--- a/clementinebay/workflow/backlog.py
+++ b/clementinebay/workflow/backlog.py
@@ -5,6 +5,7 @@
 from clementinebay import metrics
 from clementinebay.policy import backlog as policy
 from clementinebay.workflow import jobstore
+from clementinebay.workflow.published import PublishedValue
 
 #: Interval between measurements, in seconds.
 INTERVAL_SECONDS = 1.0
@@ -18,18 +19,20 @@
 
 
 class BacklogMeter:
-    """The backlog of one term; ``stated`` is what the store has of it."""
+    """The backlog of one term; ``stated`` is the `PublishedValue` of it."""
 
-    def __init__(self, engine, sender, change_writer, clock, log):
+    def __init__(self, engine, sender, writer, clock, log):
         self.engine = engine
         self.sender = sender
-        self.change_writer = change_writer
+        self.lease = writer.lease
         self.clock = clock
         self.log = log
         self.rate = policy.StartRate()
         self.starts_seen = 0
         self.measured_at = clock.now()
-        self.stated = NO_BACKLOG
+        self.stated = PublishedValue(jobstore.BACKLOG, writer, log)
+        # That of the term before was deleted with its lease.
+        self.stated.value = NO_BACKLOG
         self.stated_at = float("-inf")
 
     async def run(self):
@@ -63,18 +66,15 @@
 
     def is_due(self, backlog, now):
         """Return whether a backlog is to be written now."""
-        if backlog == self.stated:
+        if backlog == self.stated.value:
             return False
         return backlog == NO_BACKLOG or now >= self.stated_at + WRITE_SECONDS
 
     async def state(self, backlog, now):
         """Write the backlog, which lasts as long as the term's lease."""
-        puts, deletes = (), (jobstore.backlog_key_range(),)
-        if backlog != NO_BACKLOG:
-            writer = self.change_writer.writer
-            puts, deletes = (jobstore.backlog_put(backlog, writer.lease),), ()
-        if await self.change_writer.write_optional(puts, deletes):
-            self.stated, self.stated_at = backlog, now
+        put = jobstore.backlog_put(backlog, self.lease)
+        if await self.stated.publish(backlog, put):
+            self.stated_at = now
             self.log.info(
                 "term.backlog",
                 seconds=backlog.seconds,
--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -320,9 +320,9 @@
         await self.commit(puts)
 
 
-def pending_puts(counts):
-    """Return the writes that store the number of pending jobs by queue."""
-    return [Put(PENDING, _encode(counts))]
+def pending_put(counts):
+    """Return the write that stores the number of pending jobs by queue."""
+    return Put(PENDING, _encode(counts))
 
 
 def backlog_put(backlog, lease):
@@ -330,14 +330,9 @@
     return Put(BACKLOG, _encode(backlog), lease)
 
 
-def backlog_key_range():
-    """Return the key range that holds the backlog."""
-    return BACKLOG, BACKLOG + "\0"
-
-
-def learned_puts(rows):
-    """Return the writes that store rows of `Pressure.export`."""
-    return [Put(LEARNED, _encode(rows))]
+def learned_put(rows):
+    """Return the write that stores rows of `Pressure.export`."""
+    return Put(LEARNED, _encode(rows))
 
 
 def job_key_ranges(job_ids):
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -75,9 +75,7 @@
             clock,
             log,
         )
-        self.backlog_meter = BacklogMeter(
-            self.engine, self.sender, self.change_writer, clock, log
-        )
+        self.backlog_meter = BacklogMeter(self.engine, self.sender, writer, clock, log)
         # Jobs that this term must never add, also if it reads all jobs again, and why.
         self.unreadable_progress = {}
         # Not ids: an endpoint may be listed again during the last request to its
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -5,6 +5,7 @@
 
 from clementinebay import errors, metrics
 from clementinebay.workflow import jobstore
+from clementinebay.workflow.published import PublishedValue
 
 #: Time for which changes are collected into one write, in seconds: for urgent changes
 #: and for all others.
@@ -53,7 +54,8 @@
         self.recorded = {}
         self.stored_endpoints = {}
         self.endpoints_changed = False
-        self.stored_pending_counts = None
+        self.pending_counts = PublishedValue(jobstore.PENDING, writer, log)
+        self.learned = PublishedValue(jobstore.LEARNED, writer, log)
 
     def load_endpoints(self, domains, addresses=()):
         """Adopt the endpoints in use that an earlier scheduler stored."""
@@ -219,9 +221,9 @@
         while True:
             metrics.ACTIVE_JOBS.set(len(self.engine.active))
             counts = self.engine.pending_job_counts()
-            changed = counts != self.stored_pending_counts
-            if changed and await self.write_optional(jobstore.pending_puts(counts)):
-                self.stored_pending_counts = counts
+            if counts != self.pending_counts.value:
+                put = jobstore.pending_put(counts)
+                await self.pending_counts.publish(counts, put)
             await asyncio.sleep(PENDING_INTERVAL_SECONDS)
 
     async def learning_loop(self):
@@ -230,22 +232,7 @@
             await asyncio.sleep(LEARNED_INTERVAL_SECONDS)
             rows = self.engine.pressure.export()
             if rows:
-                await self.write_optional(jobstore.learned_puts(rows))
-
-    async def write_optional(self, puts, deletes=()):
-        """Make a write that no later write depends on; return whether it succeeded.
-
-        Raises `NotLeaderError` if the term is over.
-        """
-        compares = [(jobstore.HOLDER, self.writer.fence)]
-        try:
-            await self.writer.store.commit(compares, puts, deletes)
-        except errors.CompareFailedError as error:
-            raise errors.NotLeaderError(jobstore.HOLDER) from error
-        except errors.PlatformError as error:
-            self.log.warning("term.side_write_failed", error=error.code)
-            return False
-        return True
+                await self.learned.publish(rows, jobstore.learned_put(rows))
 
     async def retention_loop(self):
         """Delete the records of jobs whose retention time is over."""
@@ -263,7 +250,18 @@
                 await self.forget(batch)
 
     async def forget(self, job_ids):
-        """Delete the records of ended jobs."""
-        if await self.write_optional((), jobstore.job_key_ranges(job_ids)):
-            for job_id in job_ids:
-                self.engine.forget_job(job_id)
+        """Delete the records of ended jobs; later if the store fails.
+
+        Raises `NotLeaderError` if the term is over.
+        """
+        compares = [(jobstore.HOLDER, self.writer.fence)]
+        ranges = jobstore.job_key_ranges(job_ids)
+        try:
+            await self.writer.store.commit(compares, (), ranges)
+        except errors.CompareFailedError as error:
+            raise errors.NotLeaderError(jobstore.HOLDER) from error
+        except errors.PlatformError as error:
+            self.log.warning("term.deletion_failed", error=error.code)
+            return
+        for job_id in job_ids:
+            self.engine.forget_job(job_id)
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -322,7 +322,7 @@
 
 
 def test_stored_address_of_an_earlier_incarnation_does_not_end_a_later_one():
-    async def fail_write(puts, deletes=()):
+    async def fail_write(value, put):
         return False
 
     async def main():
@@ -330,7 +330,9 @@
             await bed.run(3.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                bed.scheduler.change_writer.write_optional = fail_write
+                changes = bed.scheduler.change_writer
+                for published in (changes.pending_counts, changes.learned):
+                    published.publish = fail_write
                 bed.move(model, "10.0.0.2:0")
                 await bed.run(0.3)
                 await submit_replicas(bed)
