--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,8 @@
 """The client of the platform's store."""
 
+import asyncio
+import json
+
 import pytest
 
 from clementinebay import errors
@@ -188,3 +191,31 @@
     store = PlatformStore(FakeClient(ODD_ANSWERS[name], 412), "h:1")
     with pytest.raises(errors.PlatformUnavailableError):
         await store.create("k", b"x")
+
+
+async def test_page_of_1_mb_is_read_over_a_slow_link():
+    """A new term tried in vain to read all jobs, and nothing ran any more.
+
+    Pages have about 1 MB; one of 0.83 MB took 1.4 s on a day of the bench.
+    """
+    item = {"key": "k", "rev": 1, "value": "A" * 1_000_000, "lease": 0}
+    body = json.dumps({"items": [item], "as_of": 1, "has_more": False}).encode()
+    interval_seconds, chunk_bytes = 0.05, 29_400
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        for start in range(0, len(body), chunk_bytes):
+            await asyncio.sleep(interval_seconds)
+            writer.write(body[start : start + chunk_bytes])
+        await writer.drain()
+        writer.close()
+
+    async with (
+        await asyncio.start_server(serve, "127.0.0.1", 0) as server,
+        Client() as c,
+    ):
+        host, port = server.sockets[0].getsockname()
+        slow_store = PlatformStore(c, f"{host}:{port}")
+        entries, _revision = await slow_store.scan("k", prefix_end("k"))
+        assert [len(entry.value) for entry in entries] == [750_000]
