Test the count of pending jobs while the store fails or a domain is cut off

Cause: the paths were covered in the engine only; the tests in virtual time had a lost endpoint beside ends of terms and a reload.

Change: three faults of the store in the test of lost starts, and a test of a domain whose links refuse, are silent or are reset. No change of the product.

--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -455,7 +455,9 @@
     virtualtime.run(main())
 
 
-@pytest.mark.parametrize("then", ["nothing", "kill", "stop", "freeze", "reload"])
+@pytest.mark.parametrize(
+    "then", ["nothing", "kill", "stop", "freeze", "reload", "away", "lossy", "late"]
+)
 def test_jobs_whose_starts_were_lost_are_counted_as_pending(then):
     """They were left out, so clients were told of no waiting jobs for 13 s."""
 
@@ -474,6 +476,8 @@
                 await bed.freeze_scheduler(4.0)
             elif then == "reload":
                 await bed.scheduler.job_mirror.load()
+            elif then != "nothing":
+                await bed.disturb_stores(then, 3.0)
             await bed.run(4.0)
             for _second in range(6):
                 assert bed.pending_counts() == {"q": 3}
@@ -483,6 +487,28 @@
     virtualtime.run(main())
 
 
+@pytest.mark.parametrize("how", ["refused", "silent", "reset"])
+def test_jobs_whose_starts_fail_in_a_cut_domain_are_counted_as_pending(how):
+    """They were left out though no endpoint had begun a run of them."""
+
+    async def main():
+        async with TestBed(endpoints=1) as bed:
+            await bed.run(1.0)
+            bed.execute_late = lambda *_order: None
+            cutting = asyncio.create_task(bed.cut(bed.endpoints, how, 8.0))
+            for _number in range(3):
+                bed.submit(steps=[Step(processors_milli=500)])
+            await bed.run(2.0)
+            for _second in range(5):
+                assert bed.pending_counts() == {"q": 3}
+                await bed.run(1.0)
+            await cutting
+            await bed.run(14.0)
+            assert bed.pending_counts() == {}
+
+    virtualtime.run(main())
+
+
 def test_replicas_run_again_though_the_endpoint_with_room_is_barred():
     async def main():
         async with TestBed(endpoints=3) as bed:
