--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -9,19 +9,20 @@
 from clementinebay.policy import endpointhealth, pacing
 from clementinebay.policy import progress as progress_policy
 from clementinebay.policy.pressure import Pressure
-from clementinebay.workflow import moving, planning, suspects
-from clementinebay.workflow.fleet import EndpointState, longest_lease
+from clementinebay.workflow import incarnations, moving, planning, suspects
+from clementinebay.workflow.fleet import EndpointState
 from clementinebay.workflow.inheritance import InheritedEndpoints
 from clementinebay.workflow.job import Job, JobState, TaskState
 from clementinebay.workflow.leases import LeaseLimits
 from clementinebay.workflow.model import unlisted_endpoint
-from clementinebay.workflow.orders import PaceOrder, RunEnd
+from clementinebay.workflow.orders import (
+    MAX_ORDER_DELAY_SECONDS,
+    PaceOrder,
+    RunEnd,
+)
 from clementinebay.workflow.quotas import Quotas
 from clementinebay.workflow.stops import PendingStops
 
-#: Longest time after which an order that was not answered may still be executed, in
-#: seconds.
-MAX_ORDER_DELAY_SECONDS = 13.0
 #: First and longest backoff before a failed task is run again, in seconds.
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 5.0
@@ -145,7 +146,7 @@
                 address=info.address,
             )
         elif info.born_ms > endpoint.info.born_ms:
-            self.restart_endpoint(endpoint, info, now)
+            incarnations.restart(self, endpoint, info, now)
         elif info.born_ms == endpoint.info.born_ms:
             if info.leaving and not endpoint.info.leaving:
                 self.log.info("endpoint.leaving", endpoint=info.id)
@@ -191,25 +192,6 @@
         if endpoint is not None:
             endpoint.has_valid_entry = False
 
-    def restart_endpoint(self, endpoint, info, now):
-        """Handle the restart of an endpoint, which ended all runs there."""
-        self.log.warning(
-            "endpoint.restarted",
-            endpoint=info.id,
-            runs=len(endpoint.tasks),
-            born_ms=info.born_ms,
-        )
-        given_up = suspects.count_crash(self, endpoint, now)
-        for task in list(endpoint.tasks.values()):
-            if may_run_at_successor(task, endpoint):
-                self.mark_unconfirmed(task, now)
-                # A late request for a report would extend the lease of its run.
-                self.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
-            else:
-                self.lose_run(task, "restarted", now)
-        endpoint.restart(info)
-        suspects.give_up(self, given_up)
-
     def end_incarnation(self, endpoint, now):
         """Release all tasks of an incarnation that has certainly ended.
 
@@ -251,7 +233,7 @@
             return
         for endpoint in list(self.endpoints.values()):
             if endpoint.clock_ms is None and (endpoint.listed or endpoint.tasks):
-                self.expire_unconfirmed(endpoint, now)
+                incarnations.expire_unreported(self, endpoint, now)
                 continue
             if now < endpoint.leases_expire_at():
                 continue
@@ -283,18 +265,6 @@
                 del self.occupants[endpoint.info.address]
             self.log.info("endpoint.forgotten", endpoint=endpoint.id)
 
-    def expire_unconfirmed(self, endpoint, now):
-        """Release tasks whose run is over at an incarnation that never reported.
-
-        An order that was sent before the restart may be executed at its deadline and
-        grant the longest lease.
-        """
-        lease_seconds = longest_lease(self.max_lease_seconds)
-        for task in list(endpoint.tasks.values()):
-            deadline = self.late_order_deadlines.get(task.name)
-            if deadline is not None and now >= deadline + lease_seconds:
-                self.lose_run(task, "lapsed", now)
-
     def lose_run(self, task, cause, now):
         """Record a run that ended without a result and release its task."""
         metrics.RUNS_LOST.labels(cause).inc()
@@ -332,9 +302,11 @@
             info = unlisted_endpoint(
                 endpoint.id, endpoint.domain, endpoint.info.address, report.born_ms
             )
-            self.restart_endpoint(endpoint, info, now)
+            incarnations.restart(self, endpoint, info, now)
         if endpoint.clock_ms is None:
-            lease_seconds = self.inherited_lease_seconds(endpoint, report, now)
+            lease_seconds = incarnations.found_lease_seconds(
+                self, endpoint, report, now
+            )
             endpoint.granted_ms = report.clock_ms + lease_seconds * 1000
         endpoint.read_clock(report.clock_ms, sent_at, now)
         endpoint.unreachable_since = None
@@ -357,23 +329,6 @@
         self.inherited_endpoints.mark_reported(endpoint.id)
         return True
 
-    def inherited_lease_seconds(self, endpoint, report, now):
-        """Return the longest time for which the leases found at an endpoint may last.
-
-        An earlier scheduler may have granted them, but only at an endpoint that it had
-        stored.  A deadline on the clock of an earlier incarnation grants the longest
-        lease that the endpoint accepts.
-        """
-        inherited = self.inherited_endpoints
-        if endpoint.restarts or inherited.has_restarted(endpoint):
-            return self.max_lease_seconds
-        left = 0.0
-        if inherited.is_known(endpoint.id):
-            left = max(0.0, inherited.end_of_leases(endpoint.id) - now)
-        if report.running and not left:
-            return self.max_lease_seconds
-        return min(self.max_lease_seconds, left)
-
     def pinned_jobs(self, now):
         """Return the ids of the jobs of pinned tasks, by the id of their endpoint."""
         pinned = {}
@@ -385,17 +340,6 @@
                         pinned.setdefault(endpoint_id, set()).add(job.id)
         return pinned
 
-    def jobs_with_unconfirmed_start(self, endpoint):
-        """Return the ids of the jobs with a start that no report of ``endpoint`` shows.
-
-        The next incarnation may have taken the order.
-        """
-        return {
-            task.job.id
-            for name, task in endpoint.tasks.items()
-            if may_run_at_successor(task, endpoint) or name in self.late_order_deadlines
-        }
-
     def find_task(self, name):
         """Return the `Task` called ``name``, or ``None``."""
         try:
@@ -729,10 +673,3 @@
             if not job.has_started:
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
-
-
-def may_run_at_successor(task, endpoint):
-    """Return whether the next incarnation of ``endpoint`` may have started ``task``."""
-    if task.state is TaskState.RUNNING:
-        return task.started_at > endpoint.clock_at
-    return task.state in (TaskState.STARTING, TaskState.UNCONFIRMED)
--- /dev/null
+++ b/clementinebay/workflow/incarnations.py
@@ -0,0 +1,80 @@
+"""Incarnations of endpoints: restarts, and what the next incarnation may hold.
+
+An endpoint that restarts under its id has forgotten its runs, fences and leases, but it
+executes orders that were sent to the incarnation before.
+"""
+
+from clementinebay.workflow import suspects
+from clementinebay.workflow.fleet import longest_lease
+from clementinebay.workflow.job import TaskState
+from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS
+
+
+def restart(engine, endpoint, info, now):
+    """Handle the restart of an endpoint, which ended all runs there."""
+    engine.log.warning(
+        "endpoint.restarted",
+        endpoint=info.id,
+        runs=len(endpoint.tasks),
+        born_ms=info.born_ms,
+    )
+    given_up = suspects.count_crash(engine, endpoint, now)
+    for task in list(endpoint.tasks.values()):
+        if may_run_at_successor(task, endpoint):
+            engine.mark_unconfirmed(task, now)
+            # A late request for a report would extend the lease of its run.
+            engine.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
+        else:
+            engine.lose_run(task, "restarted", now)
+    endpoint.restart(info)
+    suspects.give_up(engine, given_up)
+
+
+def may_run_at_successor(task, endpoint):
+    """Return whether the next incarnation of ``endpoint`` may have started ``task``."""
+    if task.state is TaskState.RUNNING:
+        return task.started_at > endpoint.clock_at
+    return task.state in (TaskState.STARTING, TaskState.UNCONFIRMED)
+
+
+def jobs_with_unconfirmed_start(engine, endpoint):
+    """Return the ids of the jobs with a start that no report of ``endpoint`` shows.
+
+    The next incarnation may have taken the order.
+    """
+    return {
+        task.job.id
+        for name, task in endpoint.tasks.items()
+        if may_run_at_successor(task, endpoint) or name in engine.late_order_deadlines
+    }
+
+
+def found_lease_seconds(engine, endpoint, report, now):
+    """Return the longest time for which the leases found at an endpoint may last.
+
+    An earlier scheduler may have granted them, but only at an endpoint that it had
+    stored.  A deadline on the clock of an earlier incarnation grants the longest lease
+    that the endpoint accepts.
+    """
+    inherited = engine.inherited_endpoints
+    if endpoint.restarts or inherited.has_restarted(endpoint):
+        return engine.max_lease_seconds
+    left = 0.0
+    if inherited.is_known(endpoint.id):
+        left = max(0.0, inherited.end_of_leases(endpoint.id) - now)
+    if report.running and not left:
+        return engine.max_lease_seconds
+    return min(engine.max_lease_seconds, left)
+
+
+def expire_unreported(engine, endpoint, now):
+    """Release tasks whose run is over at an incarnation that never reported.
+
+    An order that was sent before the restart may be executed at its deadline and grant
+    the longest lease.
+    """
+    lease_seconds = longest_lease(engine.max_lease_seconds)
+    for task in list(endpoint.tasks.values()):
+        deadline = engine.late_order_deadlines.get(task.name)
+        if deadline is not None and now >= deadline + lease_seconds:
+            engine.lose_run(task, "lapsed", now)
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -10,6 +10,7 @@
 
 from clementinebay.workflow import witnesses
 from clementinebay.workflow.fleet import longest_lease
+from clementinebay.workflow.incarnations import jobs_with_unconfirmed_start
 from clementinebay.workflow.witnesses import Deadline
 
 #: Difference between the longest lease that endpoints accept and the longest that is
@@ -209,7 +210,7 @@
     jobs = set(pinned.get(endpoint.id, ()))
     if inherited.expects(endpoint.id):
         jobs |= inherited.late_jobs_at(endpoint.id)
-    return jobs | engine.jobs_with_unconfirmed_start(endpoint)
+    return jobs | jobs_with_unconfirmed_start(engine, endpoint)
 
 
 def possible_jobs(engine, endpoint, others):
--- a/clementinebay/workflow/orders.py
+++ b/clementinebay/workflow/orders.py
@@ -2,6 +2,10 @@
 
 from clementinebay.workflow.job import TaskState
 
+#: Longest time after which an order that was not answered may still be executed, in
+#: seconds.
+MAX_ORDER_DELAY_SECONDS = 13.0
+
 
 class RunEnd:
     """The end of a run as reported by its endpoint."""
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -7,11 +7,12 @@
 from clementinebay.policy import polling
 from clementinebay.workflow import jobstore, leases
 from clementinebay.workflow.backlog import BacklogMeter
-from clementinebay.workflow.engine import MAX_ORDER_DELAY_SECONDS, Engine
+from clementinebay.workflow.engine import Engine
 from clementinebay.workflow.fleet import longest_lease
 from clementinebay.workflow.load import TermLoad
 from clementinebay.workflow.mirror import Mirror
 from clementinebay.workflow.model import unlisted_endpoint
+from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS
 from clementinebay.workflow.sending import Sender
 from clementinebay.workflow.standby import Standby
 from clementinebay.workflow.storing import ChangeWriter
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -10,10 +10,14 @@
 import random
 
 from clementinebay.workflow import leases
-from clementinebay.workflow.engine import MAX_ORDER_DELAY_SECONDS
 from clementinebay.workflow.job import Progress
 from clementinebay.workflow.model import Step
-from clementinebay.workflow.orders import Report, RunEnd, RunReport
+from clementinebay.workflow.orders import (
+    MAX_ORDER_DELAY_SECONDS,
+    Report,
+    RunEnd,
+    RunReport,
+)
 from tests.workflow import factory
 
 STEP_SECONDS = 0.1
--- a/tests/workflow/test_engine.py
+++ b/tests/workflow/test_engine.py
@@ -5,12 +5,10 @@
 
 from clementinebay.policy import dispatch, progress
 from clementinebay.workflow import planning
-from clementinebay.workflow.engine import (
-    MAX_ORDER_DELAY_SECONDS,
-    UNKNOWN_JOB_GRACE_SECONDS,
-)
+from clementinebay.workflow.engine import UNKNOWN_JOB_GRACE_SECONDS
 from clementinebay.workflow.job import JobState, Progress, TaskState
 from clementinebay.workflow.model import Step
+from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS
 from tests.workflow import factory
 
 SMALL = Step(count=1, processors_milli=1000, memory_mb=100)
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from clementinebay.workflow.engine import MAX_ORDER_DELAY_SECONDS
 from clementinebay.workflow.model import Step, unlisted_endpoint
+from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS
 from tests.workflow import factory, virtualtime
 from tests.workflow.testbed import ENTRY_SECONDS, TestBed
 
--- a/tests/workflow/test_leases.py
+++ b/tests/workflow/test_leases.py
@@ -9,11 +9,10 @@
 
 from clementinebay.policy.endpointhealth import Health
 from clementinebay.workflow import leases, witnesses
-from clementinebay.workflow.engine import MAX_ORDER_DELAY_SECONDS
 from clementinebay.workflow.fleet import MAX_CLOCK_DRIFT, EndpointState, longest_lease
 from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.model import Step
-from clementinebay.workflow.orders import RunEnd
+from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS, RunEnd
 from clementinebay.workflow.planning import ready_endpoints
 from tests.workflow import factory
 
