Log the leases that are assumed at endpoints and read of earlier terms

To tell whether a task ran twice because a scheduler assumed too short a lease at an endpoint that had restarted, or because its record for a successor did: endpoint.leases_found has what is assumed at a first report, term.leases_read and endpoint.leases_ended what a successor goes by.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -249,7 +249,7 @@
             self.log.info(
                 "endpoint.leases_ended",
                 endpoint=endpoint_id,
-                by_stored_limit=self.inherited_endpoints.has_stored_end(endpoint_id),
+                **self.inherited_endpoints.describe(endpoint_id),
             )
 
     def forget_endpoint(self, endpoint, now):
@@ -308,6 +308,16 @@
                 self, endpoint, report, now
             )
             endpoint.granted_ms = report.clock_ms + lease_seconds * 1000
+            if lease_seconds > 0:
+                self.log.info(
+                    "endpoint.leases_found",
+                    endpoint=endpoint.id,
+                    seconds=round(lease_seconds, 2),
+                    clock_ms=report.clock_ms,
+                    restarts=endpoint.restarts,
+                    asked_seconds_ago=round(now - sent_at, 3),
+                    runs=len(report.running),
+                )
         endpoint.read_clock(report.clock_ms, sent_at, now)
         endpoint.unreachable_since = None
         endpoint.is_silent = False
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -90,6 +90,19 @@
         """Return whether a stored limit ended the leases before this term's bound."""
         return self.end_of_leases(endpoint_id) < self.until
 
+    def describe(self, endpoint_id):
+        """Return the fields for a log of why an endpoint was awaited for that long.
+
+        ``jobs`` and ``late_jobs`` count those that may have runs there; ``jobs`` is
+        ``None`` if they are unknown.
+        """
+        jobs = self.jobs_at(endpoint_id)
+        return {
+            "by_stored_limit": self.has_stored_end(endpoint_id),
+            "jobs": None if jobs is None else len(jobs),
+            "late_jobs": len(self.late_jobs_at(endpoint_id)),
+        }
+
     def deadline_at(self, endpoint_id):
         """Return the stored deadline of an endpoint's leases."""
         stored = self.by_id[endpoint_id].leases
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -140,6 +140,13 @@
             stored = None if record is None else record.of(endpoint_id)
             _address, born_ms = addresses.get(endpoint_id, (None, None))
             self.engine.inherited_endpoints.expect(endpoint_id, domain, stored, born_ms)
+        if used_endpoints:
+            self.log.info(
+                "term.leases_read",
+                endpoints=len(used_endpoints),
+                has_record=record is not None,
+                final=0 if record is None else len(record.final),
+            )
         self.job_mirror = Mirror(
             self.store,
             jobstore.JOBS,
