--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -287,6 +287,39 @@
     virtualtime.run(main())
 
 
+@pytest.mark.parametrize("max_lease", [6.0, 10.0])
+@pytest.mark.parametrize("kill_after", [0.3, 1.0, 2.0, 4.0])
+def test_run_at_a_restarted_endpoint_is_not_started_again_by_a_successor(
+    max_lease, kill_after
+):
+    """A request meant for the incarnation before grants the next the longest lease."""
+
+    async def main():
+        async with TestBed(endpoints=6, max_lease=max_lease) as bed:
+            await bed.run(12.0)
+            model = bed.endpoints[0]
+            async with bed.disturbance(0.0):
+                bed.crash(model, "silent")
+                await bed.run(0.6)
+                model.up = True
+                bed.restart_unlisted(model)
+                await bed.run(0.6)
+                bed.list(model)
+                for _number in range(6):
+                    bed.submit(steps=REPLICAS)
+                await bed.run(0.8)
+                assert model.runs
+                await bed.run(kill_after)
+                await bed.kill_scheduler()
+                await bed.run(0.1)
+                bed.add_endpoint()
+                cutting = asyncio.create_task(bed.cut([model], "silent", 14.0))
+                await bed.run(15.0)
+                await cutting
+
+    virtualtime.run(main())
+
+
 @pytest.mark.parametrize("max_lease", [6.0, 10.0])
 def test_run_at_an_endpoint_that_restarted_unseen_is_not_started_again(max_lease):
     async def main():
