Test bed: a request in progress ends with the incarnation that took it

The bed's request for a report went on at the next incarnation of its endpoint, with the numbers of ends to forget, after it had been executed by the one before: two executions of one call, which no endpoint can do as its crash breaks its connections.

--- a/tests/workflow/beddaemon.py
+++ b/tests/workflow/beddaemon.py
@@ -160,10 +160,17 @@
         model = self.bed.by_id[endpoint.id]
         args = (deadline_ms, acknowledged, fence)
         report = await self.call(endpoint, model.report, *args)
+        born = report.born_ms
+
+        def poll(now, *args):
+            if model.born != born:
+                raise errors.CallUnansweredError(model.id, "/", "reset")
+            return model.report(now, *args)
+
         until = self.bed.now() + wait
         while self.bed.now() < until and not report.ended:
             await asyncio.sleep(POLL_SECONDS)
-            report = await self.call(endpoint, model.report, None, acknowledged, fence)
+            report = await self.call(endpoint, poll, None, acknowledged, fence)
         return report
 
 
