Reckon with orders to the incarnation before until the next fence has arrived

Cause: the answer that shows a restart belongs to a request with the fence of the incarnation before, as does one that was asked for before the registry showed the restart. It was processed as the first report of the next one, so its leases were taken to end 10 s after that clock reading, and late starts to be over after 13 s. But nothing bars other orders with that fence: until one with the next fence arrives they may still start runs, and grant the longest lease then.

Change: such a report only tells of the restart; the next, with the next fence, is the first. It costs one round trip.

Three new tests fail on the code before.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -291,7 +291,7 @@
 
         Returns ``False`` for a report of an earlier incarnation of the endpoint, of one
         that has ended, or of a forgotten endpoint.  The report of a newer incarnation
-        ends the runs of the earlier one.
+        ends the runs of the earlier one; its own runs are read from a later report.
         """
         if self.endpoints.get(endpoint.id) is not endpoint or endpoint.has_ended:
             return False
@@ -303,6 +303,11 @@
                 endpoint.id, endpoint.domain, endpoint.info.address, report.born_ms
             )
             incarnations.restart(self, endpoint, info, now)
+            return False
+        if sent_at < endpoint.restarted_at:
+            # Asked for with the fence of the incarnation before, so it does not bar
+            # other orders to that one, which may still start runs and extend leases.
+            return False
         if endpoint.clock_ms is None:
             lease_seconds = incarnations.found_lease_seconds(
                 self, endpoint, report, now
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -50,7 +50,8 @@
     clock; ``clock_ms`` is a reading of that clock, received at
     ``clock_at`` of the scheduler's clock, and ``clock_lead_ms`` the most by which the
     endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true while the
-    last request for a report has failed.
+    last request for a report has failed.  ``restarted_at`` is when this scheduler
+    learned of the last restart.
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         "clock_lead_ms",
         "unreachable_since",
         "is_silent",
+        "restarted_at",
         "health",
         "pacing",
         "unknown_runs",
@@ -112,13 +114,15 @@
         self.local_levels = {}
         self.spare_headroom = ()
         self.restarts = 0
+        self.restarted_at = float("-inf")
         self.listed = True
         self.recorded = False
         self.reset(info)
 
-    def restart(self, info):
+    def restart(self, info, now):
         """Replace the endpoint by its next incarnation under the same id."""
         self.restarts += 1
+        self.restarted_at = now
         self.reset(info)
 
     def fence(self, term_fence):
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -26,7 +26,7 @@
             engine.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
         else:
             engine.lose_run(task, "restarted", now)
-    endpoint.restart(info)
+    endpoint.restart(info, now)
     suspects.give_up(engine, given_up)
 
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -407,7 +407,8 @@
         now = self.clock.now()
         had_reported = endpoint.has_reported
         if not self.engine.process_report(endpoint, report, sent_at, now):
-            return False
+            # An incarnation that was not known yet is asked again at once.
+            return report.born_ms == endpoint.info.born_ms
         if was_unreachable:
             self.log.info("endpoint.regained", endpoint=endpoint.id)
         if not had_reported or report.ended or was_unreachable:
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinebay.workflow.fleet import longest_lease
 from clementinebay.workflow.model import Step, unlisted_endpoint
 from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS
 from tests.workflow import factory, virtualtime
@@ -203,6 +204,47 @@
     return endpoint is not None and endpoint.has_reported
 
 
+# Reports of the next incarnation
+
+
+def test_report_asked_for_before_a_restart_was_known_is_not_its_first():
+    """It was asked for with the earlier fence, which bars no earlier order."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.register_endpoint(factory.make_info(born_ms=2), 1.0)
+    early = factory.report(born_ms=2)
+    assert not engine.process_report(endpoint, early, 0.9, 1.1)
+    assert not endpoint.has_reported
+    assert engine.process_report(endpoint, early, 1.1, 1.2)
+
+
+def test_report_that_shows_a_restart_is_followed_by_one_with_the_next_fence():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    fence = endpoint.fence(100)
+    assert not engine.process_report(endpoint, factory.report(born_ms=2), 0.9, 1.0)
+    assert endpoint.fence(100) > fence
+    assert not endpoint.has_reported
+    assert engine.process_report(endpoint, factory.report(born_ms=2), 1.0, 1.1)
+
+
+def test_late_order_is_reckoned_with_after_a_report_that_shows_a_restart():
+    """Nothing barred it, so it may start its run and grant the longest lease."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 0.5)
+    engine.process_report(endpoint, factory.report(born_ms=2), 0.9, 1.0)
+    endpoint.mark_silent(1.1)
+    engine.unlist_endpoint(endpoint.id)
+    end = 1.0 + MAX_ORDER_DELAY_SECONDS + longest_lease(factory.MAX_LEASE)
+    engine.expire(end - 0.1)
+    assert order.task.endpoint is endpoint
+    engine.expire(end)
+    assert order.task.endpoint is None
+
+
 # Restarts under the same id
 
 
