State the leases that a restarted endpoint may hold to a successor

Callers saw tasks run twice: endpoints restarted under their ids, were cut off soon after, and their scheduler was killed. Its successor started their tasks elsewhere up to 4 s before the runs lapsed.

Cause: a lease deadline is a time on the endpoint's clock, which begins anew with each incarnation. One that was meant for the incarnation before grants the next one the longest lease that it accepts (10 s), also for runs that start later. The scheduler reckoned with that itself, but its record for successors had one limit for all endpoints in use, 6.1 s from its last write.

Change: the record states the leases found at an endpoint while they outlast that limit, as a deadline with the jobs that may have runs there. So a successor waits longer for these jobs alone. Also: an endpoint whose restart is known, but that has not reported, is stored with the longest lease; its new start is stored only with the leases that it reports; a successor that sees a later start than the stored one, or finds no readable record, waits for the longest lease.

Four tests expected the shorter bounds; they ask for the longer ones now. Two test beds had room elsewhere for all of their replicas, so that none would run at the restarted endpoint any more; they have more replicas now, and an empty endpoint that a second run can start at.

--- a/clementinebay/policy/dispatch.py
+++ b/clementinebay/policy/dispatch.py
@@ -40,6 +40,9 @@
 COLD_START_PENALTY = 0.5
 #: Penalty of an endpoint in another rack than the task's data.
 REMOTE_DATA_PENALTY = 1.0
+#: Penalty of a replica's endpoint whose leases outlast the stored limit: if it is lost,
+#: the replica runs again later than elsewhere.
+LONG_LEASE_PENALTY = 4.0
 #: Penalty of an endpoint where the task failed or made no progress before.
 DISTRUST_PENALTY = 2.0
 
@@ -102,6 +105,8 @@
     step = task.step
     if step.replica:
         value = replica_score(endpoint, step, pressure)
+        if endpoint.open_jobs is not None:
+            value += LONG_LEASE_PENALTY
     elif step.filler:
         value = filler_score(endpoint, task, pressure, now, can_wait)
         if value is None:
@@ -127,7 +132,7 @@
     step = task.step
     if endpoint.info.service != task.job.spec.service or not endpoint.fits(step):
         return False
-    if not task.may_run_at(endpoint, now):
+    if not task.may_run_at(endpoint, now) or not endpoint.admits(task.job):
         return False
     if step.required_label and step.required_label not in endpoint.info.labels:
         return False
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -9,11 +9,16 @@
 from clementinebay.policy import endpointhealth, pacing
 from clementinebay.policy import progress as progress_policy
 from clementinebay.policy.pressure import Pressure
-from clementinebay.workflow import incarnations, moving, planning, suspects
+from clementinebay.workflow import (
+    incarnations,
+    leases,
+    moving,
+    planning,
+    suspects,
+)
 from clementinebay.workflow.fleet import EndpointState
 from clementinebay.workflow.inheritance import InheritedEndpoints
 from clementinebay.workflow.job import Job, JobState, TaskState
-from clementinebay.workflow.leases import LeaseLimits
 from clementinebay.workflow.model import unlisted_endpoint
 from clementinebay.workflow.orders import (
     MAX_ORDER_DELAY_SECONDS,
@@ -54,8 +59,10 @@
         self.term = term
         self.wall_clock = wall_clock
         self.log = log
-        self.inherited_endpoints = InheritedEndpoints(inherited_until)
-        self.leases = LeaseLimits(self, max_lease_seconds)
+        self.inherited_endpoints = InheritedEndpoints(
+            inherited_until, leases.longest_until(inherited_until, max_lease_seconds)
+        )
+        self.leases = leases.LeaseLimits(self, max_lease_seconds)
         self.jobs = {}
         self.active = {}
         self.endpoints = {}
@@ -138,6 +145,7 @@
         if endpoint is None:
             endpoint = EndpointState(info, endpointhealth.Health(), self.quotas)
             self.endpoints[info.id] = endpoint
+            self.inherited_endpoints.record_incarnation(endpoint)
             self.log.info(
                 "endpoint.listed",
                 endpoint=info.id,
@@ -309,20 +317,8 @@
             # other orders to that one, which may still start runs and extend leases.
             return False
         if endpoint.clock_ms is None:
-            lease_seconds = incarnations.found_lease_seconds(
-                self, endpoint, report, now
-            )
-            endpoint.granted_ms = report.clock_ms + lease_seconds * 1000
-            if lease_seconds > 0:
-                self.log.info(
-                    "endpoint.leases_found",
-                    endpoint=endpoint.id,
-                    seconds=round(lease_seconds, 2),
-                    clock_ms=report.clock_ms,
-                    restarts=endpoint.restarts,
-                    asked_seconds_ago=round(now - sent_at, 3),
-                    runs=len(report.running),
-                )
+            incarnations.record_leases(self, endpoint, report, now)
+        incarnations.record_jobs(endpoint, report)
         endpoint.read_clock(report.clock_ms, sent_at, now)
         endpoint.unreachable_since = None
         endpoint.is_silent = False
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -50,8 +50,13 @@
     clock; ``clock_ms`` is a reading of that clock, received at
     ``clock_at`` of the scheduler's clock, and ``clock_lead_ms`` the most by which the
     endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true while the
-    last request for a report has failed.  ``restarted_at`` is when this scheduler
-    learned of the last restart.
+    last request for a report has failed.
+
+    ``restarted_at`` is when this scheduler learned of the last restart.  The leases
+    that were found at the first report have ended by ``found_until``, in scheduler
+    time.  ``open_jobs`` has the ids of the jobs that may be started while these leases
+    outlast the stored limit, or is ``None`` if any job may be; meanwhile ``found_jobs``
+    collects the ids of the jobs in reports.
     """
 
     __slots__ = (
@@ -84,6 +89,9 @@
         "unreachable_since",
         "is_silent",
         "restarted_at",
+        "found_until",
+        "open_jobs",
+        "found_jobs",
         "health",
         "pacing",
         "unknown_runs",
@@ -154,6 +162,9 @@
         self.clock_lead_ms = float("inf")
         self.unreachable_since = None
         self.is_silent = False
+        self.found_until = float("-inf")
+        self.open_jobs = None
+        self.found_jobs = set()
 
     @property
     def id(self):
@@ -269,6 +280,10 @@
                 pending.append((redundant.owner, redundant.step))
         return pending
 
+    def admits(self, job):
+        """Return whether tasks of ``job`` may be started here, by the stored leases."""
+        return self.open_jobs is None or job.id in self.open_jobs
+
     def fits(self, step):
         """Return whether the endpoint has capacity for another task of ``step``."""
         info = self.info
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -27,6 +27,7 @@
         else:
             engine.lose_run(task, "restarted", now)
     endpoint.restart(info, now)
+    engine.inherited_endpoints.record_incarnation(endpoint)
     suspects.give_up(engine, given_up)
 
 
@@ -49,22 +50,46 @@
     }
 
 
-def found_lease_seconds(engine, endpoint, report, now):
-    """Return the longest time for which the leases found at an endpoint may last.
+def record_leases(engine, endpoint, report, now):
+    """Record how long the leases that an incarnation has at its first report may last.
 
     An earlier scheduler may have granted them, but only at an endpoint that it had
     stored.  A deadline on the clock of an earlier incarnation grants the longest lease
     that the endpoint accepts.
     """
     inherited = engine.inherited_endpoints
-    if endpoint.restarts or inherited.has_restarted(endpoint):
-        return engine.max_lease_seconds
-    left = 0.0
-    if inherited.is_known(endpoint.id):
-        left = max(0.0, inherited.end_of_leases(endpoint.id) - now)
-    if report.running and not left:
-        return engine.max_lease_seconds
-    return min(engine.max_lease_seconds, left)
+    seconds, until = engine.max_lease_seconds, float("inf")
+    if not (endpoint.restarts or inherited.has_restarted(endpoint.id)):
+        left = 0.0
+        if inherited.is_known(endpoint.id):
+            left = max(0.0, inherited.end_of_leases(endpoint.id) - now)
+        if left or not report.running:
+            seconds, until = min(seconds, left), now + left
+    endpoint.granted_ms = report.clock_ms + seconds * 1000
+    if not seconds:
+        return
+    endpoint.found_until = min(until, now + longest_lease(seconds))
+    if endpoint.found_until > engine.leases.until:
+        endpoint.open_jobs = frozenset()
+    engine.log.info(
+        "endpoint.leases_found",
+        endpoint=endpoint.id,
+        seconds=round(seconds, 2),
+        clock_ms=report.clock_ms,
+        restarts=endpoint.restarts,
+        is_open=endpoint.open_jobs is None,
+        runs=len(report.running),
+    )
+
+
+def record_jobs(endpoint, report):
+    """Record the jobs in a report while the endpoint's leases outlast the limit.
+
+    The ends of their runs may not be stored yet.
+    """
+    if endpoint.open_jobs is not None:
+        rows = (*report.running, *report.ended)
+        endpoint.found_jobs.update(row.task.partition(".")[0] for row in rows)
 
 
 def expire_unreported(engine, endpoint, now):
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -10,19 +10,32 @@
 class InheritedEndpoint:
     """An endpoint that an earlier scheduler used.
 
-    ``born_ms`` is the start of the incarnation that was used, or ``None`` if it is
-    unknown; ``leases`` are its stored `EndpointLeases`, or ``None``.  ``end`` is when
-    its leases have ended.  ``reported`` is true once this scheduler knows all runs
-    there, ``expired`` once none can be left but those of late orders.
+    ``born_ms`` is the start of the incarnation for which the stored `EndpointLeases`,
+    ``leases``, hold, or ``None`` if it is unknown; ``leases`` may be ``None``, too.
+    ``bound`` is when its leases have ended whatever the clocks of witnesses tell, and
+    ``end`` when they have by these.  ``restarted`` is true for a later incarnation.
+    ``reported`` is true once this scheduler knows all runs there, ``expired`` once none
+    can be left but those of late orders.
     """
 
-    __slots__ = ("domain", "born_ms", "leases", "end", "reported", "expired")
-
-    def __init__(self, domain, born_ms, stored, end):
+    __slots__ = (
+        "domain",
+        "born_ms",
+        "leases",
+        "bound",
+        "end",
+        "restarted",
+        "reported",
+        "expired",
+    )
+
+    def __init__(self, domain, born_ms, stored, bound):
         self.domain = domain
         self.born_ms = born_ms
         self.leases = stored
-        self.end = end
+        self.bound = bound
+        self.end = bound
+        self.restarted = False
         self.reported = False
         self.expired = False
 
@@ -30,14 +43,16 @@
 class InheritedEndpoints:
     """Endpoints used by earlier schedulers, until they have reported to this one.
 
-    ``until`` is the time by which every lease granted by an earlier scheduler has
-    expired, and ``by_id`` has each `InheritedEndpoint`.
+    ``until`` is the time by which every lease that earlier schedulers meant to grant
+    has expired, ``longest_until`` that by which the longest leases that endpoints
+    accept have.  ``by_id`` has each `InheritedEndpoint`.
     """
 
-    __slots__ = ("until", "by_id", "awaited_jobs", "awaited_domains")
+    __slots__ = ("until", "longest_until", "by_id", "awaited_jobs", "awaited_domains")
 
-    def __init__(self, until):
+    def __init__(self, until, longest_until):
         self.until = until
+        self.longest_until = longest_until
         self.by_id = {}
         self.awaited_jobs = None
         self.awaited_domains = None
@@ -48,22 +63,37 @@
         ``stored`` are its `EndpointLeases`, ``born_ms`` the start of the incarnation,
         if known.
         """
-        if endpoint_id not in self.by_id:
-            self.by_id[endpoint_id] = InheritedEndpoint(
-                domain, born_ms, stored, self.until
-            )
-            self.awaited_jobs = None
+        if endpoint_id in self.by_id:
+            return
+        is_longest = stored is not None and stored.longest
+        if stored is not None and stored.born_ms:
+            born_ms = stored.born_ms
+        self.by_id[endpoint_id] = InheritedEndpoint(
+            domain, born_ms, stored, self.longest_until if is_longest else self.until
+        )
+        self.awaited_jobs = None
+
+    def record_incarnation(self, endpoint):
+        """Record that an inherited endpoint has restarted, if it has.
+
+        Orders to the earlier incarnation may have granted it the longest lease.
+        """
+        inherited = self.by_id.get(endpoint.id)
+        if inherited is None:
+            return
+        is_other = inherited.born_ms not in (None, endpoint.info.born_ms)
+        if endpoint.restarts or is_other:
+            inherited.restarted = True
+            inherited.bound = inherited.end = self.longest_until
 
     def is_known(self, endpoint_id):
         """Return whether an earlier scheduler has used an endpoint."""
         return endpoint_id in self.by_id
 
-    def has_restarted(self, endpoint):
+    def has_restarted(self, endpoint_id):
         """Return whether an endpoint is a later incarnation than the one used."""
-        inherited = self.by_id.get(endpoint.id)
-        if inherited is None or inherited.born_ms is None:
-            return False
-        return inherited.born_ms != endpoint.info.born_ms
+        inherited = self.by_id.get(endpoint_id)
+        return inherited is not None and inherited.restarted
 
     def mark_reported(self, endpoint_id):
         """Record that this scheduler knows all runs at an endpoint."""
@@ -88,7 +118,8 @@
 
     def has_stored_end(self, endpoint_id):
         """Return whether a stored limit ended the leases before this term's bound."""
-        return self.end_of_leases(endpoint_id) < self.until
+        inherited = self.by_id[endpoint_id]
+        return inherited.end < inherited.bound
 
     def describe(self, endpoint_id):
         """Return the fields for a log of why an endpoint was awaited for that long.
@@ -101,12 +132,21 @@
             "by_stored_limit": self.has_stored_end(endpoint_id),
             "jobs": None if jobs is None else len(jobs),
             "late_jobs": len(self.late_jobs_at(endpoint_id)),
+            "restarted": self.has_restarted(endpoint_id),
         }
 
     def deadline_at(self, endpoint_id):
-        """Return the stored deadline of an endpoint's leases."""
-        stored = self.by_id[endpoint_id].leases
-        return () if stored is None else stored.deadline
+        """Return the stored deadline of an endpoint's leases, empty if none holds."""
+        inherited = self.by_id[endpoint_id]
+        if inherited.leases is None or inherited.restarted:
+            return ()
+        return inherited.leases.deadline
+
+    def known_start(self, endpoint):
+        """Return the start of an incarnation whose leases are known, 0 if it is not."""
+        inherited = self.by_id.get(endpoint.id)
+        is_unsure = self.expects(endpoint.id) and inherited.born_ms is None
+        return 0 if is_unsure else endpoint.info.born_ms
 
     def jobs_at(self, endpoint_id):
         """Return the ids of the jobs that may have runs at an endpoint, or ``None``."""
@@ -137,16 +177,15 @@
         any more.
         """
         self.read_clocks(endpoints, now)
-        late_until = self.until + LATE_ORDER_MARGIN_SECONDS
         ended = []
         for endpoint_id in self.awaited():
             inherited = self.by_id[endpoint_id]
             endpoint = endpoints.get(endpoint_id)
             if endpoint is not None and not endpoint.is_silent:
                 is_over = False
-            elif now >= late_until:
+            elif now >= inherited.bound + LATE_ORDER_MARGIN_SECONDS:
                 is_over = True
-            elif endpoint is not None and self.has_restarted(endpoint):
+            elif inherited.restarted:
                 # Orders to the earlier incarnation may be executed late.
                 is_over = False
             elif now >= inherited.end and not inherited.expired:
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from clementinebay.workflow import witnesses
+from clementinebay.decoding import WholeNumber
+from clementinebay.workflow import openjobs, witnesses
 from clementinebay.workflow.fleet import longest_lease
 from clementinebay.workflow.incarnations import jobs_with_unconfirmed_start
 from clementinebay.workflow.witnesses import Deadline
@@ -28,8 +29,8 @@
 #: Time without an answer after which an endpoint's leases are stored as final, in
 #: seconds.  They are not extended until that is withdrawn.
 SILENT_SECONDS = 0.5
-#: Greatest number of endpoints whose leases are stored as final, which keeps the record
-#: below 0.5 MB.  The limit for all endpoints holds for the others.
+#: Greatest number of endpoints whose leases are stored one by one, which keeps the
+#: record below 0.5 MB.  The limit for all endpoints holds for the others.
 MAX_FINAL_ENDPOINTS = 256
 
 
@@ -41,54 +42,95 @@
     return now + longest_lease(longest_grant(accepted_seconds))
 
 
+def longest_until(until, accepted_seconds):
+    """Return by when the longest leases that endpoints accept have ended.
+
+    ``until`` is the result of `inherited_until`.
+    """
+    longest = longest_lease(accepted_seconds)
+    return until + longest - longest_lease(longest_grant(accepted_seconds))
+
+
 def longest_grant(accepted_seconds):
     """Return by how much a lease may outlast the write of its limit, in seconds."""
     return min(accepted_seconds - LEASE_MARGIN_SECONDS, HORIZON_SECONDS)
 
 
 class EndpointLeases(msgspec.Struct, omit_defaults=True):
-    """The final leases of one endpoint.
+    """The leases of one endpoint.
 
     No run lasts beyond ``deadline``.  ``jobs`` has the ids of the jobs that may have
     runs at the endpoint, or ``None`` if they are unknown.  ``late_jobs`` has the ids of
     those with a start order that no report confirms: if the endpoint has restarted, the
     order may grant its next incarnation another lease, so the deadline does not hold
-    for them.
+    for them.  ``longest`` is true if the leases may be as long as the endpoint accepts.
+    ``born_ms`` is the start of the latest incarnation for which this holds, or 0 if it
+    is stored with the address only.
     """
 
     deadline: Deadline
     jobs: list[str] | None = None
     late_jobs: list[str] = []
+    longest: bool = False
+    born_ms: WholeNumber = 0
+
+
+#: The leases of endpoints if no record of them can be read.
+UNKNOWN = EndpointLeases([], longest=True)
 
 
 class LeaseRecord(msgspec.Struct):
-    """The leases that the schedulers up to ``term`` have granted.
+    """The leases that endpoints may hold of the schedulers up to ``term``.
 
-    ``deadline`` holds for all endpoints but those in ``final``.
+    ``deadline`` holds for all endpoints but those in ``final``, which has those that
+    get no more leases, and those whose leases outlast the others'.  ``longest`` is as
+    in `EndpointLeases`.
     """
 
     term: int
     deadline: Deadline
     final: dict[str, EndpointLeases] = {}
+    longest: bool = False
 
     def of(self, endpoint_id):
         """Return the `EndpointLeases` of an endpoint."""
-        return self.final.get(endpoint_id) or EndpointLeases(self.deadline)
+        stored = self.final.get(endpoint_id)
+        return stored or EndpointLeases(self.deadline, longest=self.longest)
+
+
+class PreparedRecord:
+    """What follows once a `LeaseRecord` is stored.
+
+    ``limit`` is the time up to which leases may be granted, ``until`` that by which
+    they have ended, at endpoints without an entry.  ``final`` has the ids of the
+    endpoints with final leases, ``open_jobs`` the jobs that may be started at those
+    whose leases last longer, by incarnation.
+    """
+
+    __slots__ = ("limit", "until", "final", "open_jobs")
+
+    def __init__(self, limit, until):
+        self.limit = limit
+        self.until = until
+        self.final = set()
+        self.open_jobs = {}
 
 
 class LeaseLimits:
     """The limits of the leases that one term may grant.
 
-    ``limit`` is the time up to which leases may be granted, by what is stored.
-    ``final`` has the ids of the endpoints whose leases are stored as final, or may be
-    by a write whose outcome is not known.  ``accepted_seconds`` is the longest lease
-    that endpoints accept.
+    ``limit`` is the time up to which leases may be granted, by what is stored, and
+    ``until`` that by which these leases have ended.  ``final`` has the ids of the
+    endpoints whose leases are stored as final, or may be by a write whose outcome is
+    not known.  ``accepted_seconds`` is the longest lease that endpoints accept.
     """
 
     __slots__ = (
         "engine",
+        "accepted_seconds",
         "horizon_seconds",
         "limit",
+        "until",
         "final",
         "prepared_at",
         "prepared",
@@ -96,8 +138,10 @@
 
     def __init__(self, engine, accepted_seconds):
         self.engine = engine
+        self.accepted_seconds = accepted_seconds
         self.horizon_seconds = longest_grant(accepted_seconds)
         self.limit = float("-inf")
+        self.until = float("-inf")
         self.final = set()
         self.prepared_at = float("-inf")
         self.prepared = None
@@ -116,60 +160,123 @@
         if now < self.prepared_at + MIN_RENEW_SECONDS:
             return False
         known = self.engine.endpoints
-        return any(name in known and is_in_use(known[name]) for name in self.final)
-
-    def prepare(self, now):
+        if any(name in known and is_in_use(known[name]) for name in self.final):
+            return True
+        return bool(self.engine.unplaced) and any(
+            endpoint.open_jobs is not None and is_in_use(endpoint)
+            for endpoint in known.values()
+        )
+
+    def prepare(self, now, is_forced=False):
         """Return the `LeaseRecord` to store, or ``None`` if none is worth a write.
 
-        What it states as final is binding from now on, since the write may succeed
-        without an answer.
+        ``is_forced`` asks for one however soon after the last.  What it states as final
+        is binding from now on, since the write may succeed without an answer.
         """
-        clocks = witnesses.choose(self.engine.endpoints.values())
-        if now < self.prepared_at + MIN_RENEW_SECONDS or not clocks:
+        engine = self.engine
+        clocks = witnesses.choose(engine.endpoints.values())
+        is_soon = now < self.prepared_at + MIN_RENEW_SECONDS
+        if not clocks or (is_soon and not is_forced):
             return None
-        inherited = self.engine.inherited_endpoints
-        inherited.read_clocks(self.engine.endpoints, now)
-        pinned = self.engine.pinned_jobs(now)
-        stopping = self.engine.stops.jobs_by_endpoint()
-        final = {}
-        for endpoint in self.engine.endpoints.values():
-            if is_in_use(endpoint) or len(final) == MAX_FINAL_ENDPOINTS:
+        engine.inherited_endpoints.read_clocks(engine.endpoints, now)
+        until = now + longest_lease(self.horizon_seconds)
+        prepared = PreparedRecord(now + self.horizon_seconds, until)
+        entries, left_out_until = {}, until
+        for endpoint, jobs, late in self.own_limits(prepared, now):
+            end = self.end_of_leases(endpoint, now)
+            if len(entries) == MAX_FINAL_ENDPOINTS:
+                left_out_until = max(left_out_until, end)
                 continue
-            late = late_jobs(self.engine, endpoint, pinned)
-            stopped = stopping.get(endpoint.id, set())
-            jobs = possible_jobs(self.engine, endpoint, late | stopped)
-            if is_final(self.engine, endpoint, jobs, now):
-                end = self.end_of_leases(endpoint, now)
-                deadline = witnesses.express(clocks, end)
-                if inherited.expects(endpoint.id):
-                    stored = inherited.deadline_at(endpoint.id)
-                    deadline = witnesses.earlier(deadline, stored)
-                final[endpoint.id] = EndpointLeases(deadline, jobs, sorted(late))
-        self.final |= final.keys()
+            if not is_in_use(endpoint):
+                prepared.final.add(endpoint.id)
+            entries[endpoint.id] = EndpointLeases(
+                self.express(clocks, endpoint, end),
+                jobs,
+                sorted(late),
+                end > until,
+                engine.inherited_endpoints.known_start(endpoint),
+            )
+        self.final |= prepared.final
         self.prepared_at = now
-        self.prepared = (now + self.horizon_seconds, set(final))
-        deadline = witnesses.express(clocks, now + longest_lease(self.horizon_seconds))
-        return LeaseRecord(self.engine.term, deadline, final)
+        self.prepared = prepared
+        deadline = witnesses.express(clocks, left_out_until)
+        return LeaseRecord(engine.term, deadline, entries, left_out_until > until)
+
+    def own_limits(self, prepared, now):
+        """Return the endpoints with leases of their own, those out of use first.
+
+        The result is a list of (endpoint, the jobs that may have runs there, those that
+        a late order may start there).  Opens endpoints with long leases to jobs that
+        wait, in ``prepared``.
+        """
+        engine = self.engine
+        pinned = engine.pinned_jobs(now)
+        stopping = engine.stops.jobs_by_endpoint()
+        limits, long = [], []
+        for endpoint in engine.endpoints.values():
+            is_used = is_in_use(endpoint)
+            if is_used and endpoint.found_until <= prepared.until:
+                continue
+            late = late_jobs(engine, endpoint, pinned)
+            others = late | stopping.get(endpoint.id, set())
+            if is_used:
+                long.append((endpoint, others, late))
+                continue
+            jobs = possible_jobs(engine, endpoint, others)
+            if is_final(engine, endpoint, jobs, now):
+                limits.append((endpoint, jobs, late))
+        waiting = openjobs.waiting_jobs(engine, now) if long else ()
+        for endpoint, others, late in long:
+            opened = openjobs.jobs_to_open(endpoint, waiting)
+            prepared.open_jobs[endpoint.incarnation] = opened
+            jobs = opened | endpoint.found_jobs | others
+            limits.append(
+                (endpoint, None if endpoint.has_orphans else sorted(jobs), late)
+            )
+        return limits
+
+    def express(self, clocks, endpoint, end):
+        """Return the time ``end`` of an endpoint's leases as a deadline on clocks."""
+        deadline = witnesses.express(clocks, end)
+        inherited = self.engine.inherited_endpoints
+        if inherited.expects(endpoint.id):
+            stored = inherited.deadline_at(endpoint.id)
+            deadline = witnesses.earlier(deadline, stored)
+        return deadline
 
     def mark_stored(self):
         """Record that the last record prepared is stored.
 
-        Returns whether that allows leases which were not allowed before.
+        Returns whether that allows leases or starts which were not allowed before.
         """
-        limit, final = self.prepared
-        opened = self.limit < self.prepared_at or not self.final <= final
-        self.limit, self.final = limit, final
-        return opened
+        prepared = self.prepared
+        is_opened = self.limit < self.prepared_at or not self.final <= prepared.final
+        self.limit, self.until = prepared.limit, prepared.until
+        self.final = prepared.final
+        for endpoint in self.engine.endpoints.values():
+            if endpoint.open_jobs is None:
+                continue
+            before = endpoint.open_jobs
+            if endpoint.found_until <= self.until:
+                endpoint.open_jobs = None
+            else:
+                endpoint.open_jobs = prepared.open_jobs.get(
+                    endpoint.incarnation, before
+                )
+            is_opened = is_opened or endpoint.open_jobs != before
+        return is_opened
 
     def end_of_leases(self, endpoint, now):
-        """Return when the leases of an endpoint with final leases have ended."""
+        """Return when the leases of an endpoint with a limit of its own have ended."""
         if endpoint.has_ended:
             return now
         if self.engine.inherited_endpoints.expects(endpoint.id):
             return self.engine.inherited_endpoints.end_of_leases(endpoint.id)
+        if is_in_use(endpoint):
+            return endpoint.found_until
         if endpoint.clock_ms is None:
             # Orders to the incarnation before may have granted leases to this one.
-            return now + longest_lease(self.horizon_seconds)
+            return now + longest_lease(self.accepted_seconds)
         return endpoint.leases_expire_at()
 
 
@@ -186,8 +293,9 @@
 def is_final(engine, endpoint, jobs, now):
     """Return whether the leases of an endpoint are to be stored as final.
 
-    That holds for endpoints that have ended or do not answer, and for those that leave
-    and run nothing any more.  ``jobs`` are its `possible_jobs`.
+    That holds for endpoints that have ended, do not answer or have restarted without a
+    report, and for those that leave and run nothing any more.  ``jobs`` are its
+    `possible_jobs`.
     """
     if endpoint.has_ended:
         return True
@@ -195,7 +303,7 @@
     if silent_since is not None and now >= silent_since + SILENT_SECONDS:
         return True
     if not endpoint.has_reported:
-        return engine.inherited_endpoints.expects(endpoint.id)
+        return endpoint.restarts > 0 or engine.inherited_endpoints.expects(endpoint.id)
     return endpoint.info.leaving and jobs == []
 
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -137,7 +137,7 @@
         await self.load_learned_weights()
         record = await self.jobs.lease_record(self.writer.number)
         for endpoint_id, domain in used_endpoints.items():
-            stored = None if record is None else record.of(endpoint_id)
+            stored = leases.UNKNOWN if record is None else record.of(endpoint_id)
             _address, born_ms = addresses.get(endpoint_id, (None, None))
             self.engine.inherited_endpoints.expect(endpoint_id, domain, stored, born_ms)
         if used_endpoints:
@@ -415,6 +415,7 @@
             self.sender.request_plan()
         self.sender.pace(endpoint)
         if not had_reported:
+            self.change_writer.record_endpoint(endpoint)
             self.change_writer.check_changes()
         if endpoint.has_unstored_ends:
             self.change_writer.changed.set()
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -70,13 +70,14 @@
         """Schedule an endpoint to be stored as in use unless it is stored already.
 
         A successor takes what answers at the stored address as proof, so the endpoint
-        is not used before its newest address and start are stored.
+        is not used before its newest address and start are stored.  The start of a new
+        incarnation is stored with the leases found there, once it has reported.
         """
         info = endpoint.info
         used = (info.failure_domain, info.address, info.born_ms)
         known = self.recorded.get(endpoint.id) == used
         endpoint.recorded = known and self.stored_endpoints.get(endpoint.id) == used
-        if not known:
+        if not known and (endpoint.has_reported or endpoint.id not in self.recorded):
             self.recorded[endpoint.id] = used
             self.endpoints_changed = True
             self.changed.set()
@@ -169,7 +170,9 @@
         }
         stored_count = 0
         try:
-            leases = self.engine.leases.prepare(self.clock.now())
+            leases = self.engine.leases.prepare(
+                self.clock.now(), is_forced=endpoints is not None
+            )
             while stored_count < len(records) or endpoints is not None or leases:
                 batch = records[
                     stored_count : stored_count + jobstore.RECORDS_PER_WRITE
--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -18,9 +18,9 @@
 
 
 def make_engine(term=0, inherited_until=0.0):
-    """Return an engine with a clock that does not advance."""
+    """Return an engine with a clock that does not advance, and no limit of leases."""
     engine = Engine(term, quiet_log(), ManualClock(), MAX_LEASE, inherited_until)
-    engine.leases.limit = float("inf")
+    engine.leases.limit = engine.leases.until = float("inf")
     return engine
 
 
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -148,6 +148,7 @@
         until = leases.inherited_until(MAX_LEASE_SECONDS, now)
         self.engine = factory.make_engine(term, until)
         self.engine.leases.limit = now
+        self.engine.leases.until = float("-inf")
         self.engine.quotas.adopt(world.organisations)
         self.started_at = now
         self.unreachable = set()
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -26,6 +26,13 @@
     await bed.run(0.6)
 
 
+async def fill_endpoints(bed):
+    """Run more replicas than a bed has room for, also at endpoints used last."""
+    for _number in range(6):
+        bed.submit(steps=REPLICAS)
+    await bed.run(0.8)
+
+
 # Incarnations that have ended
 
 
@@ -347,9 +354,7 @@
                 bed.restart_unlisted(model)
                 await bed.run(0.6)
                 bed.list(model)
-                for _number in range(6):
-                    bed.submit(steps=REPLICAS)
-                await bed.run(0.8)
+                await fill_endpoints(bed)
                 assert model.runs
                 await bed.run(kill_after)
                 await bed.kill_scheduler()
@@ -441,11 +446,12 @@
                     published.publish = fail_write
                 bed.move(model, "10.0.0.2:0")
                 await bed.run(0.3)
-                await submit_replicas(bed)
+                await fill_endpoints(bed)
                 assert model.runs
                 bed.unlist(model)
                 bed.cuts[model.id] = "silent"
                 await bed.kill_scheduler()
+                bed.add_endpoint()
                 await bed.run(12.0)
 
     virtualtime.run(main())
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -248,8 +248,9 @@
     assert job.ended
 
 
-def test_restarted_endpoint_that_does_not_report_is_awaited_for_the_own_bound():
+def test_restarted_endpoint_that_does_not_report_is_awaited_for_the_longest_lease():
     """Orders to its earlier incarnation may be executed late."""
+    bound = longest_lease(factory.MAX_LEASE) + LATE_ORDER_MARGIN_SECONDS
     engine = make_successor(None)
     stored = leases.EndpointLeases([("w", 1, 0)], [JOB])
     engine.inherited_endpoints.expect("e2", "a", stored, born_ms=1)
@@ -257,10 +258,10 @@
     engine.register_endpoint(factory.make_info("e2", born_ms=2), 0.0).mark_silent(1.0)
     engine.inherited_endpoints.mark_reported("e1")
     add_job(engine, JOB)
-    engine.expire(LONGEST)
-    assert not engine.plan(LONGEST)
-    engine.expire(LONGEST + LATE_ORDER_MARGIN_SECONDS)
-    assert engine.plan(LONGEST + LATE_ORDER_MARGIN_SECONDS)
+    engine.expire(bound - 0.1)
+    assert not engine.plan(bound - 0.1)
+    engine.expire(bound + 0.001)
+    assert engine.plan(bound + 0.001)
 
 
 def test_short_terms_do_not_begin_the_wait_anew():
--- a/tests/workflow/test_leases.py
+++ b/tests/workflow/test_leases.py
@@ -28,7 +28,7 @@
 def make_engine(term=0, until=0.0):
     """Return an engine whose term has stored no limit yet."""
     engine = factory.make_engine(term, until)
-    engine.leases.limit = float("-inf")
+    engine.leases.limit = engine.leases.until = float("-inf")
     return engine
 
 
@@ -237,7 +237,8 @@
     report(engine, endpoint, 1.2, clock_ms=100)
     assert engine.leases.grantable_seconds(endpoint, 1.2) <= 0
     assert endpoint not in ready_endpoints(engine)
-    assert not store_leases(engine, 1.5).final
+    own = store_leases(engine, 1.5).final["e1"]
+    assert (own.jobs, own.longest) == ([], True)
     assert engine.leases.grantable_seconds(endpoint, 1.5) > 0
     assert endpoint in ready_endpoints(engine)
 
@@ -368,8 +369,9 @@
 
 
 @pytest.mark.parametrize("answered", [True, False])
-def test_start_under_way_while_its_endpoint_restarts_keeps_the_full_horizon(answered):
+def test_start_under_way_while_its_endpoint_restarts_keeps_the_longest_lease(answered):
     """The next incarnation may have executed it, and did not report yet."""
+    end = 21.0 + longest_lease(factory.MAX_LEASE)
     engine = make_engine(1, LONGEST)
     endpoint = connect(engine)
     store_leases(engine, 20.0)
@@ -380,7 +382,7 @@
     engine.register_endpoint(factory.make_info("e1", born_ms=2), 20.2)
     silence(endpoint, 21.0)
     final = store_leases(engine, 21.0).final["e1"]
-    assert clocks(final.deadline)["e2"] == pytest.approx(21.0 + LONGEST, abs=0.01)
+    assert clocks(final.deadline)["e2"] == pytest.approx(end, abs=0.01)
     assert (final.jobs, final.late_jobs) == ([JOB], [JOB])
 
 
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.unblocked = asyncio.Event()
         self.saved = []
+        self.leases = []
         self.error = None
 
     async def save(self, records, endpoints=None, addresses=None, leases=None):
@@ -25,6 +26,7 @@
         if self.error is not None:
             raise self.error
         self.saved.append((records, endpoints))
+        self.leases.append(leases)
 
 
 def make_change_writer():
@@ -138,11 +140,33 @@
     changes = make_change_writer()
     changes.writer.unblocked.set()
     for info in (factory.make_info(), factory.make_info(born_ms=2, address="h:2")):
-        endpoint = changes.engine.register_endpoint(info, 0.0)
+        endpoint = factory.connect_endpoint(changes.engine, info, born_ms=info.born_ms)
+        endpoint.recorded = False
         changes.record_endpoint(endpoint)
         assert not endpoint.recorded
         await changes.store_changes()
         assert endpoint.recorded
+        assert changes.recorded[endpoint.id][1:] == (info.address, info.born_ms)
+
+
+async def test_restarted_endpoint_is_stored_as_such_with_the_leases_found_there():
+    """A successor takes the stored start as that of the incarnation it waits for."""
+    changes = make_change_writer()
+    changes.writer.unblocked.set()
+    endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
+    changes.record_endpoint(endpoint)
+    await changes.store_changes()
+    changes.engine.register_endpoint(factory.make_info(born_ms=2), 0.0)
+    changes.record_endpoint(endpoint)
+    await changes.store_changes()
+    assert changes.recorded["e1"][2] == 1
+    now = changes.clock.now()
+    changes.engine.process_report(endpoint, factory.report(born_ms=2), now, now)
+    changes.record_endpoint(endpoint)
+    # Soon after the write before, which carried the limits of leases, too.
+    await changes.store_changes()
+    assert changes.recorded["e1"][2] == 2
+    assert changes.writer.leases[-1].of("e1").longest
 
 
 @pytest.mark.parametrize("writing", [False, True])
