Send no lease deadline to an endpoint that does not answer

Cause: a request for a report that followed a failed one repeated the last deadline. An endpoint that was back under its id took it, by its new clock, for the longest lease: in the record of the incident its first answer is one to such a request. The next request after an answer extends the leases anyway, so the repetition gained at most the lease of a request that was lost on its way.

--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -45,12 +45,11 @@
     reported.  ``quotas`` counts the runs by organisation, or is ``None``.
 
     ``last_readings``, ``local_levels`` and ``spare_headroom`` belong to
-    `policy.pressure`.  ``sent_deadline_ms`` is the latest lease deadline that was sent,
-    and ``granted_ms`` the latest that any scheduler may have sent, on the endpoint's
-    clock; ``clock_ms`` is a reading of that clock, received at
-    ``clock_at`` of the scheduler's clock, and ``clock_lead_ms`` the most by which the
-    endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true while the
-    last request for a report has failed.
+    `policy.pressure`.  ``granted_ms`` is the latest lease deadline that any scheduler
+    may have sent, on the endpoint's clock; ``clock_ms`` is a reading of that clock,
+    received at ``clock_at`` of the scheduler's clock, and ``clock_lead_ms`` the most by
+    which the endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true
+    while the last request for a report has failed.
 
     ``restarted_at`` is when this scheduler learned of the last restart.  The leases
     that were found at the first report have ended by ``found_until``, in scheduler
@@ -81,7 +80,6 @@
         "spare_headroom",
         "last_acknowledged_end",
         "last_processed_end",
-        "sent_deadline_ms",
         "granted_ms",
         "clock_ms",
         "clock_at",
@@ -155,7 +153,6 @@
         self.set_orphaned((), False)
         self.last_acknowledged_end = 0
         self.last_processed_end = 0
-        self.sent_deadline_ms = 0
         self.granted_ms = 0
         self.clock_ms = None
         self.clock_at = 0.0
@@ -350,20 +347,18 @@
     def extend(self, now, seconds):
         """Return the lease deadline to send with a request for a report, or ``None``.
 
-        While the endpoint does not answer, the last deadline is repeated: a request
-        without an answer may extend the leases, and the tasks are not run elsewhere
-        before these expire.
+        An endpoint that does not answer may have restarted.  A deadline on its earlier
+        clock would grant the next incarnation the longest lease that it accepts.
         """
         if self.clock_ms is None or not self.listed or seconds <= 0:
             return None
         if self.unreachable_since is not None:
-            return self.sent_deadline_ms or None
+            return None
         return self.grant(now, seconds)
 
     def grant(self, now, seconds):
         """Return a lease deadline ``seconds`` ahead, in ms of the endpoint's clock."""
         deadline = int(self.earliest_clock(now) + seconds * 1000)
-        self.sent_deadline_ms = max(self.sent_deadline_ms, deadline)
         self.granted_ms = max(self.granted_ms, deadline)
         return deadline
 
