Keep the longest leases stored while their endpoint is not final yet

Cause: an endpoint that has not answered for less than 0.5 s, or that leaves with runs on it, is neither in use nor final. A record written then named no limit of its own for it, so the limit for all endpoints seemed to hold though its leases outlast that by up to 4.4 s: a scheduler that was killed in that half second left its successor with too short a wait.

Change: whatever its state, an endpoint whose leases outlast the limit has an entry. Both cases of the new test fail on the code before.

--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -116,6 +116,23 @@
         self.open_jobs = {}
 
 
+class OwnLimit:
+    """A limit of the leases of one endpoint.
+
+    ``jobs`` has the jobs that may have runs there, or is ``None`` if they are unknown,
+    ``late_jobs`` those that a late order may start.  If it ``is_final``, the endpoint
+    gets no more leases.
+    """
+
+    __slots__ = ("endpoint", "jobs", "late_jobs", "is_final")
+
+    def __init__(self, endpoint, jobs, late_jobs, is_final=False):
+        self.endpoint = endpoint
+        self.jobs = jobs
+        self.late_jobs = late_jobs
+        self.is_final = is_final
+
+
 class LeaseLimits:
     """The limits of the leases that one term may grant.
 
@@ -182,17 +199,18 @@
         until = now + longest_lease(self.horizon_seconds)
         prepared = PreparedRecord(now + self.horizon_seconds, until)
         entries, left_out_until = {}, until
-        for endpoint, jobs, late in self.own_limits(prepared, now):
+        for own in self.own_limits(prepared, now):
+            endpoint = own.endpoint
             end = self.end_of_leases(endpoint, now)
             if len(entries) == MAX_FINAL_ENDPOINTS:
                 left_out_until = max(left_out_until, end)
                 continue
-            if not is_in_use(endpoint):
+            if own.is_final:
                 prepared.final.add(endpoint.id)
             entries[endpoint.id] = EndpointLeases(
                 self.express(clocks, endpoint, end),
-                jobs,
-                sorted(late),
+                own.jobs,
+                sorted(own.late_jobs),
                 end > until,
                 engine.inherited_endpoints.known_start(endpoint),
             )
@@ -203,37 +221,34 @@
         return LeaseRecord(engine.term, deadline, entries, left_out_until > until)
 
     def own_limits(self, prepared, now):
-        """Return the endpoints with leases of their own, those out of use first.
+        """Return the `OwnLimit`s of endpoints, final ones first.
 
-        The result is a list of (endpoint, the jobs that may have runs there, those that
-        a late order may start there).  Opens endpoints with long leases to jobs that
-        wait, in ``prepared``.
+        Opens endpoints with long leases to jobs that wait, in ``prepared``.
         """
         engine = self.engine
         pinned = engine.pinned_jobs(now)
         stopping = engine.stops.jobs_by_endpoint()
-        limits, long = [], []
+        final, long = [], []
         for endpoint in engine.endpoints.values():
-            is_used = is_in_use(endpoint)
-            if is_used and endpoint.found_until <= prepared.until:
+            is_long = endpoint.found_until > prepared.until
+            if is_in_use(endpoint) and not is_long:
                 continue
             late = late_jobs(engine, endpoint, pinned)
             others = late | stopping.get(endpoint.id, set())
-            if is_used:
-                long.append((endpoint, others, late))
-                continue
             jobs = possible_jobs(engine, endpoint, others)
             if is_final(engine, endpoint, jobs, now):
-                limits.append((endpoint, jobs, late))
+                final.append(OwnLimit(endpoint, jobs, late, is_final=True))
+            elif is_long:
+                own = OwnLimit(endpoint, endpoint.found_jobs | others, late)
+                long.append(own)
         waiting = openjobs.waiting_jobs(engine, now) if long else ()
-        for endpoint, others, late in long:
-            opened = openjobs.jobs_to_open(endpoint, waiting)
-            prepared.open_jobs[endpoint.incarnation] = opened
-            jobs = opened | endpoint.found_jobs | others
-            limits.append(
-                (endpoint, None if endpoint.has_orphans else sorted(jobs), late)
-            )
-        return limits
+        for own in long:
+            can_start = is_in_use(own.endpoint)
+            opened = openjobs.jobs_to_open(own.endpoint, waiting if can_start else ())
+            prepared.open_jobs[own.endpoint.incarnation] = opened
+            has_orphans = own.endpoint.has_orphans
+            own.jobs = None if has_orphans else sorted(own.jobs | opened)
+        return final + long
 
     def express(self, clocks, endpoint, end):
         """Return the time ``end`` of an endpoint's leases as a deadline on clocks."""
--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -113,6 +113,24 @@
     assert not engine.plan(BACK_AT + 0.4)
 
 
+@pytest.mark.parametrize("case", ["silent", "leaving"])
+def test_longest_lease_stays_stored_while_an_endpoint_is_not_final_yet(case):
+    """Shortly silent, or leaving with a run: the limit for all did not cover it."""
+    engine, endpoint = make_restarted()
+    submit(engine)
+    store_leases(engine, BACK_AT)
+    (order,) = engine.plan(BACK_AT)
+    engine.start_answered(order, BACK_AT)
+    if case == "silent":
+        endpoint.mark_silent(BACK_AT + 0.2)
+    else:
+        info = factory.make_info("e1", born_ms=2, leaving=True)
+        engine.register_endpoint(info, BACK_AT + 0.2)
+    own = store_leases(engine, BACK_AT + 0.3).of("e1")
+    assert (own.jobs, own.longest) == ([JOB], True)
+    assert clocks(own.deadline)["full"] == pytest.approx(LONG_END, abs=0.01)
+
+
 def test_jobs_found_at_the_first_report_are_named():
     engine = make_engine()
     connect(engine, "full", processors_milli=0)
