--- a/clementinebay/workflow/waiting.py
+++ b/clementinebay/workflow/waiting.py
@@ -18,6 +18,7 @@
     ORGANISATION_LIMIT = "organisation-limit"
     NO_ENDPOINT = "no-endpoint"
     PINNED = "pinned"
+    JOB_NOT_STORED = "job-not-stored"
     NO_LABEL = "no-label"
     NO_ROOM = "no-room"
     SPREAD = "probation-or-spread"
@@ -82,6 +83,7 @@
     conditions = (
         (Reason.NO_ENDPOINT, lambda e: e.info.service == task.job.spec.service),
         (Reason.PINNED, lambda e: task.may_run_at(e, now)),
+        (Reason.JOB_NOT_STORED, lambda e: e.admits(task.job)),
         (
             Reason.NO_LABEL,
             lambda e: not step.required_label or step.required_label in e.info.labels,
--- a/tests/workflow/test_load.py
+++ b/tests/workflow/test_load.py
@@ -67,6 +67,10 @@
     task.pinned_endpoint, task.pinned_until = object(), 9.0
 
 
+def restart_endpoint(engine, _task):
+    engine.endpoints["e1"].open_jobs = frozenset()
+
+
 def fill_endpoint(engine, _task):
     engine.endpoints["e1"].processors_used = 7500
 
@@ -100,6 +104,7 @@
         (lose_exclusivity, Reason.NOT_EXCLUSIVE),
         (lose_endpoint, Reason.NO_ENDPOINT),
         (pin_elsewhere, Reason.PINNED),
+        (restart_endpoint, Reason.JOB_NOT_STORED),
         (fill_endpoint, Reason.NO_ROOM),
         (probe_endpoint, Reason.SPREAD),
         (suspect, Reason.ISOLATION),
