Use an endpoint at once whose new clock is past all earlier deadlines

A restarted endpoint was taken to hold the longest lease whatever it had been sent. A deadline that was sent to an earlier incarnation holds on the new clock as it stands, so one that has passed there grants nothing.

Not assumed where an incarnation never reported, or restarted between two terms.

--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -51,7 +51,9 @@
     which the endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true
     while the last request for a report has failed.
 
-    ``restarted_at`` is when this scheduler learned of the last restart.  The leases
+    ``restarted_at`` is when this scheduler learned of the last restart, and
+    ``earlier_granted_ms`` the latest lease deadline that may have been sent to earlier
+    incarnations, on their clocks; it is infinite if that is unknown.  The leases
     that were found at the first report have ended by ``found_until``, in scheduler
     time.  ``open_jobs`` has the ids of the jobs that may be started while these leases
     outlast the stored limit, or is ``None`` if any job may be; meanwhile ``found_jobs``
@@ -87,6 +89,7 @@
         "unreachable_since",
         "is_silent",
         "restarted_at",
+        "earlier_granted_ms",
         "found_until",
         "open_jobs",
         "found_jobs",
@@ -121,6 +124,7 @@
         self.spare_headroom = ()
         self.restarts = 0
         self.restarted_at = float("-inf")
+        self.earlier_granted_ms = 0
         self.listed = True
         self.recorded = False
         self.reset(info)
@@ -129,8 +133,18 @@
         """Replace the endpoint by its next incarnation under the same id."""
         self.restarts += 1
         self.restarted_at = now
+        self.end_leases()
         self.reset(info)
 
+    def end_leases(self):
+        """Record that the incarnation holds no lease any more.
+
+        The next one may still receive the deadlines that were sent to it.
+        """
+        granted_ms = float("inf") if self.clock_ms is None else self.granted_ms
+        self.earlier_granted_ms = max(self.earlier_granted_ms, granted_ms)
+        self.granted_ms = 0
+
     def fence(self, term_fence):
         """Return the fence for orders to this incarnation under ``term_fence``.
 
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -53,18 +53,17 @@
 def record_leases(engine, endpoint, report, now):
     """Record how long the leases that an incarnation has at its first report may last.
 
-    An earlier scheduler may have granted them, but only at an endpoint that it had
-    stored.  A deadline on the clock of an earlier incarnation grants the longest lease
-    that the endpoint accepts.
+    A deadline that was sent to an earlier incarnation holds on the clock of this one,
+    for the longest lease that the endpoint accepts at most.
     """
-    inherited = engine.inherited_endpoints
     seconds, until = engine.max_lease_seconds, float("inf")
-    if not (endpoint.restarts or inherited.has_restarted(endpoint.id)):
-        left = 0.0
-        if inherited.is_known(endpoint.id):
-            left = max(0.0, inherited.end_of_leases(endpoint.id) - now)
-        if left or not report.running:
-            seconds, until = min(seconds, left), now + left
+    if engine.inherited_endpoints.may_have_longest(endpoint.id):
+        endpoint.earlier_granted_ms = float("inf")
+    if endpoint.restarts:
+        left_ms = max(0.0, endpoint.earlier_granted_ms - report.clock_ms)
+        seconds = min(seconds, left_ms / 1000)
+    elif not engine.inherited_endpoints.has_restarted(endpoint.id):
+        seconds, until = inherited_lease(engine, endpoint, report, now)
     endpoint.granted_ms = report.clock_ms + seconds * 1000
     if not seconds:
         return
@@ -82,6 +81,20 @@
     )
 
 
+def inherited_lease(engine, endpoint, report, now):
+    """Return for how long and until when leases of earlier schedulers may last.
+
+    They granted some only at endpoints that they had stored.
+    """
+    left = 0.0
+    if engine.inherited_endpoints.is_known(endpoint.id):
+        end = engine.inherited_endpoints.end_of_leases(endpoint.id)
+        left = max(0.0, end - now)
+    if report.running and not left:
+        return engine.max_lease_seconds, float("inf")
+    return min(engine.max_lease_seconds, left), now + left
+
+
 def record_jobs(endpoint, report):
     """Record the jobs in a report while the endpoint's leases outlast the limit.
 
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -95,6 +95,11 @@
         inherited = self.by_id.get(endpoint_id)
         return inherited is not None and inherited.restarted
 
+    def may_have_longest(self, endpoint_id):
+        """Return whether earlier schedulers may have left the longest lease there."""
+        inherited = self.by_id.get(endpoint_id)
+        return inherited is not None and inherited.bound > self.until
+
     def mark_reported(self, endpoint_id):
         """Record that this scheduler knows all runs at an endpoint."""
         inherited = self.by_id.get(endpoint_id)
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -235,6 +235,48 @@
     assert engine.process_report(endpoint, factory.report(born_ms=2), 1.0, 1.1)
 
 
+@pytest.mark.parametrize(
+    ("clock_ms", "lease"), [(0, 6.0), (49_000, 5.0), (54_000, 0.0), (90_000, 0.0)]
+)
+def test_deadline_of_the_earlier_clock_holds_on_the_next_one(clock_ms, lease):
+    """It has passed there if the next clock shows a later time."""
+    engine = factory.make_engine()
+    engine.leases.until = 0.0
+    info = factory.make_info()
+    endpoint = factory.connect_endpoint(engine, info, clock_ms=50_000)
+    endpoint.grant(0.0, 4.0)
+    engine.register_endpoint(factory.make_info(born_ms=2), 1.0)
+    report = factory.report(born_ms=2, clock_ms=clock_ms)
+    engine.process_report(endpoint, report, 1.1, 1.1)
+    assert endpoint.granted_ms == clock_ms + lease * 1000
+    assert endpoint.admits(engine.add_job(factory.make_spec(), None, 1.1)) == (
+        lease == 0
+    )
+
+
+def test_deadline_of_an_incarnation_that_has_ended_holds_on_the_next_clock():
+    engine = factory.make_engine()
+    info = factory.make_info()
+    endpoint = factory.connect_endpoint(engine, info, clock_ms=50_000)
+    endpoint.grant(0.0, 4.0)
+    engine.end_incarnation(endpoint, 1.0)
+    engine.register_endpoint(factory.make_info(born_ms=2), 1.0)
+    report = factory.report(born_ms=2, clock_ms=49_000)
+    engine.process_report(endpoint, report, 1.1, 1.1)
+    assert endpoint.granted_ms == 54_000
+
+
+def test_deadlines_of_an_incarnation_that_never_reported_are_not_known():
+    engine = factory.make_engine()
+    info = factory.make_info()
+    endpoint = factory.connect_endpoint(engine, info, clock_ms=50_000)
+    for born_ms in (2, 3):
+        engine.register_endpoint(factory.make_info(born_ms=born_ms), 1.0)
+    report = factory.report(born_ms=3, clock_ms=90_000)
+    engine.process_report(endpoint, report, 1.1, 1.1)
+    assert endpoint.granted_ms == 90_000 + factory.MAX_LEASE * 1000
+
+
 def test_late_order_is_reckoned_with_after_a_report_that_shows_a_restart():
     """Nothing barred it, so it may start its run and grant the longest lease."""
     engine = factory.make_engine()
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -309,3 +309,14 @@
     endpoint = engine.register_endpoint(factory.make_info("e1", born_ms=2), 1.0)
     report(engine, endpoint, 1.0)
     assert endpoint.granted_ms == 1000 + factory.MAX_LEASE * 1000
+
+
+def test_deadlines_for_the_incarnation_before_an_inherited_one_are_not_known():
+    """It restarted between two terms, and again in the second."""
+    engine = make_successor(None, 0.0, ())
+    engine.inherited_endpoints.expect("e1", "a", None, born_ms=1)
+    endpoint = engine.register_endpoint(factory.make_info("e1", born_ms=2), 1.0)
+    report(engine, endpoint, 1.0)
+    engine.register_endpoint(factory.make_info("e1", born_ms=3), 2.0)
+    report(engine, endpoint, 2.0, clock_ms=900_000)
+    assert endpoint.granted_ms == 900_000 + factory.MAX_LEASE * 1000
--- a/tests/workflow/test_leases.py
+++ b/tests/workflow/test_leases.py
@@ -233,6 +233,7 @@
     endpoint = connect(engine)
     silence(endpoint, 1.0)
     store_leases(engine, 1.0)
+    endpoint.granted_ms = 500_000
     engine.register_endpoint(factory.make_info("e1", born_ms=2), 1.1)
     report(engine, endpoint, 1.2, clock_ms=100)
     assert engine.leases.grantable_seconds(endpoint, 1.2) <= 0
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -156,6 +156,7 @@
     endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
     changes.record_endpoint(endpoint)
     await changes.store_changes()
+    endpoint.granted_ms = 500_000
     changes.engine.register_endpoint(factory.make_info(born_ms=2), 0.0)
     changes.record_endpoint(endpoint)
     await changes.store_changes()
