Take runs for lost at a restart only if the earlier incarnation reported them

A task could run twice within one term after an endpoint restarted under its id.

Cause: a run counted as one of the incarnation before if its start was answered before the last report was received. Answers on different channels may overtake each other: the report may have been compiled before the restart, and arrive after the next incarnation has answered the start. The task was then started elsewhere while the run went on.

Change: a run counts as one of the incarnation before once a report of that one lists it. Others are stopped and confirmed first, as before if no report had come since their start. Runs that were started during a request for a report are listed in its answer, so these cases alone wait longer.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -458,6 +458,7 @@
             self.stops.add(endpoint, row.task, row.run, "duplicate")
             return
         task.has_run = True
+        task.is_reported = True
         task.settle_start(endpoint, row.run)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -20,7 +20,7 @@
     )
     given_up = suspects.count_crash(engine, endpoint, now)
     for task in list(endpoint.tasks.values()):
-        if may_run_at_successor(task, endpoint):
+        if may_run_at_successor(task):
             engine.mark_unconfirmed(task, now)
             # A late request for a report would extend the lease of its run.
             engine.late_order_deadlines[task.name] = now + MAX_ORDER_DELAY_SECONDS
@@ -31,10 +31,13 @@
     suspects.give_up(engine, given_up)
 
 
-def may_run_at_successor(task, endpoint):
-    """Return whether the next incarnation of ``endpoint`` may have started ``task``."""
+def may_run_at_successor(task):
+    """Return whether the next incarnation of its endpoint may have started ``task``.
+
+    The answer to a start may overtake an earlier report.
+    """
     if task.state is TaskState.RUNNING:
-        return task.started_at > endpoint.clock_at
+        return not task.is_reported
     return task.state in (TaskState.STARTING, TaskState.UNCONFIRMED)
 
 
@@ -46,7 +49,7 @@
     return {
         task.job.id
         for name, task in endpoint.tasks.items()
-        if may_run_at_successor(task, endpoint) or name in engine.late_order_deadlines
+        if may_run_at_successor(task) or name in engine.late_order_deadlines
     }
 
 
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -512,6 +512,31 @@
     assert engine.plan(1.6) == []
 
 
+def test_run_that_a_restarted_endpoint_has_started_survives_a_late_earlier_report():
+    """The incarnation before compiled the report, which arrives after the answer."""
+    engine = factory.make_engine()
+    for name in ("e1", "e2"):
+        factory.connect_endpoint(engine, factory.make_info(name))
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(1.2)
+    engine.start_answered(order, 1.3)
+    assert engine.process_report(order.endpoint, factory.report(), 1.0, 1.4)
+    info = factory.make_info(order.endpoint.id, born_ms=1000)
+    engine.register_endpoint(info, 1.5)
+    assert engine.plan(1.6) == []
+
+
+def test_run_that_the_incarnation_before_has_reported_is_started_again_at_once():
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = factory.start_all(engine, 1.2)
+    row = (order.task.name, order.run)
+    engine.process_report(endpoint, factory.report(running=[row]), 1.0, 1.4)
+    engine.register_endpoint(factory.make_info(born_ms=1000), 1.5)
+    assert order.task.endpoint is None
+
+
 def test_late_order_is_refused_by_an_endpoint_that_is_back_after_its_address_was_not():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
