--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -579,6 +579,27 @@
     assert engine.plan(1.6) == []
 
 
+def test_start_whose_stop_the_incarnation_before_answered_is_reckoned_with():
+    """The next one has forgotten the stop, and may carry the start out late."""
+    engine = factory.make_engine()
+    endpoint = factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(0.0)
+    engine.start_unanswered(order, 0.1)
+    [stop] = engine.stops.due(0.1, engine.endpoints)
+    engine.stop_answered(stop, 0.2)
+    engine.register_endpoint(factory.make_info(born_ms=2), 0.3)
+    factory.connect_endpoint(engine, factory.make_info("e2"))
+    late = 0.1 + MAX_ORDER_DELAY_SECONDS
+    engine.expire(late + 1.0)
+    assert engine.plan(late + 1.0) == []
+    engine.process_report(endpoint, factory.report(born_ms=2), 14.2, 14.3)
+    [stop] = engine.stops.due(14.3, engine.endpoints)
+    engine.stop_answered(stop, 14.4)
+    engine.process_report(endpoint, factory.report(born_ms=2), 14.5, 14.6)
+    assert order.task.endpoint is None
+
+
 def test_late_order_is_refused_by_an_endpoint_that_is_back_after_its_address_was_not():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
