Tell by the clock in the answer to a start that another incarnation took it

Within one term: a start under way as its endpoint restarted was answered by the next incarnation, which was cut off before it reported. The scheduler held it for a run of the incarnation before, whose lease ends 5.4 s later; the next one holds the longest lease, and the task was started elsewhere while it ran.

Cause: the clock in the answer was not read. It begins anew with each incarnation, so a reading that the known clock cannot show is that of another one, and one that it can show makes the deadline mean what was intended.

Change: after such an answer the scheduler reckons with the longest lease at that endpoint, for any job, in its own waits and in its record, until a report says more. Nothing is lost by it if the endpoint has not restarted.

--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -60,6 +60,7 @@
 
 
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_CAPACITY)]
+ClockReading = Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_WHOLE_NUMBER)]
 Checkpoint = Annotated[str, msgspec.Meta(max_length=MAX_CHECKPOINT_LENGTH)]
 
 
@@ -119,12 +120,18 @@
 class HoldResponse(msgspec.Struct):
     """The response to a request for a report."""
 
-    clock_ms: Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_WHOLE_NUMBER)]
+    clock_ms: ClockReading
     running: Annotated[list[RunRow], msgspec.Meta(max_length=MAX_ROWS)] = []
     ended: Annotated[list[EndRow], msgspec.Meta(max_length=MAX_ROWS)] = []
     born: decoding.WholeNumber | None = None
 
 
+class StartResponse(msgspec.Struct):
+    """The response to an executed start order."""
+
+    clock_ms: ClockReading | None = None
+
+
 class Refusal(msgspec.Struct):
     """The response to a refused order."""
 
@@ -133,6 +140,7 @@
 
 _entry_decoder = decoding.Decoder(RegistryEntry, MAX_ENTRY_BYTES)
 _report_decoder = decoding.Decoder(HoldResponse)
+_start_decoder = decoding.Decoder(StartResponse)
 _refusal_decoder = decoding.Decoder(Refusal)
 
 
@@ -209,7 +217,7 @@
         raise errors.OrderRefusedError(endpoint.id, refusal_reason(answer))
 
     async def start(self, order, deadline_ms, fence):
-        """Send a `StartOrder`."""
+        """Send a `StartOrder`; return the endpoint's clock at its execution."""
         body = {
             "task": order.task.name,
             "run": order.run,
@@ -219,7 +227,13 @@
         }
         if order.checkpoint:
             body["saved"] = order.checkpoint
-        await self.send_order(order.endpoint, "/run-start", body)
+        path = "/run-start"
+        data = await self.send_order(order.endpoint, path, body)
+        try:
+            return _start_decoder.decode(data).clock_ms
+        except errors.UnreadableError as error:
+            address = order.endpoint.info.address
+            raise errors.AnswerInvalidError(address, path, error) from error
 
     async def stop(self, order, fence):
         """Send a `StopOrder`."""
--- a/clementinebay/workflow/boundary.py
+++ b/clementinebay/workflow/boundary.py
@@ -24,7 +24,10 @@
 
     @abstractmethod
     async def start(self, order, deadline_ms, fence):
-        """Send a `StartOrder`."""
+        """Send a `StartOrder`.
+
+        Returns the endpoint's clock at its execution, in ms, or ``None`` if unknown.
+        """
 
     @abstractmethod
     async def stop(self, order, fence):
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -6,6 +6,8 @@
 
 #: Greatest share by which an endpoint's clock may run slow.
 MAX_CLOCK_DRIFT = 0.02
+#: Greatest error of comparing two readings of a clock, which are whole milliseconds.
+CLOCK_ERROR_MS = 2
 #: Time in which an endpoint ends its runs after their lease has expired, in seconds.
 EXPIRY_MARGIN_SECONDS = 0.3
 
@@ -49,9 +51,10 @@
     ``last_readings``, ``local_levels`` and ``spare_headroom`` belong to
     `policy.pressure`.  ``granted_ms`` is the latest lease deadline that any scheduler
     may have sent, on the endpoint's clock; ``clock_ms`` is a reading of that clock,
-    received at ``clock_at`` of the scheduler's clock, and ``clock_lead_ms`` the most by
-    which the endpoint's clock may be ahead of the scheduler's.  ``is_silent`` is true
-    while the last request for a report has failed.
+    asked for at ``clock_asked_at`` and received at ``clock_at`` of the scheduler's
+    clock, and ``clock_lead_ms`` the most by which the endpoint's clock may be ahead of
+    the scheduler's.  ``is_silent`` is true while the last request for a report has
+    failed.
 
     ``restarted_at`` is when this scheduler learned of the last restart, and
     ``earlier_granted_ms`` the latest lease deadline that may have been sent to earlier
@@ -59,7 +62,7 @@
     that were found at the first report have ended by ``found_until``, in scheduler
     time.  ``open_jobs`` has the ids of the jobs that may be started while these leases
     outlast the stored limit, or is ``None`` if any job may be; meanwhile ``found_jobs``
-    collects the ids of the jobs in reports.
+    collects the ids of the jobs in reports, or is ``None`` if others may have runs.
     """
 
     __slots__ = (
@@ -86,6 +89,7 @@
         "last_processed_end",
         "granted_ms",
         "clock_ms",
+        "clock_asked_at",
         "clock_at",
         "clock_lead_ms",
         "unreachable_since",
@@ -171,6 +175,7 @@
         self.last_processed_end = 0
         self.granted_ms = 0
         self.clock_ms = None
+        self.clock_asked_at = 0.0
         self.clock_at = 0.0
         self.clock_lead_ms = float("inf")
         self.unreachable_since = None
@@ -329,6 +334,7 @@
     def read_clock(self, clock_ms, sent_at, received_at):
         """Store a reading of the endpoint's clock, made after ``sent_at``."""
         self.clock_ms = clock_ms
+        self.clock_asked_at = sent_at
         self.clock_at = received_at
         self.clock_lead_ms = min(self.clock_lead_ms, clock_ms - sent_at * 1000)
 
@@ -340,6 +346,19 @@
         """Return the highest possible endpoint clock at ``at``, in milliseconds."""
         return self.clock_lead_ms + at * 1000
 
+    def may_show(self, clock_ms, sent_at, received_at):
+        """Return whether the endpoint's clock may have shown ``clock_ms``.
+
+        That was between ``sent_at`` and ``received_at``.  Otherwise the reading is that
+        of another incarnation, as the clock begins anew with each.
+        """
+        if sent_at >= self.clock_at:
+            earliest = self.earliest_clock(sent_at)
+        else:
+            earliest = self.clock_ms - (self.clock_at - sent_at) * 1000
+        latest = self.clock_ms + (received_at - self.clock_asked_at) * 1000
+        return earliest - CLOCK_ERROR_MS <= clock_ms <= latest + CLOCK_ERROR_MS
+
     def time_of_clock(self, clock_ms, now):
         """Return by when the endpoint's clock has certainly reached ``clock_ms``."""
         left = max(0.0, clock_ms - self.earliest_clock(now)) / 1000
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -67,9 +67,7 @@
     endpoint.granted_ms = report.clock_ms + seconds * 1000
     if not seconds:
         return
-    endpoint.found_until = min(until, now + longest_lease(seconds))
-    if endpoint.found_until > engine.leases.until:
-        endpoint.open_jobs = frozenset()
+    close_beyond_limit(engine, endpoint, min(until, now + longest_lease(seconds)))
     engine.log.info(
         "endpoint.leases_found",
         endpoint=endpoint.id,
@@ -81,6 +79,28 @@
     )
 
 
+def close_beyond_limit(engine, endpoint, until):
+    """Record by when leases at an endpoint have ended.
+
+    If that is not stored yet, no job is started there before it is.
+    """
+    endpoint.found_until = max(endpoint.found_until, until)
+    if endpoint.found_until > engine.leases.until and endpoint.open_jobs is None:
+        endpoint.open_jobs = frozenset()
+
+
+def assume_longest_lease(engine, endpoint, now):
+    """Reckon with the longest lease that an endpoint accepts, for any run there.
+
+    An order that was sent to an earlier incarnation has reached the next one, which has
+    not reported yet.
+    """
+    seconds = engine.max_lease_seconds
+    endpoint.grant(now, seconds)
+    endpoint.found_jobs = None
+    close_beyond_limit(engine, endpoint, now + longest_lease(seconds))
+
+
 def inherited_lease(engine, endpoint, report, now):
     """Return for how long and until when leases of earlier schedulers may last.
 
@@ -100,7 +120,7 @@
 
     The ends of their runs may not be stored yet.
     """
-    if endpoint.open_jobs is not None:
+    if endpoint.open_jobs is not None and endpoint.found_jobs is not None:
         rows = (*report.running, *report.ended)
         endpoint.found_jobs.update(row.task.partition(".")[0] for row in rows)
 
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -239,15 +239,17 @@
             if is_final(engine, endpoint, jobs, now):
                 final.append(OwnLimit(endpoint, jobs, late, is_final=True))
             elif is_long:
-                own = OwnLimit(endpoint, endpoint.found_jobs | others, late)
-                long.append(own)
+                long.append(OwnLimit(endpoint, others, late))
         waiting = openjobs.waiting_jobs(engine, now) if long else ()
         for own in long:
             can_start = is_in_use(own.endpoint)
             opened = openjobs.jobs_to_open(own.endpoint, waiting if can_start else ())
             prepared.open_jobs[own.endpoint.incarnation] = opened
-            has_orphans = own.endpoint.has_orphans
-            own.jobs = None if has_orphans else sorted(own.jobs | opened)
+            found = own.endpoint.found_jobs
+            if found is None or own.endpoint.has_orphans:
+                own.jobs = None
+            else:
+                own.jobs = sorted(own.jobs | opened | found)
         return final + long
 
     def express(self, clocks, endpoint, end):
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -5,7 +5,7 @@
 from clementinebay import errors, metrics
 from clementinebay.policy import pressure
 from clementinebay.policy.startwindow import StartWindow
-from clementinebay.workflow import jobstore
+from clementinebay.workflow import incarnations, jobstore
 
 #: Wait after an endpoint was unreachable or refused an order, in seconds.
 RETRY_SECONDS = 0.25
@@ -97,6 +97,28 @@
             self.engine.end_incarnation(endpoint, self.clock.now())
             self.request_plan()
 
+    def check_clock(self, endpoint, info, clock_ms, sent_at):
+        """Check that the incarnation that an order was meant for has executed it.
+
+        ``info`` is the `Endpoint` to which the order was sent at ``sent_at``, and
+        ``clock_ms`` the clock in the answer, or ``None``.
+        """
+        now = self.clock.now()
+        is_known = endpoint.clock_ms is not None and not endpoint.has_ended
+        if (
+            clock_ms is not None
+            and is_known
+            and endpoint.info.is_same_incarnation(info)
+            and not endpoint.may_show(clock_ms, sent_at, now)
+        ):
+            self.log.warning(
+                "endpoint.clock_differs",
+                endpoint=endpoint.id,
+                clock_ms=clock_ms,
+                expected_ms=round(endpoint.earliest_clock(now)),
+            )
+            incarnations.assume_longest_lease(self.engine, endpoint, now)
+
     def lease_seconds(self, endpoint, now):
         """Return the length of a lease that may be granted at ``now``, in seconds."""
         limit = self.engine.leases.grantable_seconds(endpoint, now)
@@ -146,7 +168,8 @@
         info = order.endpoint.info
         outcome = "started"
         try:
-            await self.driver.start(order, deadline_ms, fence)
+            clock_ms = await self.driver.start(order, deadline_ms, fence)
+            self.check_clock(order.endpoint, info, clock_ms, now)
             self.engine.start_answered(order, self.clock.now())
             self.started += 1
             if order.task.step.filler:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -51,6 +51,28 @@
         await ask(b'{"clock_ms":1,' + rows + b"}")
 
 
+async def start(body):
+    """Send a start order to an endpoint that answers with ``body``."""
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(), factory.QUEUE, 0.0)
+    driver = PlatformDriver(FakeClient(body))
+    return await driver.start(engine.plan(0.0)[0], 1000, 1)
+
+
+@pytest.mark.parametrize(
+    ("body", "clock_ms"), [(b'{"clock_ms":482113,"x":1}', 482113), (b"{}", None)]
+)
+async def test_answer_to_a_start_has_the_clock_of_its_incarnation(body, clock_ms):
+    assert await start(body) == clock_ms
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"clock_ms":-1}', b'{"clock_ms":"1"}'])
+async def test_malformed_answer_to_a_start_counts_as_unanswered(body):
+    with pytest.raises(errors.CallUnansweredError):
+        await start(body)
+
+
 RUN = '["t",1,"",50,0]'
 END = '[1,"t",1,"done",""]'
 ODD_REPORTS = {
--- a/tests/workflow/beddaemon.py
+++ b/tests/workflow/beddaemon.py
@@ -143,9 +143,15 @@
         model = self.bed.by_id[order.endpoint.id]
         task = order.task
         args = (task.name, order.run, task.step, deadline_ms, fence)
-        if not await self.call(order.endpoint, model.start, *args):
+
+        def start(now, *args):
+            return model.start(now, *args), model.clock_ms(now)
+
+        is_accepted, clock_ms = await self.call(order.endpoint, start, *args)
+        if not is_accepted:
             reason = errors.OrderRefusedError.SUPERSEDED
             raise errors.OrderRefusedError(model.id, reason)
+        return clock_ms
 
     async def stop(self, order, fence):
         """See `EndpointDriver`."""
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -424,6 +424,29 @@
     virtualtime.run(main())
 
 
+@pytest.mark.parametrize("how", ["reset", "refused", "silent"])
+def test_run_of_an_endpoint_that_restarted_unseen_is_not_started_again_in_the_term(how):
+    """Its next incarnation took the start for the longest lease, and was cut off."""
+
+    async def main():
+        async with TestBed(endpoints=6, max_lease=10.0) as bed:
+            await bed.run(8.0)
+            model = bed.endpoints[0]
+            async with bed.disturbance(0.0):
+                endpoint = bed.scheduler.engine.endpoints[model.id]
+                for _number in range(4):
+                    bed.submit(steps=REPLICAS)
+                while not endpoint.tasks:
+                    await bed.run(0.001)
+                bed.restart_unlisted(model)
+                await bed.run(0.02)
+                assert model.runs
+                bed.cuts[model.id] = how
+                await bed.run(14.0)
+
+    virtualtime.run(main())
+
+
 @pytest.mark.parametrize("dark_seconds", [0.05, 0.3, 0.6])
 def test_ends_at_an_endpoint_that_restarted_during_a_request_are_not_forgotten(
     dark_seconds,
