Open restarted endpoints to all jobs that wait, each to others if they are too many

Cause: each endpoint whose leases outlast the limit was opened to the same first 32 jobs, and those that ended or ran elsewhere kept their places; a job that none admitted also ended the search for others of the same shape. After a restart of all endpoints the rest waited until the leases were covered.

Change: a record names up to 8,192 jobs in all, 32 at least at each endpoint, only those that wait or run there count, and endpoints take different parts of a longer queue. What found no endpoint is remembered by where its job is admitted.

--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -241,15 +241,15 @@
             elif is_long:
                 long.append(OwnLimit(endpoint, others, late))
         waiting = openjobs.waiting_jobs(engine, now) if long else ()
+        opened = openjobs.jobs_to_open([own.endpoint for own in long], waiting)
         for own in long:
-            can_start = is_in_use(own.endpoint)
-            opened = openjobs.jobs_to_open(own.endpoint, waiting if can_start else ())
-            prepared.open_jobs[own.endpoint.incarnation] = opened
+            jobs = opened[own.endpoint.id]
+            prepared.open_jobs[own.endpoint.incarnation] = jobs
             found = own.endpoint.found_jobs
             if found is None or own.endpoint.has_orphans:
                 own.jobs = None
             else:
-                own.jobs = sorted(own.jobs | opened | found)
+                own.jobs = sorted(own.jobs | jobs | found)
         return final + long
 
     def express(self, clocks, endpoint, end):
--- a/clementinebay/workflow/openjobs.py
+++ b/clementinebay/workflow/openjobs.py
@@ -7,9 +7,10 @@
 
 from clementinebay.workflow import planning
 
-#: Greatest number of jobs that may be started at an endpoint whose leases outlast the
-#: limit for all endpoints.
-MAX_OPEN_JOBS = 32
+#: Greatest number of jobs that a record names at all such endpoints together, which
+#: keeps it below 0.5 MB, and the least that may be started at each.
+MAX_JOBS_IN_RECORD = 8192
+MIN_JOBS_PER_ENDPOINT = 32
 
 
 def waiting_jobs(engine, now):
@@ -21,15 +22,21 @@
     ]
 
 
-def jobs_to_open(endpoint, waiting):
-    """Return the ids of the jobs to be started at an endpoint with long leases.
+def jobs_to_open(endpoints, waiting):
+    """Return the ids of the jobs that ``endpoints`` are to be open to, by endpoint id.
 
-    Those that it is open to stay; a successor has to wait for each of them.
+    Those that an endpoint is open to stay, as a successor has to wait for them.  If
+    more jobs wait than one may be opened to, each is opened to others of them.
     """
-    jobs = set(endpoint.open_jobs or ())
-    for job in waiting:
-        if len(jobs) >= MAX_OPEN_JOBS:
-            break
-        if job.spec.service == endpoint.info.service:
-            jobs.add(job.id)
-    return jobs
+    most = max(MIN_JOBS_PER_ENDPOINT, MAX_JOBS_IN_RECORD // max(1, len(endpoints)))
+    opened = {}
+    for number, endpoint in enumerate(endpoints):
+        service = endpoint.info.service
+        ids = [job.id for job in waiting if job.spec.service == service]
+        first = number * most % max(1, len(ids))
+        jobs = set(endpoint.open_jobs or ())
+        held = {task.job.id for task in endpoint.tasks.values()}
+        room = most - len(jobs & (held | set(ids)))
+        others = [job_id for job_id in ids[first:] + ids[:first] if job_id not in jobs]
+        opened[endpoint.id] = jobs | set(others[: max(0, room)])
+    return opened
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -152,9 +152,10 @@
     ``probing`` whether an endpoint on probation gets one task at a time.  While tasks
     are placed there is only less room, so tasks like one that found no endpoint are not
     searched for again: ``failed`` has the greatest relative age of their jobs by shape.
+    ``admitting`` has the ids of the endpoints that are open to some jobs only, by job.
     """
 
-    __slots__ = ("endpoints", "may_wait", "probing", "failed")
+    __slots__ = ("endpoints", "may_wait", "probing", "failed", "admitting")
 
     def __init__(self, endpoints, probing):
         self.endpoints = endpoints
@@ -164,15 +165,23 @@
         }
         self.probing = probing
         self.failed = {}
+        self.admitting = {}
+        for endpoint in endpoints:
+            for job_id in endpoint.open_jobs or ():
+                self.admitting.setdefault(job_id, []).append(endpoint.id)
 
     def arguments(self, task, pressure, now):
         """Return the arguments of `dispatch.choose` and `dispatch.Ranking`."""
         may_wait = self.may_wait.get(task.job.spec.service, True)
         return task, self.endpoints, pressure, now, may_wait, self.probing
 
+    def key(self, job, step):
+        """Return what decides whether any endpoint can be used for ``step``."""
+        return shape(job, step), tuple(self.admitting.get(job.id, ()))
+
     def has_failed(self, job, step, now):
         """Return whether a task like those of ``step`` found no endpoint."""
-        age = self.failed.get(shape(job, step))
+        age = self.failed.get(self.key(job, step))
         # Fillers are placed more freely the older their job is.
         return age is not None and job.relative_age(now) <= age
 
@@ -181,12 +190,12 @@
         job, step = task.job, task.step
         # Other tasks of its step, or the pin of the task, may be the reason.
         if not step.max_per_endpoint and now >= task.pinned_until:
-            key, age = shape(job, step), job.relative_age(now)
+            key, age = self.key(job, step), job.relative_age(now)
             self.failed[key] = max(age, self.failed.get(key, age))
 
 
 def shape(job, step):
-    """Return what decides whether any endpoint can be used for a task of ``step``."""
+    """Return what an endpoint must have for a task of ``step``."""
     return (
         job.spec.service,
         step.processors_milli,
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -478,6 +478,39 @@
     virtualtime.run(main())
 
 
+@pytest.mark.parametrize("job_count", [20, 40])
+@pytest.mark.parametrize("kill_after", [0.3, 0.8])
+def test_replicas_of_many_jobs_run_again_in_time_after_all_endpoints_restarted(
+    kill_after, job_count
+):
+    """Their scheduler is killed, too; the platform allows 7 s."""
+
+    async def main():
+        async with TestBed(
+            endpoints=12, daemons=3, max_lease=10.0, election_seconds=2.0
+        ) as bed:
+            await bed.run(8.0)
+            for _number in range(job_count):
+                bed.submit(steps=[REPLICA])
+            await bed.run(3.0)
+            assert run_count(bed) == job_count
+            restarts = [
+                asyncio.create_task(bed.restart(model, 0.6)) for model in bed.endpoints
+            ]
+            await bed.run(kill_after)
+            await bed.kill_scheduler()
+            await bed.run(0.6 - min(kill_after, 0.6) + 7.0)
+            assert run_count(bed) == job_count
+            await asyncio.gather(*restarts)
+
+    virtualtime.run(main())
+
+
+def run_count(bed):
+    """Return the number of runs at the bed's endpoints."""
+    return sum(len(model.runs) for model in bed.endpoints)
+
+
 @pytest.mark.parametrize("max_lease", [6.0, 10.0])
 def test_replicas_of_an_endpoint_that_restarted_unseen_run_again_in_time(max_lease):
     """Its reports say that it is another incarnation."""
--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -160,12 +160,59 @@
     assert store_leases(engine, BACK_AT + 0.1).of("e1").jobs is None
 
 
-def test_endpoint_is_opened_to_a_limited_number_of_jobs():
+def test_endpoint_is_opened_to_a_limited_number_of_jobs(monkeypatch):
+    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
     engine, _endpoint = make_restarted()
-    for number in range(openjobs.MAX_OPEN_JOBS + 5):
+    for number in range(openjobs.MIN_JOBS_PER_ENDPOINT + 5):
         submit(engine, f"{number:016x}")
     jobs = store_leases(engine, BACK_AT).of("e1").jobs
-    assert len(jobs) == openjobs.MAX_OPEN_JOBS
+    assert len(jobs) == openjobs.MIN_JOBS_PER_ENDPOINT
+
+
+def test_jobs_placed_elsewhere_do_not_bar_others_from_endpoints(monkeypatch):
+    """All endpoints were opened to the same jobs, and the others waited for seconds."""
+    monkeypatch.setattr(factory, "MAX_LEASE", 10.0)
+    engine = make_engine()
+    connect(engine, "full", processors_milli=0)
+    restarted = [connect(engine, f"e{number}") for number in range(10)]
+    for endpoint in restarted:
+        restart(engine, endpoint)
+    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
+    job_count = 2 * openjobs.MIN_JOBS_PER_ENDPOINT
+    for number in range(job_count):
+        submit(engine, f"{number:016x}")
+    started = 0
+    for now in (BACK_AT, BACK_AT + 0.2, BACK_AT + 0.4, BACK_AT + 0.6):
+        store_leases(engine, now)
+        started += len(factory.start_all(engine, now))
+    assert started == job_count
+
+
+def test_ended_jobs_do_not_bar_others_from_an_endpoint(monkeypatch):
+    monkeypatch.setattr(factory, "MAX_LEASE", 10.0)
+    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
+    monkeypatch.setattr(openjobs, "MIN_JOBS_PER_ENDPOINT", 1)
+    engine, endpoint = make_restarted()
+    submit(engine, OTHER)
+    store_leases(engine, BACK_AT)
+    (order,) = factory.start_all(engine, BACK_AT)
+    ends = [(1, order.task.name, order.run, "done")]
+    report(engine, endpoint, BACK_AT + 0.1, clock_ms=200, ended=ends)
+    factory.store(engine)
+    submit(engine, JOB)
+    store_leases(engine, BACK_AT + 0.4)
+    assert engine.plan(BACK_AT + 0.4)
+
+
+def test_job_that_no_endpoint_admits_holds_up_no_others_of_its_shape(monkeypatch):
+    monkeypatch.setattr(factory, "MAX_LEASE", 10.0)
+    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
+    monkeypatch.setattr(openjobs, "MIN_JOBS_PER_ENDPOINT", 1)
+    engine, _endpoint = make_restarted()
+    submit(engine, OTHER)
+    store_leases(engine, BACK_AT)
+    submit(engine, JOB, now=BACK_AT - 1.0)
+    assert [order.task.job.id for order in engine.plan(BACK_AT)] == [OTHER]
 
 
 def test_endpoint_is_not_opened_to_jobs_of_other_services():
