Take only a later start for a restart of an inherited endpoint

An entry that is older than the stored start made a successor wait for the longest lease. Introduced with the leases of restarted endpoints; the new test failed before.

--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -81,8 +81,9 @@
         inherited = self.by_id.get(endpoint.id)
         if inherited is None:
             return
-        is_other = inherited.born_ms not in (None, endpoint.info.born_ms)
-        if endpoint.restarts or is_other:
+        born_ms = inherited.born_ms
+        is_later = born_ms is not None and endpoint.info.born_ms > born_ms
+        if endpoint.restarts or is_later:
             inherited.restarted = True
             inherited.bound = inherited.end = self.longest_until
 
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -320,3 +320,16 @@
     engine.register_endpoint(factory.make_info("e1", born_ms=3), 2.0)
     report(engine, endpoint, 2.0, clock_ms=900_000)
     assert endpoint.granted_ms == 900_000 + factory.MAX_LEASE * 1000
+
+
+def test_stale_entry_of_the_incarnation_before_the_stored_one_is_no_restart():
+    """The wait was for the longest lease, as if a later incarnation were listed."""
+    engine = make_successor(None, endpoints=())
+    stored = leases.EndpointLeases([("w", 1, 3000)], [JOB])
+    engine.inherited_endpoints.expect("e1", "a", stored, born_ms=2)
+    engine.register_endpoint(factory.make_info("e1", born_ms=1), 0.0).mark_silent(0.0)
+    assert not engine.inherited_endpoints.has_restarted("e1")
+    connect(engine, "w")
+    add_job(engine)
+    engine.expire(3.2)
+    assert engine.plan(3.2)
