Store no new start of an endpoint while its leases cannot be stored

With no witness at hand there is no record of leases, but the endpoints in use were written all the same: a successor saw the new start and took it for one without long leases. They are now written with the first record that can be made. The new test failed before.

--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -179,10 +179,11 @@
         known = self.engine.endpoints
         if any(name in known and is_in_use(known[name]) for name in self.final):
             return True
-        return bool(self.engine.unplaced) and any(
-            endpoint.open_jobs is not None and is_in_use(endpoint)
-            for endpoint in known.values()
-        )
+        return bool(self.engine.unplaced) and self.awaits_record()
+
+    def awaits_record(self):
+        """Return whether leases at an endpoint outlast the limit that is stored."""
+        return any(e.open_jobs is not None for e in self.engine.endpoints.values())
 
     def prepare(self, now, is_forced=False):
         """Return the `LeaseRecord` to store, or ``None`` if none is worth a write.
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -161,18 +161,20 @@
         records = [(job, job.progress()) for job in jobs]
         # Endpoints recorded during this write are not part of it.
         recorded = dict(self.recorded)
-        endpoints = recorded if self.endpoints_changed else None
-        self.endpoints_changed = False
+        leases = self.engine.leases.prepare(
+            self.clock.now(), is_forced=self.endpoints_changed
+        )
+        # The new start of an endpoint is not stored without the leases found there.
+        is_put_off = leases is None and self.engine.leases.awaits_record()
+        endpoints = recorded if self.endpoints_changed and not is_put_off else None
+        self.endpoints_changed = self.endpoints_changed and is_put_off
         self.stored_endpoints = {
             endpoint_id: used
             for endpoint_id, used in self.stored_endpoints.items()
-            if recorded.get(endpoint_id) == used
+            if is_put_off or recorded.get(endpoint_id) == used
         }
         stored_count = 0
         try:
-            leases = self.engine.leases.prepare(
-                self.clock.now(), is_forced=endpoints is not None
-            )
             while stored_count < len(records) or endpoints is not None or leases:
                 batch = records[
                     stored_count : stored_count + jobstore.RECORDS_PER_WRITE
@@ -195,6 +197,8 @@
             self.engine.mark_stored(
                 records[:stored_count], ends if stored_count == len(records) else ()
             )
+        if is_put_off:
+            return opened
         self.stored_endpoints = recorded
         for endpoint_id, used in recorded.items():
             endpoint = self.engine.endpoints.get(endpoint_id)
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -170,6 +170,25 @@
     assert changes.writer.leases[-1].of("e1").longest
 
 
+async def test_start_of_an_incarnation_is_not_stored_without_the_leases_found_there():
+    """All endpoints fell silent between its first report and the write."""
+    changes = make_change_writer()
+    changes.writer.unblocked.set()
+    endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
+    changes.record_endpoint(endpoint)
+    await changes.store_changes()
+    changes.clock.advance(2.0)
+    endpoint.granted_ms = 10**12
+    now = changes.clock.now()
+    factory.connect_endpoint(
+        changes.engine, factory.make_info(born_ms=2), now, born_ms=2
+    )
+    changes.record_endpoint(endpoint)
+    endpoint.mark_silent(now)
+    await changes.store_changes()
+    assert changes.stored_endpoints["e1"][2] == 1 or changes.writer.leases[-1]
+
+
 @pytest.mark.parametrize("writing", [False, True])
 async def test_endpoint_listed_again_before_its_removal_is_written_stays_stored(
     writing,
