Accept a burst of connections in parts, so that it stays near the limit

Operators saw a daemon hold far more descriptors than the limit of connections allows: 235 with a bound of 200 as 260 clients connected at once.

Cause: asyncio accepts up to `backlog` connections each time that the listening socket is ready, here 1,024, and the limit is applied only when their transports exist, three polls of the event loop later.

Change: a server accepts at most 0.05 of the limit of connections between two polls (5 of 100, 100 of the default 2,000), so that at most about 0.2 of it is open beyond the limit. Asyncio uses the same number for the kernel's queue, which would be too short for ordinary bursts, so the queue is set to 1,024 again afterwards. Between the two is one iteration of the event loop at the start of a server. The number is that of the limit at the start; a reload does not change it.

--- a/clementinebay/web/limits.py
+++ b/clementinebay/web/limits.py
@@ -13,6 +13,9 @@
 #: Share of the descriptors granted that clients' connections may take; the rest is for
 #: the store, other daemons and endpoints.
 DESCRIPTOR_SHARE = 0.5
+#: Share of the limit of connections that is accepted between two polls of the event
+#: loop.  Those beyond the limit are closed within four polls.
+ACCEPT_SHARE = 0.05
 #: Limits where the settings grant nothing: those of a machine of 300 MB.
 DEFAULT_MAX_BYTES = 45_000_000
 DEFAULT_MAX_CONNECTIONS = 2_000
@@ -49,6 +52,11 @@
         if descriptors:
             self.max_connections = int(descriptors * DESCRIPTOR_SHARE)
 
+    @property
+    def max_accepted(self):
+        """How many connections a server may accept between two polls."""
+        return max(1, int(self.max_connections * ACCEPT_SHARE))
+
     def open(self, connection):
         """Count a new connection; close others if there are too many."""
         self.connections.add(connection)
--- a/clementinebay/web/server.py
+++ b/clementinebay/web/server.py
@@ -25,6 +25,8 @@
 MAX_UNREAD_BYTES = 4_096
 #: Time within which a client has to read an answer, in seconds.
 ANSWER_SECONDS = 10.0
+#: Length of the kernel's queue of connections that are not accepted yet.
+LISTEN_QUEUE = 1_024
 #: Interval between log lines about closed connections, in seconds.
 SHED_LOG_SECONDS = 1.0
 #: Value of Retry-After for clients whose connection is closed, in seconds.
@@ -343,9 +345,13 @@
             lambda: ServerConnection(self),
             self.host,
             self.port,
-            backlog=1024,
+            backlog=self.limits.max_accepted,
             reuse_address=True,
         )
+        # Asyncio takes one number for what it accepts between polls and for the queue.
+        for listening in self.listener.sockets:
+            with listening.dup() as duplicate:
+                duplicate.listen(LISTEN_QUEUE)
         return self
 
     async def __aexit__(self, *exc):
