Limit the calls in progress to one address by the descriptors granted

Operators saw 216 descriptors with a bound of 200 as 100 clients sent requests ahead at a queue.

Cause: not the burst of connections, as the list of known failures said, but the daemon's own connections: of the 216, 100 were the clients' and 104 led to the store, one for each call in progress. The client of the daemon had no limit.

Change: at most a quarter of the descriptors granted (50 of 200, 975 of 3,900, 1,000 if unknown) are calls in progress to one address; others wait for their turn, in order. One whose time ends before is reported as not sent, which it was not. The limit is per address, so that an endpoint that does not answer keeps no call from the store. It is read again with the settings file. The calls of the scheduler to the store wait in the same order as those for clients; with a large grant the limit is out of reach of either.

--- a/clementinebay/platform/settings.py
+++ b/clementinebay/platform/settings.py
@@ -111,10 +111,17 @@
         connection_limits=ConnectionLimits(),
         **reloadable_fields(node),
     )
-    deployment.connection_limits.grant(node.memory_mb, node.descriptors)
+    grant(deployment, node)
     return deployment
 
 
+def grant(deployed, node):
+    """Limit connections to what the settings grant the process."""
+    deployed.connection_limits.grant(node.memory_mb, node.descriptors)
+    if node.descriptors:
+        deployed.client.grant(node.descriptors)
+
+
 def reloadable_fields(node):
     """Return the fields of a `Deployment` that may change at run time."""
     bounds = node.bounds
@@ -130,6 +137,6 @@
 def update(deployed, node):
     """Apply changed settings to a `Deployment`."""
     deployed.store.address = node.store
-    deployed.connection_limits.grant(node.memory_mb, node.descriptors)
+    grant(deployed, node)
     for name, value in reloadable_fields(node).items():
         setattr(deployed, name, value)
--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -21,6 +21,10 @@
 KEEPALIVE_PROBES = 2
 #: Maximum number of idle connections kept open to one address.
 MAX_IDLE_CONNECTIONS = 16
+#: Share of the descriptors granted that connections to one address may take.
+DESCRIPTOR_SHARE = 0.25
+#: Limit of connections to one address where the settings grant nothing.
+DEFAULT_MAX_CONNECTIONS = 1_000
 #: A connection that has been idle for longer is not reused, in seconds.
 IDLE_SECONDS = 20.0
 #: Number of times that the event loop polls its sockets between the deadline of a call
@@ -191,12 +195,15 @@
     """Makes calls to ``host:port`` addresses.
 
     An asynchronous context manager, which closes the connections on exit.  ``opened``
-    is the number of connections opened so far.
+    is the number of connections opened so far.  A call waits for its turn while
+    ``max_connections`` calls to its address are in progress.
     """
 
     def __init__(self):
         self.idle = {}
         self.opened = 0
+        self.max_connections = DEFAULT_MAX_CONNECTIONS
+        self.turns = {}
 
     async def __aenter__(self):
         return self
@@ -210,6 +217,23 @@
         for connection in self.idle.pop(address, ()):
             connection.transport.abort()
 
+    def grant(self, descriptors):
+        """Set the limit from what the settings grant the process."""
+        self.max_connections = max(1, int(descriptors * DESCRIPTOR_SHARE))
+        self.turns.clear()
+
+    async def take_turn(self, address, deadline):
+        """Return a semaphore held for a call; raise `CallNotSentError` if too late."""
+        turn = self.turns.get(address)
+        if turn is None:
+            turn = self.turns[address] = asyncio.Semaphore(self.max_connections)
+        try:
+            async with asyncio.timeout_at(deadline if turn.locked() else None):
+                await turn.acquire()
+        except TimeoutError as error:
+            raise errors.CallNotSentError(address, error) from error
+        return turn
+
     async def call(
         self, address, method, path, timeout, body=None, headers=(), max_seconds=0.0
     ):
@@ -224,26 +248,30 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        connection = await self.connect(address, deadline)
-        if loop.time() >= deadline:
-            deadline = loop.time() + timeout
-        data = encode_call(address, method, path, body, headers)
+        turn = await self.take_turn(address, deadline)
         try:
-            answer = await connection.exchange(
-                data,
-                deadline,
-                timeout if max_seconds else 0.0,
-                loop.time() + max_seconds,
-            )
-        except BaseException as error:
-            connection.transport.abort()
-            if isinstance(error, TimeoutError):
-                self.close_idle(address)
-            if isinstance(error, (OSError, httptools.HttpParserError)):
-                raise errors.CallUnansweredError(address, path, error) from error
-            raise
-        self.release(address, connection)
-        return answer
+            connection = await self.connect(address, deadline)
+            if loop.time() >= deadline:
+                deadline = loop.time() + timeout
+            data = encode_call(address, method, path, body, headers)
+            try:
+                answer = await connection.exchange(
+                    data,
+                    deadline,
+                    timeout if max_seconds else 0.0,
+                    loop.time() + max_seconds,
+                )
+            except BaseException as error:
+                connection.transport.abort()
+                if isinstance(error, TimeoutError):
+                    self.close_idle(address)
+                if isinstance(error, (OSError, httptools.HttpParserError)):
+                    raise errors.CallUnansweredError(address, path, error) from error
+                raise
+            self.release(address, connection)
+            return answer
+        finally:
+            turn.release()
 
     async def connect(self, address, deadline):
         """Return an idle connection to ``address`` or open a new one."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 from clementinebay.platform import settings
 from clementinebay.platform.__main__ import Reloader
 from clementinebay.platform.store import PlatformStore
+from clementinebay.web.client import Client
 from tests.platform import helpers
 from tests.workflow.factory import quiet_log
 
@@ -64,6 +65,20 @@
         settings.settings_path()
 
 
+def test_descriptors_granted_do_not_limit_the_connections(path):
+    client = Client()
+    write(path, "127.0.0.1:1", limits={"memory_mb": 64, "max_fds": 200})
+    node = settings.read(path)
+    store = PlatformStore(client, node.store)
+    deployed = settings.build_deployment(node, client, store, None, None)
+    assert deployed.connection_limits.max_connections == 100
+    assert client.max_connections == 50
+    write(path, "127.0.0.1:1", limits={"memory_mb": 64, "max_fds": 400})
+    Reloader(path, FakeKernel(deployed)).reload()
+    assert deployed.connection_limits.max_connections == 200
+    assert client.max_connections == 100
+
+
 def test_changed_file_is_applied_and_an_invalid_one_is_not(path):
     node = settings.read(path)
     store = PlatformStore(None, node.store)
