Test calls that the next incarnation of an endpoint takes

The tests play 54 cells on the bed, with leases of up to 10 s. The bed can delay the calls of one kind to an endpoint until it has restarted; its next incarnation executes them, and their answers are lost. It executes pace orders now, for the sake of their fences.

--- a/tests/workflow/beddaemon.py
+++ b/tests/workflow/beddaemon.py
@@ -102,6 +102,33 @@
             await asyncio.sleep(POLL_SECONDS)
 
 
+class DelayedCalls:
+    """Calls of one kind that the next incarnation of an endpoint takes.
+
+    ``kind`` is the name of the method of `ModelEndpoint`, ``calls`` has each call as a
+    method and its arguments.  Their answers are lost.
+    """
+
+    __slots__ = ("kind", "calls", "taken")
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.calls = []
+        self.taken = asyncio.Event()
+
+    async def keep(self, action, args):
+        """Keep a call until it is taken or its caller gives it up."""
+        self.calls.append((action, args))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.taken.wait(), ORDER_TIMEOUT_SECONDS)
+
+    def execute(self, now):
+        """Execute the calls at the incarnation that runs now."""
+        for action, args in self.calls:
+            action(now, *args)
+        self.taken.set()
+
+
 class Driver(EndpointDriver):
     """Sends orders to the bed's endpoints, over links that may be cut."""
 
@@ -132,6 +159,10 @@
         if fence < model.fence:
             reason = errors.OrderRefusedError.FENCED
             raise errors.OrderRefusedError(model.id, reason)
+        delayed = self.bed.delayed.get(model.id)
+        if delayed is not None and delayed.kind == action.__name__:
+            await delayed.keep(action, args)
+            raise errors.CallUnansweredError(model.id, "/", "reset")
         result = action(self.bed.now(), *args)
         await asyncio.sleep(CALL_SECONDS)
         if model.id in self.bed.cuts or not model.up:
@@ -160,6 +191,9 @@
 
     async def pace(self, order, fence):
         """See `EndpointDriver`."""
+        model = self.bed.by_id[order.endpoint.id]
+        args = (order.task.name, order.run, order.percent, fence)
+        await self.call(order.endpoint, model.pace, *args)
 
     async def report(self, endpoint, deadline_ms, acknowledged, wait, fence):
         """See `EndpointDriver`."""
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -95,6 +95,13 @@
             self.end(task, "stopped")
         return True
 
+    def pace(self, now, task, run, percent, fence):
+        """Execute a pace order, which the model's runs ignore."""
+        if not self.up or fence < self.fence:
+            return False
+        self.fence = fence
+        return True
+
     def end(self, task, outcome):
         """Record the end of a run."""
         run = self.runs.pop(task)[0]
--- /dev/null
+++ b/tests/workflow/test_misdirected.py
@@ -0,0 +1,178 @@
+"""Calls that the next incarnation of an endpoint takes in place of the one meant.
+
+An endpoint that restarts under its id has forgotten its runs, fences and leases.  Each
+case is a call, what the scheduler knows of the restart, and how its term ends; the
+monitor of the bed fails on a second run of a task.
+"""
+
+import asyncio
+import json
+
+import pytest
+
+from clementinebay.workflow import jobstore
+from clementinebay.workflow.model import Step
+from clementinebay.workflow.orders import PaceOrder
+from tests.workflow import virtualtime
+from tests.workflow.testbed import TestBed
+
+MAX_LEASE = 10.0
+REPLICAS = [Step(count=10, processors_milli=490, replica=True)]
+#: Time for which the endpoint is out of reach, more than the longest lease.
+CUT_SECONDS = 14.0
+
+
+def pace_run(bed, model):
+    """Send a pace order for a run at an endpoint."""
+    scheduler = bed.scheduler
+    endpoint = scheduler.engine.endpoints[model.id]
+    task = next(iter(endpoint.tasks.values()))
+    scheduler.sender.spawn(scheduler.sender.send_pace(PaceOrder(endpoint, task, 50)))
+
+
+async def take_call(bed, model, call):
+    """Restart an endpoint whose next incarnation takes a call to this one."""
+    delayed = bed.delay_calls(model, call)
+    if call == "stop":
+        bed.cancel(next(iter(model.runs)).partition(".")[0])
+    for _number in range(8):
+        if call == "start":
+            bed.submit(steps=REPLICAS)
+        elif call == "pace":
+            pace_run(bed, model)
+        for _step in range(300):
+            if delayed.calls:
+                bed.restart_unlisted(model)
+                return
+            await bed.run(0.001)
+    raise AssertionError("no such call")
+
+
+async def fill_endpoints(bed):
+    """Submit more replicas than there is room for."""
+    for _number in range(6):
+        bed.submit(steps=REPLICAS)
+
+
+async def wait_for(bed, condition):
+    """Let the bed work until a condition holds."""
+    for _step in range(4000):
+        if condition():
+            return
+        await bed.run(0.001)
+    raise AssertionError("the condition does not hold")
+
+
+def has_final_leases(bed, model):
+    """Return whether the stored record states the leases of an endpoint."""
+    record = json.loads(bed.space.get(jobstore.LEASES).value)
+    return model.id in record["final"]
+
+
+async def let_believe(bed, model, belief):
+    """Let the scheduler learn of a restart what ``belief`` names."""
+    endpoint = bed.scheduler.engine.endpoints[model.id]
+    if belief in ("unreachable", "unreachable-stored", "listed"):
+        bed.cuts[model.id] = "refused"
+    if belief == "unreachable":
+        await wait_for(bed, lambda: endpoint.unreachable_since is not None)
+    elif belief == "unreachable-stored":
+        await wait_for(bed, lambda: has_final_leases(bed, model))
+    elif belief == "listed":
+        bed.list(model)
+        await wait_for(bed, lambda: endpoint.restarts)
+    elif belief in ("reported", "stored"):
+        bed.list(model)
+        await fill_endpoints(bed)
+        await wait_for(bed, lambda: endpoint.restarts and endpoint.has_reported)
+    if belief == "reported":
+        store = bed.scheduling_daemons()[0].store
+        store.away = True
+        await bed.run(0.3)
+        store.away = False
+    elif belief == "stored":
+        await bed.run(2.0)
+        assert model.runs
+
+
+async def end_term(bed, end):
+    """End the term; return what is to be awaited at the end of the case."""
+    daemon = bed.scheduling_daemons()[0]
+    if end == "stopped":
+        await bed.stop_scheduler()
+    elif end == "frozen":
+        return asyncio.create_task(bed.freeze_scheduler(4.0))
+    elif end == "fenced":
+        bed.space.revoke(daemon.lease)
+    elif end == "store-away":
+        daemon.store.away = True
+        await bed.run(1.0)
+        await daemon.kill()
+        daemon.store.away = False
+    else:
+        await bed.kill_scheduler()
+    if end == "twice":
+        while not bed.scheduling_daemons():
+            await bed.run(0.05)
+        await bed.run(1.0)
+        await bed.kill_scheduler()
+    return None
+
+
+def lease_left(bed, model):
+    """Return how long the leases at an endpoint still last, in seconds."""
+    return (model.deadline_ms - model.clock_ms(bed.now())) / 1000
+
+
+async def play(call, belief, end):
+    """Play one case; raise an error if a task runs twice."""
+    async with TestBed(endpoints=6, daemons=2, max_lease=MAX_LEASE) as bed:
+        await bed.run(12.0)
+        async with bed.disturbance(0.0):
+            bed.submit(steps=REPLICAS)
+            await bed.run(2.0)
+            model = min(bed.endpoints, key=lambda m: (call == "start") == bool(m.runs))
+            await take_call(bed, model, call)
+            if call in ("start", "report"):
+                assert lease_left(bed, model) > 9.0
+            if call == "start":
+                assert model.runs
+            await let_believe(bed, model, belief)
+            bed.cuts.pop(model.id, None)
+            cutting = asyncio.create_task(bed.cut([model], "silent", CUT_SECONDS))
+            await asyncio.sleep(0)
+            ending = await end_term(bed, end)
+            await bed.run(0.1)
+            bed.add_endpoint()
+            await bed.run(CUT_SECONDS + 1.0)
+            await cutting
+            if ending is not None:
+                await ending
+
+
+CASES = [
+    ("start", "listed"),
+    ("start", "reported"),
+    ("start", "stored"),
+    ("report", "reported"),
+    ("report", "stored"),
+    ("stop", "reported"),
+    ("stop", "stored"),
+    ("pace", "reported"),
+    ("pace", "stored"),
+]
+ENDS = ["killed", "stopped", "frozen", "fenced", "store-away", "twice"]
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize(("call", "belief"), CASES)
+def test_call_taken_by_the_next_incarnation_leads_to_no_second_run(call, belief, end):
+    virtualtime.run(play(call, belief, end))
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("belief", ["unaware", "unreachable"])
+def test_start_taken_before_anything_of_it_is_stored_leads_to_no_second_run(
+    belief, end
+):
+    virtualtime.run(play("start", belief, end))
