Wait for the longest lease of runs that late orders may have started

A start under way as its endpoint restarted, unseen, was taken by the next incarnation, which the deadline on the earlier clock granted 10 s. The scheduler found the endpoint out of reach, stored its leases with the job as one that a late order may start, and ended. Its successor waited for such jobs until its own bound and 0.5 s, 6.6 s, and ran the task a second time.

Cause: that bound is the longest lease that a scheduler grants, not the longest that endpoints accept, which is the one that holds if the endpoint has restarted.

Jobs with such orders now wait for the longest lease that endpoints accept; the others at the endpoint do not. A task whose start was not confirmed before its endpoint and the scheduler were lost for good waits up to 4.4 s longer at a limit of 10 s.

--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -2,7 +2,7 @@
 
 from clementinebay.workflow import witnesses
 
-#: Additional wait for jobs that a late order may start at an endpoint that has
+#: Additional wait for jobs that a late order may start at an endpoint that may have
 #: restarted, in seconds.
 LATE_ORDER_MARGIN_SECONDS = 0.5
 
@@ -189,7 +189,7 @@
             endpoint = endpoints.get(endpoint_id)
             if endpoint is not None and not endpoint.is_silent:
                 is_over = False
-            elif now >= inherited.bound + LATE_ORDER_MARGIN_SECONDS:
+            elif now >= self.end_of_late_runs(inherited):
                 is_over = True
             elif inherited.restarted:
                 # Orders to the earlier incarnation may be executed late.
@@ -205,6 +205,15 @@
                 ended.append(endpoint_id)
         return ended
 
+    def end_of_late_runs(self, inherited):
+        """Return when runs of late orders have ended at an endpoint.
+
+        It may have restarted unseen, so that they have the longest lease.
+        """
+        has_late = inherited.leases is not None and inherited.leases.late_jobs
+        bound = self.longest_until if has_late else inherited.bound
+        return bound + LATE_ORDER_MARGIN_SECONDS
+
     def all_reported(self, job):
         """Return whether every run of ``job`` is known to this scheduler."""
         if self.awaited_jobs is None:
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -217,7 +217,7 @@
     assert not second.plan(4.0 + LONGEST - 0.05)
 
 
-def test_job_with_an_unanswered_start_waits_for_the_term_s_own_bound():
+def test_job_with_an_unanswered_start_waits_for_the_longest_lease():
     """The endpoint may have restarted and execute the order late."""
     stored = leases.EndpointLeases([("w", 1, 0)], [JOB, OTHER], [JOB])
     engine = make_successor(leases.LeaseRecord(0, [], {"e1": stored}))
@@ -226,7 +226,7 @@
     add_job(engine, OTHER)
     engine.expire(0.1)
     assert [order.task.job.id for order in engine.plan(0.1)] == [OTHER]
-    bound = LONGEST + LATE_ORDER_MARGIN_SECONDS
+    bound = longest_lease(factory.MAX_LEASE) + LATE_ORDER_MARGIN_SECONDS
     engine.cancel(OTHER)
     engine.expire(bound - 0.1)
     assert not engine.plan(bound - 0.1)
--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -151,6 +151,7 @@
 
 
 CASES = [
+    ("start", "unreachable-stored"),
     ("start", "listed"),
     ("start", "reported"),
     ("start", "stored"),
