Model requests that outlive incarnations, with leases of 10 s and long runs

Worlds of the new model restart endpoints under their ids while such requests are under way, list them late, cut the same endpoints off 0.2 to 3 s later, and end the term about then. The requests reach the next incarnation. They acknowledge ends there only where a world asks for it.

Existing worlds draw as before.

--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -17,9 +17,9 @@
     return EventLog(level=ERROR + 1)
 
 
-def make_engine(term=0, inherited_until=0.0):
+def make_engine(term=0, inherited_until=0.0, max_lease=MAX_LEASE):
     """Return an engine with a clock that does not advance, and no limit of leases."""
-    engine = Engine(term, quiet_log(), ManualClock(), MAX_LEASE, inherited_until)
+    engine = Engine(term, quiet_log(), ManualClock(), max_lease, inherited_until)
     engine.leases.limit = engine.leases.until = float("inf")
     return engine
 
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -73,7 +73,7 @@
             return False
         if task in self.runs:
             return self.runs[task][0] == run
-        seconds = self.world.random.uniform(0.3, 3.0)
+        seconds = self.world.random.uniform(0.3, self.world.max_run_seconds)
         if step.replica:
             seconds = float("inf")
         self.runs[task] = (run, step, now + seconds, seconds)
@@ -152,20 +152,25 @@
         self.term = term
         self.fence = (term + 1) * 1000
         self.alive = True
-        until = leases.inherited_until(MAX_LEASE_SECONDS, now)
-        self.engine = factory.make_engine(term, until)
+        max_lease = world.max_lease_seconds
+        until = leases.inherited_until(max_lease, now)
+        self.engine = factory.make_engine(term, until, max_lease)
         self.engine.leases.limit = now
         self.engine.leases.until = float("-inf")
         self.engine.quotas.adopt(world.organisations)
         self.started_at = now
         self.unreachable = set()
         for endpoint_id, domain in world.used_endpoints.items():
-            record = world.lease_record
-            stored = None if record is None else record.of(endpoint_id)
-            self.engine.inherited_endpoints.expect(endpoint_id, domain, stored)
+            self.expect_endpoint(endpoint_id, domain)
         for job_id in list(world.submitted):
             self.load_job(job_id, now, inherited=term > 0)
 
+    def expect_endpoint(self, endpoint_id, domain):
+        """Expect runs at an endpoint that the store names as in use."""
+        record = self.world.lease_record
+        stored = None if record is None else record.of(endpoint_id)
+        self.engine.inherited_endpoints.expect(endpoint_id, domain, stored)
+
     def load_job(self, job_id, now, inherited):
         """Add a stored job to the engine."""
         spec = self.world.submitted[job_id]
@@ -186,16 +191,8 @@
                 in_overlap = self.term > 0 and now < self.started_at + 2.0
                 self.load_job(job_id, now, inherited=in_overlap)
         for model in self.world.endpoints:
-            info = factory.make_info(
-                model.id,
-                born_ms=model.born,
-                failure_domain=model.domain,
-                processors_milli=CAPACITY,
-                leaving=model.leaving,
-            )
             if model.up and self.current:
-                engine.register_endpoint(info, now).recorded = True
-                self.world.used_endpoints[model.id] = model.domain
+                self.register(model, now)
             endpoint = engine.endpoints.get(model.id)
             if endpoint is None:
                 continue
@@ -210,6 +207,22 @@
         if self.current and self.world.random.random() < 0.6:
             self.store(now)
 
+    def register(self, model, now):
+        """Register an endpoint as listed and store it as in use."""
+        info = self.listed_info(model, model.born)
+        self.engine.register_endpoint(info, now).recorded = True
+        self.world.used_endpoints[model.id] = model.domain
+
+    def listed_info(self, model, born):
+        """Return the registry entry of an incarnation of an endpoint."""
+        return factory.make_info(
+            model.id,
+            born_ms=born,
+            failure_domain=model.domain,
+            processors_milli=CAPACITY,
+            leaving=model.leaving,
+        )
+
     def lease_seconds(self, endpoint, now):
         """Return the length of the leases that may be granted, in seconds."""
         return min(LEASE_SECONDS, self.engine.leases.grantable_seconds(endpoint, now))
@@ -309,6 +322,9 @@
 
     endpoint_class = ModelEndpoint
     scheduler_class = ModelScheduler
+    max_lease_seconds = MAX_LEASE_SECONDS
+    #: Longest duration of a run that is no replica's, in seconds.
+    max_run_seconds = 3.0
 
     def __init__(self, seed, endpoints=5, organisations=None):
         self.random = random.Random(seed)
--- a/tests/workflow/seriesmodel.py
+++ b/tests/workflow/seriesmodel.py
@@ -265,7 +265,7 @@
         endpoint.leaving = True
         endpoint.goes_at = self.now + self.random.uniform(1.0, MAX_NOTICE_SECONDS)
         number = len(self.by_id)
-        other = SeriesEndpoint(f"e{number}", endpoint.domain, self)
+        other = self.endpoint_class(f"e{number}", endpoint.domain, self)
         other.restart(self.now)
         self.endpoints.append(other)
         self.by_id[other.id] = other
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -68,6 +68,8 @@
     """
 
     __test__ = False
+    #: Longest duration of a run that is no replica's, in seconds.
+    max_run_seconds = 3.0
 
     def __init__(
         self,
