Count a run as that of the known incarnation once the clock in its answer shows that

A run that no report had listed yet was stopped and held at its endpoint when that restarted, in case the next incarnation had taken its start. The clock in the answer tells, so such a run is started elsewhere at once, and a successor need not wait for it as for a late order.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -458,7 +458,7 @@
             self.stops.add(endpoint, row.task, row.run, "duplicate")
             return
         task.has_run = True
-        task.is_reported = True
+        task.is_located = True
         task.settle_start(endpoint, row.run)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
@@ -532,8 +532,11 @@
         task.pin(now, now + MAX_ORDER_DELAY_SECONDS)
         self.stops.add(task.endpoint, task.name, task.run, "unanswered")
 
-    def start_answered(self, order, now):
-        """Record that a start order was executed."""
+    def start_answered(self, order, now, is_located=False):
+        """Record that a start order was executed.
+
+        If it ``is_located``, that was by the incarnation that the scheduler knows.
+        """
         task = order.task
         self.confirm_start(task.job)
         current = task.endpoint is order.endpoint and task.run == order.run
@@ -542,6 +545,7 @@
         if current and task.state is TaskState.STARTING:
             task.state = TaskState.RUNNING
             task.started_at = now
+            task.is_located = is_located
 
     def confirm_start(self, job):
         """Record that a run of ``job`` has started, whatever became of it."""
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -35,7 +35,7 @@
 
     The answer to a start may overtake an earlier report.
     """
-    return not task.is_reported
+    return not task.is_located
 
 
 def jobs_with_unconfirmed_start(engine, endpoint):
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -77,8 +77,8 @@
     force since ``paced_at``, or ``None`` while it is unknown.  ``paused_since`` is when
     a filler was ordered to pause.  The task has waited for its next run since
     ``queued_at``, but may not be started before ``not_before``.  ``has_run`` is true
-    once the endpoint has confirmed the current run, ``is_reported`` once the endpoint's
-    present incarnation has reported it.
+    once the endpoint has confirmed the current run, ``is_located`` once that was surely
+    the incarnation that the scheduler knows.
 
     A start order that was not answered may be executed until ``pinned_until``.  Until
     then the task may run at ``pinned_endpoint`` only, which refuses the late order
@@ -102,7 +102,7 @@
         "avoided_endpoints",
         "started_at",
         "has_run",
-        "is_reported",
+        "is_located",
         "percent",
         "progressed_at",
         "measurement",
@@ -130,7 +130,7 @@
         self.avoided_endpoints = None
         self.started_at = 0.0
         self.has_run = False
-        self.is_reported = False
+        self.is_located = False
         self.percent = 0
         self.progressed_at = 0.0
         self.measurement = 0.0
@@ -171,7 +171,7 @@
         self.state = state
         self.started_at = now
         self.has_run = state is TaskState.RUNNING
-        self.is_reported = False
+        self.is_located = False
         self.percent = 0
         self.progressed_at = now
         self.measurement = 0.0
--- a/clementinebay/workflow/sending.py
+++ b/clementinebay/workflow/sending.py
@@ -98,26 +98,29 @@
             self.request_plan()
 
     def check_clock(self, endpoint, info, clock_ms, sent_at):
-        """Check that the incarnation that an order was meant for has executed it.
+        """Return whether the incarnation that an order was meant for has executed it.
 
         ``info`` is the `Endpoint` to which the order was sent at ``sent_at``, and
         ``clock_ms`` the clock in the answer, or ``None``.
         """
         now = self.clock.now()
-        is_known = endpoint.clock_ms is not None and not endpoint.has_ended
         if (
-            clock_ms is not None
-            and is_known
-            and endpoint.info.is_same_incarnation(info)
-            and not endpoint.may_show(clock_ms, sent_at, now)
+            clock_ms is None
+            or endpoint.clock_ms is None
+            or endpoint.has_ended
+            or not endpoint.info.is_same_incarnation(info)
         ):
-            self.log.warning(
-                "endpoint.clock_differs",
-                endpoint=endpoint.id,
-                clock_ms=clock_ms,
-                expected_ms=round(endpoint.earliest_clock(now)),
-            )
-            incarnations.assume_longest_lease(self.engine, endpoint, now)
+            return False
+        if endpoint.may_show(clock_ms, sent_at, now):
+            return True
+        self.log.warning(
+            "endpoint.clock_differs",
+            endpoint=endpoint.id,
+            clock_ms=clock_ms,
+            expected_ms=round(endpoint.earliest_clock(now)),
+        )
+        incarnations.assume_longest_lease(self.engine, endpoint, now)
+        return False
 
     def lease_seconds(self, endpoint, now):
         """Return the length of a lease that may be granted at ``now``, in seconds."""
@@ -169,8 +172,8 @@
         outcome = "started"
         try:
             clock_ms = await self.driver.start(order, deadline_ms, fence)
-            self.check_clock(order.endpoint, info, clock_ms, now)
-            self.engine.start_answered(order, self.clock.now())
+            is_located = self.check_clock(order.endpoint, info, clock_ms, now)
+            self.engine.start_answered(order, self.clock.now(), is_located)
             self.started += 1
             if order.task.step.filler:
                 self.pace(order.endpoint)
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -623,6 +623,17 @@
     assert order.task.endpoint is None
 
 
+def test_run_that_the_incarnation_before_has_answered_is_started_again_at_once():
+    """The clock in the answer was that of the incarnation before."""
+    engine = factory.make_engine()
+    factory.connect_endpoint(engine, factory.make_info())
+    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    [order] = engine.plan(1.2)
+    engine.start_answered(order, 1.2, is_located=True)
+    engine.register_endpoint(factory.make_info(born_ms=1000), 1.5)
+    assert order.task.endpoint is None
+
+
 def test_stopped_run_that_a_restarted_endpoint_may_have_started_is_not_started_again():
     """The stop may have been answered by the incarnation before."""
     engine = factory.make_engine()
