Close an endpoint whose leases turn out longer than the record under way says

Cause: a record under way opened an endpoint to jobs by the end of its leases at that time, also if an answer showed meanwhile that they may last longer. The new test failed before.

Own limits, the leases found and what they open are built apart.

--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -51,23 +51,14 @@
 
 
 def record_leases(engine, endpoint, report, now):
-    """Record how long the leases that an incarnation has at its first report may last.
-
-    A deadline that was sent to an earlier incarnation holds on the clock of this one,
-    for the longest lease that the endpoint accepts at most.
-    """
-    seconds, until = engine.max_lease_seconds, float("inf")
+    """Record the leases that an incarnation may have at its first report."""
     if engine.inherited_endpoints.may_have_longest(endpoint.id):
         endpoint.earlier_granted_ms = float("inf")
-    if endpoint.restarts:
-        left_ms = max(0.0, endpoint.earlier_granted_ms - report.clock_ms)
-        seconds = min(seconds, left_ms / 1000)
-    elif not engine.inherited_endpoints.has_restarted(endpoint.id):
-        seconds, until = inherited_lease(engine, endpoint, report, now)
+    seconds, until = find_lease(engine, endpoint, report, now)
     endpoint.granted_ms = report.clock_ms + seconds * 1000
     if not seconds:
         return
-    close_beyond_limit(engine, endpoint, min(until, now + longest_lease(seconds)))
+    record_end_of_leases(engine, endpoint, min(until, now + longest_lease(seconds)))
     engine.log.info(
         "endpoint.leases_found",
         endpoint=endpoint.id,
@@ -79,13 +70,42 @@
     )
 
 
-def close_beyond_limit(engine, endpoint, until):
+def find_lease(engine, endpoint, report, now):
+    """Return for how long, in seconds, and until when a lease there may last.
+
+    A deadline that was sent to an earlier incarnation holds on the clock of the next
+    one, for the longest lease that the endpoint accepts at most.
+    """
+    if endpoint.restarts:
+        left_ms = max(0.0, endpoint.earlier_granted_ms - report.clock_ms)
+        return min(engine.max_lease_seconds, left_ms / 1000), float("inf")
+    if engine.inherited_endpoints.has_restarted(endpoint.id):
+        return engine.max_lease_seconds, float("inf")
+    return find_inherited_lease(engine, endpoint, report, now)
+
+
+def find_inherited_lease(engine, endpoint, report, now):
+    """Return the same for a lease that an earlier scheduler may have granted.
+
+    It granted some only at endpoints that it had stored.
+    """
+    left = 0.0
+    if engine.inherited_endpoints.is_known(endpoint.id):
+        end = engine.inherited_endpoints.end_of_leases(endpoint.id)
+        left = max(0.0, end - now)
+    if report.running and not left:
+        return engine.max_lease_seconds, float("inf")
+    return min(engine.max_lease_seconds, left), now + left
+
+
+def record_end_of_leases(engine, endpoint, until):
     """Record by when leases at an endpoint have ended.
 
-    If that is not stored yet, no job is started there before it is.
+    If the stored limit does not cover them, no job is started there before a record
+    names it.
     """
     endpoint.found_until = max(endpoint.found_until, until)
-    if endpoint.found_until > engine.leases.until and endpoint.open_jobs is None:
+    if endpoint.found_until > engine.leases.until:
         endpoint.open_jobs = frozenset()
 
 
@@ -98,21 +118,7 @@
     seconds = engine.max_lease_seconds
     endpoint.grant(now, seconds)
     endpoint.found_jobs = None
-    close_beyond_limit(engine, endpoint, now + longest_lease(seconds))
-
-
-def inherited_lease(engine, endpoint, report, now):
-    """Return for how long and until when leases of earlier schedulers may last.
-
-    They granted some only at endpoints that they had stored.
-    """
-    left = 0.0
-    if engine.inherited_endpoints.is_known(endpoint.id):
-        end = engine.inherited_endpoints.end_of_leases(endpoint.id)
-        left = max(0.0, end - now)
-    if report.running and not left:
-        return engine.max_lease_seconds, float("inf")
-    return min(engine.max_lease_seconds, left), now + left
+    record_end_of_leases(engine, endpoint, now + longest_lease(seconds))
 
 
 def record_jobs(endpoint, report):
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -104,7 +104,7 @@
     ``limit`` is the time up to which leases may be granted, ``until`` that by which
     they have ended, at endpoints without an entry.  ``final`` has the ids of the
     endpoints with final leases, ``open_jobs`` the jobs that may be started at those
-    whose leases last longer, by incarnation.
+    whose leases last longer, by (incarnation, end of these leases).
     """
 
     __slots__ = ("limit", "until", "final", "open_jobs")
@@ -120,17 +120,26 @@
     """A limit of the leases of one endpoint.
 
     ``jobs`` has the jobs that may have runs there, or is ``None`` if they are unknown,
-    ``late_jobs`` those that a late order may start.  If it ``is_final``, the endpoint
-    gets no more leases.
+    ``late_jobs`` those that a late order may start.  ``open_jobs`` has the jobs that
+    may be started there, or is ``None`` if the endpoint gets no more leases.
     """
 
-    __slots__ = ("endpoint", "jobs", "late_jobs", "is_final")
+    __slots__ = ("endpoint", "jobs", "late_jobs", "open_jobs")
 
-    def __init__(self, endpoint, jobs, late_jobs, is_final=False):
+    def __init__(self, endpoint, jobs, late_jobs):
         self.endpoint = endpoint
         self.jobs = jobs
         self.late_jobs = late_jobs
-        self.is_final = is_final
+        self.open_jobs = None
+
+    def open(self, job_ids):
+        """Open the endpoint to jobs, which may have runs there from then on."""
+        self.open_jobs = job_ids
+        found = self.endpoint.found_jobs
+        if found is None or self.endpoint.has_orphans:
+            self.jobs = None
+        else:
+            self.jobs = sorted(self.jobs | job_ids | found)
 
 
 class LeaseLimits:
@@ -200,13 +209,16 @@
         until = now + longest_lease(self.horizon_seconds)
         prepared = PreparedRecord(now + self.horizon_seconds, until)
         entries, left_out_until = {}, until
-        for own in self.own_limits(prepared, now):
+        for own in self.own_limits(until, now):
             endpoint = own.endpoint
             end = self.end_of_leases(endpoint, now)
+            if own.open_jobs is not None:
+                key = (endpoint.incarnation, endpoint.found_until)
+                prepared.open_jobs[key] = own.open_jobs
             if len(entries) == MAX_FINAL_ENDPOINTS:
                 left_out_until = max(left_out_until, end)
                 continue
-            if own.is_final:
+            if own.open_jobs is None:
                 prepared.final.add(endpoint.id)
             entries[endpoint.id] = EndpointLeases(
                 self.express(clocks, endpoint, end),
@@ -221,36 +233,30 @@
         deadline = witnesses.express(clocks, left_out_until)
         return LeaseRecord(engine.term, deadline, entries, left_out_until > until)
 
-    def own_limits(self, prepared, now):
-        """Return the `OwnLimit`s of endpoints, final ones first.
+    def own_limits(self, until, now):
+        """Return the `OwnLimit`s of endpoints, those that get no more leases first.
 
-        Opens endpoints with long leases to jobs that wait, in ``prepared``.
+        The limit for all endpoints ends ``until``.
         """
         engine = self.engine
         pinned = engine.pinned_jobs(now)
         stopping = engine.stops.jobs_by_endpoint()
         final, long = [], []
         for endpoint in engine.endpoints.values():
-            is_long = endpoint.found_until > prepared.until
+            is_long = endpoint.found_until > until
             if is_in_use(endpoint) and not is_long:
                 continue
             late = late_jobs(engine, endpoint, pinned)
             others = late | stopping.get(endpoint.id, set())
             jobs = possible_jobs(engine, endpoint, others)
             if is_final(engine, endpoint, jobs, now):
-                final.append(OwnLimit(endpoint, jobs, late, is_final=True))
+                final.append(OwnLimit(endpoint, jobs, late))
             elif is_long:
                 long.append(OwnLimit(endpoint, others, late))
         waiting = openjobs.waiting_jobs(engine, now) if long else ()
         opened = openjobs.jobs_to_open([own.endpoint for own in long], waiting)
         for own in long:
-            jobs = opened[own.endpoint.id]
-            prepared.open_jobs[own.endpoint.incarnation] = jobs
-            found = own.endpoint.found_jobs
-            if found is None or own.endpoint.has_orphans:
-                own.jobs = None
-            else:
-                own.jobs = sorted(own.jobs | jobs | found)
+            own.open(opened[own.endpoint.id])
         return final + long
 
     def express(self, clocks, endpoint, end):
@@ -278,9 +284,8 @@
             if endpoint.found_until <= self.until:
                 endpoint.open_jobs = None
             else:
-                endpoint.open_jobs = prepared.open_jobs.get(
-                    endpoint.incarnation, before
-                )
+                key = (endpoint.incarnation, endpoint.found_until)
+                endpoint.open_jobs = prepared.open_jobs.get(key, before)
             is_opened = is_opened or endpoint.open_jobs != before
         return is_opened
 
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -382,7 +382,10 @@
         )
 
     async def request_report(self, endpoint):
-        """Request one report; return whether it was received and processed."""
+        """Request one report; return whether to ask for the next one without a wait.
+
+        That is so unless the request failed, or an earlier incarnation has answered.
+        """
         sent_at = self.clock.now()
         was_unreachable = endpoint.unreachable_since is not None
         wait = polling.report_wait(endpoint, self.load_meter.recent_lag, sent_at)
--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from clementinebay.workflow import leases, openjobs
+from clementinebay.workflow import incarnations, leases, openjobs
 from clementinebay.workflow.fleet import longest_lease
 from clementinebay.workflow.model import Step
 from tests.workflow import factory
@@ -137,6 +137,21 @@
     assert clocks(own.deadline)["full"] == pytest.approx(LONG_END, abs=0.01)
 
 
+def test_endpoint_is_closed_again_once_longer_leases_are_reckoned_with():
+    """The record under way states the end of the leases that were found."""
+    engine, endpoint = make_restarted()
+    submit(engine)
+    engine.leases.prepare(BACK_AT + 0.1)
+    incarnations.assume_longest_lease(engine, endpoint, BACK_AT + 0.2)
+    engine.leases.mark_stored()
+    assert not engine.plan(BACK_AT + 0.3)
+    own = store_leases(engine, BACK_AT + 0.4).of("e1")
+    assert own.jobs is None
+    end = BACK_AT + 0.2 + longest_lease(factory.MAX_LEASE)
+    assert clocks(own.deadline)["full"] == pytest.approx(end, abs=0.01)
+    assert engine.plan(BACK_AT + 0.4)
+
+
 def test_jobs_found_at_the_first_report_are_named():
     engine = make_engine()
     connect(engine, "full", processors_milli=0)
