Test a start taken by an incarnation whose entry and leases are stored

The cell between "listed" and "reported": the scheduler has learned of the restart from the registry and stored the leases of the endpoint, and no report has arrived. It passes on the present code.

--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -72,7 +72,7 @@
 async def let_believe(bed, model, belief):
     """Let the scheduler learn of a restart what ``belief`` names."""
     endpoint = bed.scheduler.engine.endpoints[model.id]
-    if belief in ("unreachable", "unreachable-stored", "listed"):
+    if belief in ("unreachable", "unreachable-stored", "listed", "listed-stored"):
         bed.cuts[model.id] = "refused"
     if belief == "unreachable":
         await wait_for(bed, lambda: endpoint.unreachable_since is not None)
@@ -81,6 +81,10 @@
     elif belief == "listed":
         bed.list(model)
         await wait_for(bed, lambda: endpoint.restarts)
+    elif belief == "listed-stored":
+        bed.list(model)
+        await wait_for(bed, lambda: endpoint.restarts)
+        await wait_for(bed, lambda: has_final_leases(bed, model))
     elif belief in ("reported", "stored"):
         bed.list(model)
         await fill_endpoints(bed)
@@ -153,6 +157,7 @@
 CASES = [
     ("start", "unreachable-stored"),
     ("start", "listed"),
+    ("start", "listed-stored"),
     ("start", "reported"),
     ("start", "stored"),
     ("report", "reported"),
