Test bed cells: let endpoints fence the scheduler whose term is over

In the cells "fenced" the scheduler learned of its end from the store first, before any endpoint refused an order (no `term.fenced` in the log of "start, stored").

--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -107,7 +107,11 @@
     elif end == "frozen":
         return asyncio.create_task(bed.freeze_scheduler(4.0))
     elif end == "fenced":
+        # Without the store, it learns from endpoints that its term is over.
+        daemon.store.away = True
         bed.space.revoke(daemon.lease)
+        await bed.run(1.0)
+        daemon.store.away = False
     elif end == "store-away":
         daemon.store.away = True
         await bed.run(1.0)
