Open no more jobs at endpoints with long leases that are out of use

A successor would wait for jobs that cannot be started there. The test of endpoints that are not final yet now has a job that waits; both cases failed before.

--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -254,9 +254,11 @@
             elif is_long:
                 long.append(OwnLimit(endpoint, others, late))
         waiting = openjobs.waiting_jobs(engine, now) if long else ()
-        opened = openjobs.jobs_to_open([own.endpoint for own in long], waiting)
+        in_use = [own.endpoint for own in long if is_in_use(own.endpoint)]
+        opened = openjobs.jobs_to_open(in_use, waiting)
         for own in long:
-            own.open(opened[own.endpoint.id])
+            jobs = own.endpoint.open_jobs or frozenset()
+            own.open(opened.get(own.endpoint.id, jobs))
         return final + long
 
     def express(self, clocks, endpoint, end):
--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -127,6 +127,7 @@
     store_leases(engine, BACK_AT)
     (order,) = engine.plan(BACK_AT)
     engine.start_answered(order, BACK_AT)
+    submit(engine, OTHER)
     if case == "silent":
         endpoint.mark_silent(BACK_AT + 0.2)
     else:
