--- a/clementinebay/web/client.py
+++ b/clementinebay/web/client.py
@@ -218,9 +218,14 @@
             connection.transport.abort()
 
     def grant(self, descriptors):
-        """Set the limit from what the settings grant the process."""
-        self.max_connections = max(1, int(descriptors * DESCRIPTOR_SHARE))
-        self.turns.clear()
+        """Set the limit from what the settings grant the process.
+
+        Calls in progress do not count against a limit that has changed.
+        """
+        limit = max(1, int(descriptors * DESCRIPTOR_SHARE))
+        if limit != self.max_connections:
+            self.max_connections = limit
+            self.turns.clear()
 
     async def take_turn(self, address, deadline):
         """Return a semaphore held for a call; raise `CallNotSentError` if too late."""
--- a/tests/web/test_client.py
+++ b/tests/web/test_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from clementinebay import errors
-from clementinebay.web.client import Client
+from clementinebay.web.client import DESCRIPTOR_SHARE, Client
 from clementinebay.web.server import Response, Server
 from standins.ports import free_range
 from tests.workflow.factory import quiet_log
@@ -85,3 +85,19 @@
         await client.call(other.address, "POST", "/", 1.0, b"x")
     peer.released.set()
     await asyncio.gather(*waiting)
+
+
+async def test_limit_that_is_granted_again_counts_calls_in_progress(peer, client):
+    """A reload of the settings let as many calls go on beside those in progress."""
+    descriptors = int(MAX_CONNECTIONS / DESCRIPTOR_SHARE)
+    calls = []
+    for _reload in range(2):
+        client.grant(descriptors)
+        calls += [
+            asyncio.create_task(client.call(peer.address, "POST", "/", 5.0, b"x"))
+            for _call in range(CALLS)
+        ]
+        await asyncio.sleep(0.05)
+    peer.released.set()
+    await asyncio.gather(*calls)
+    assert peer.greatest <= MAX_CONNECTIONS
