--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -253,7 +253,7 @@
                 final.append(OwnLimit(endpoint, jobs, late))
             elif is_long:
                 long.append(OwnLimit(endpoint, others, late))
-        waiting = openjobs.waiting_jobs(engine, now) if long else ()
+        waiting = openjobs.waiting_jobs(engine, now) if long else {}
         in_use = [own.endpoint for own in long if is_in_use(own.endpoint)]
         opened = openjobs.jobs_to_open(in_use, waiting)
         for own in long:
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -165,9 +165,10 @@
             self.clock.now(), is_forced=self.endpoints_changed
         )
         # The new start of an endpoint is not stored without the leases found there.
-        is_put_off = leases is None and self.engine.leases.awaits_record()
-        endpoints = recorded if self.endpoints_changed and not is_put_off else None
-        self.endpoints_changed = self.endpoints_changed and is_put_off
+        has_leases = leases is not None or not self.engine.leases.awaits_record()
+        is_put_off = self.endpoints_changed and not has_leases
+        endpoints = recorded if self.endpoints_changed and has_leases else None
+        self.endpoints_changed = is_put_off
         self.stored_endpoints = {
             endpoint_id: used
             for endpoint_id, used in self.stored_endpoints.items()
--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -7,6 +7,7 @@
 
 from clementinebay.workflow import incarnations, leases, openjobs
 from clementinebay.workflow.fleet import longest_lease
+from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.model import Step
 from tests.workflow import factory
 from tests.workflow.test_inheritance import add_job, make_successor
@@ -148,11 +149,25 @@
     assert not engine.plan(BACK_AT + 0.3)
     own = store_leases(engine, BACK_AT + 0.4).of("e1")
     assert own.jobs is None
-    end = BACK_AT + 0.2 + longest_lease(factory.MAX_LEASE)
+    end = LONG_END + 0.2
     assert clocks(own.deadline)["full"] == pytest.approx(end, abs=0.01)
     assert engine.plan(BACK_AT + 0.4)
 
 
+def test_replicas_that_are_to_move_away_are_named():
+    """They run, so nothing asked for a write, and stayed until their endpoint left."""
+    engine, endpoint = make_restarted()
+    leaving = connect(engine, "leaving")
+    job = submit(engine, steps=REPLICAS)
+    job.task(0, 0).place(leaving, 1, TaskState.RUNNING, BACK_AT)
+    store_leases(engine, BACK_AT)
+    assert not endpoint.admits(job)
+    info = factory.make_info("leaving", leaving=True)
+    engine.register_endpoint(info, BACK_AT + 0.1)
+    store_leases(engine, BACK_AT + 0.2)
+    assert endpoint.open_jobs == {JOB}
+
+
 def test_jobs_found_at_the_first_report_are_named():
     engine = make_engine()
     connect(engine, "full", processors_milli=0)
