Reckon with late calls after a start was taken by another incarnation

Cause: once the clock in an answer had shown another incarnation, the longest lease was reckoned from then on.

Also names: leases are closed, not ended, with their incarnation.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -208,7 +208,7 @@
         if endpoint.has_ended:
             return
         endpoint.has_ended = True
-        endpoint.end_leases()
+        endpoint.close_leases()
         endpoint.kept_until = now + MAX_ORDER_DELAY_SECONDS
         self.log.warning(
             "endpoint.ended", endpoint=endpoint.id, runs=len(endpoint.tasks)
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -140,10 +140,10 @@
         """Replace the endpoint by its next incarnation under the same id."""
         self.restarts += 1
         self.restarted_at = now
-        self.end_leases()
+        self.close_leases()
         self.reset(info)
 
-    def end_leases(self):
+    def close_leases(self):
         """Record that the incarnation holds no lease any more.
 
         The next one may still receive the deadlines that were sent to it.
@@ -349,8 +349,8 @@
     def may_show(self, clock_ms, sent_at, received_at):
         """Return whether the endpoint's clock may have shown ``clock_ms``.
 
-        That was between ``sent_at`` and ``received_at``.  Otherwise the reading is that
-        of another incarnation, as the clock begins anew with each.
+        The clock was read between ``sent_at`` and ``received_at``.  A reading that it
+        cannot have shown is that of another incarnation, whose clock begins anew.
         """
         if sent_at >= self.clock_at:
             earliest = self.earliest_clock(sent_at)
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -113,12 +113,13 @@
     """Reckon with the longest lease that an endpoint accepts, for any run there.
 
     An order that was sent to an earlier incarnation has reached the next one, which has
-    not reported yet.
+    not reported yet.  Others may do so late, and grant the longest lease then.
     """
-    seconds = engine.max_lease_seconds
-    endpoint.grant(now, seconds)
+    endpoint.grant(now, MAX_ORDER_DELAY_SECONDS + engine.max_lease_seconds)
     endpoint.found_jobs = None
-    record_end_of_leases(engine, endpoint, now + longest_lease(seconds))
+    latest = now + MAX_ORDER_DELAY_SECONDS
+    until = latest + longest_lease(engine.max_lease_seconds)
+    record_end_of_leases(engine, endpoint, until)
 
 
 def record_jobs(endpoint, report):
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -384,7 +384,7 @@
     async def request_report(self, endpoint):
         """Request one report; return whether to ask for the next one without a wait.
 
-        That is so unless the request failed, or an earlier incarnation has answered.
+        That is so if the report was processed, or only showed a restart.
         """
         sent_at = self.clock.now()
         was_unreachable = endpoint.unreachable_since is not None
@@ -410,7 +410,6 @@
         now = self.clock.now()
         had_reported = endpoint.has_reported
         if not self.engine.process_report(endpoint, report, sent_at, now):
-            # An incarnation that was not known yet is asked again at once.
             return report.born_ms == endpoint.info.born_ms
         if was_unreachable:
             self.log.info("endpoint.regained", endpoint=endpoint.id)
--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -14,6 +14,7 @@
 from clementinebay.workflow.model import Step
 from clementinebay.workflow.orders import PaceOrder
 from tests.workflow import virtualtime
+from tests.workflow.test_recut import leave_request
 from tests.workflow.testbed import TestBed
 
 MAX_LEASE = 10.0
@@ -132,14 +133,19 @@
     return (model.deadline_ms - model.clock_ms(bed.now())) / 1000
 
 
-async def play(call, belief, end):
-    """Play one case; raise an error if a task runs twice."""
+async def play(call, belief, end, request_delay=None):
+    """Play one case; raise an error if a task runs twice.
+
+    A request for a report arrives ``request_delay`` seconds late, if that is given.
+    """
     async with TestBed(endpoints=6, daemons=2, max_lease=MAX_LEASE) as bed:
         await bed.run(12.0)
         async with bed.disturbance(0.0):
             bed.submit(steps=REPLICAS)
             await bed.run(2.0)
             model = min(bed.endpoints, key=lambda m: (call == "start") == bool(m.runs))
+            if request_delay is not None:
+                leave_request(bed, model, request_delay)
             await take_call(bed, model, call)
             if call in ("start", "report"):
                 assert lease_left(bed, model) > 9.0
@@ -186,3 +192,9 @@
     belief, end
 ):
     virtualtime.run(play("start", belief, end))
+
+
+@pytest.mark.parametrize("belief", ["unreachable-stored", "listed", "listed-stored"])
+def test_request_taken_seconds_after_the_restart_leads_to_no_second_run(belief):
+    """It extends the lease of a run that a start under way had begun."""
+    virtualtime.run(play("start", belief, "killed", request_delay=6.0))
--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -9,6 +9,7 @@
 from clementinebay.workflow.fleet import longest_lease
 from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.model import Step
+from clementinebay.workflow.orders import MAX_ORDER_DELAY_SECONDS
 from tests.workflow import factory
 from tests.workflow.test_inheritance import add_job, make_successor
 from tests.workflow.test_leases import (
@@ -149,7 +150,7 @@
     assert not engine.plan(BACK_AT + 0.3)
     own = store_leases(engine, BACK_AT + 0.4).of("e1")
     assert own.jobs is None
-    end = LONG_END + 0.2
+    end = LONG_END + 0.2 + MAX_ORDER_DELAY_SECONDS
     assert clocks(own.deadline)["full"] == pytest.approx(end, abs=0.01)
     assert engine.plan(BACK_AT + 0.4)
 
--- a/tests/workflow/test_recut.py
+++ b/tests/workflow/test_recut.py
@@ -7,6 +7,7 @@
 
 from clementinebay.workflow.model import Step
 from tests.workflow import absence, virtualtime
+from tests.workflow.testbed import TestBed
 
 ENDPOINTS = 8
 REPLICA_JOBS = 2
@@ -133,3 +134,32 @@
 @pytest.mark.parametrize("seed", [*range(8), 13, 28, 34])
 def test_tasks_run_once_and_in_time_though_restarted_endpoints_are_cut_off(seed):
     virtualtime.run(run_storms(seed))
+
+
+@pytest.mark.parametrize("how", ["reset", "refused", "silent"])
+@pytest.mark.parametrize("delay", [0.5, 4.0, 8.0])
+def test_late_request_after_a_start_at_the_next_incarnation_is_reckoned_with(
+    delay, how
+):
+    """The clock in the answer to the start showed the restart; then came the cut."""
+
+    async def main():
+        async with TestBed(endpoints=6, max_lease=10.0) as bed:
+            await bed.run(8.0)
+            model = bed.endpoints[0]
+            async with bed.disturbance(0.0):
+                endpoint = bed.scheduler.engine.endpoints[model.id]
+                for _number in range(4):
+                    bed.submit(steps=absence.REPLICAS)
+                while not endpoint.tasks:
+                    await bed.run(0.001)
+                leave_request(bed, model, delay)
+                bed.restart_unlisted(model)
+                await bed.run(0.02)
+                assert model.runs
+                bed.cuts[model.id] = how
+                await bed.run(0.3)
+                bed.add_endpoint()
+                await bed.run(24.0)
+
+    virtualtime.run(main())
