Remember each endpoint that a read of the live list has shown

The fleet was updated every 5 s and when unplaceable jobs were looked for, so an endpoint listed only between two updates was forgotten at once. It is now updated after each read of the list that shows a change. The test also removed the endpoint without waiting until the daemon had read it; it now waits for the read with the endpoint and for the read without it.

--- a/clementinebay/services/fleet.py
+++ b/clementinebay/services/fleet.py
@@ -7,7 +7,7 @@
 from clementinebay.policy import fitting, planner, quota
 from clementinebay.service import Service
 
-#: Time between two updates from the live list, in seconds.
+#: Longest time between two updates, in seconds.
 UPDATE_SECONDS = 5.0
 #: Shortest time between two reads of logs of domains without known endpoints, in
 #: seconds.
@@ -34,10 +34,11 @@
         self.domain = self.settings.daemon_failure_domain
         self.fleet = fitting.Fleet()
         self.last_read_at = 0.0
+        self.livelist.observers.append(self.update_fleet)
         self.background.spawn(self.watch)
 
     async def watch(self):
-        """Update the fleet periodically; it remembers endpoints that leave."""
+        """Update the fleet periodically, also while the live list cannot be read."""
         while True:
             self.update_fleet()
             await asyncio.sleep(UPDATE_SECONDS)
--- a/clementinebay/services/livelist.py
+++ b/clementinebay/services/livelist.py
@@ -14,6 +14,7 @@
     """Holds ``vms`` by id and the ids of ``leaving`` VMs.
 
     ``confirmed_at`` is the time at which the last successful read was requested.
+    ``observers`` are called without arguments after each change of ``vms``.
     """
 
     name = "livelist"
@@ -27,6 +28,7 @@
         self.vms = {}
         self.leaving = frozenset()
         self.confirmed_at = 0.0
+        self.observers = []
         self.background.spawn(self.watch)
 
     async def watch(self):
@@ -47,6 +49,8 @@
         if vms is not None:
             self.vms = {vm.id: vm for vm in vms}
             self.leaving = {vm.id for vm in vms if vm.leaving}
+            for observer in self.observers:
+                observer()
 
     def endpoints(self, domain):
         """Return the endpoints of ``domain``."""
--- a/tests/system/test_unfit.py
+++ b/tests/system/test_unfit.py
@@ -39,6 +39,12 @@
     cluster.update_live_list([vm | {"address": cluster.endpoints["big-0"]}])
 
 
+def lists(daemon, endpoint):
+    """Return whether the daemon's copy of the live list has the endpoint."""
+    rows = helpers.CLIENT.get(f"{daemon.url}/v1/endpoints").json()
+    return any(row["id"] == endpoint for row in rows)
+
+
 def test_job_larger_than_any_endpoint_is_parked_until_one_appears(cluster):
     for daemon in cluster.daemons:
         helpers.submit(daemon, f"at-{daemon.domain}", 4, processors=12.0)
@@ -63,7 +69,10 @@
         lambda: cluster.status(cluster.daemons[1])["domain_out"],
     )
     # An endpoint that is temporarily missing from the live list is remembered, too.
+    first = cluster.daemons[0]
+    wait_for("the daemon to list big-0", lambda: lists(first, "big-0"))
     cluster.update_live_list(remove=["big-0"])
+    wait_for("the daemon to drop big-0", lambda: not lists(first, "big-0"))
     helpers.submit(cluster.daemons[0], "minutes", 2, processors=12.0)
     wait_for("the job", lambda: helpers.job_counts(cluster.daemons[0], "minutes"))
     helpers.pause(2.0)
