Do not delay an urgent write by one that collects changes

A write that collects changes for 0.4 s went on collecting if an urgent change came meanwhile.

An urgent change now ends the wait.

test_urgent_change_ends_the_wait_for_further_changes fails without the change.

--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -420,7 +420,7 @@
             self.change_writer.record_endpoint(endpoint)
             self.change_writer.check_changes()
         if endpoint.has_unstored_ends:
-            self.change_writer.changed.set()
+            self.change_writer.check_changes()
             await self.change_writer.wait_stored(endpoint)
             await self.pause_after_ends()
         return True
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -1,6 +1,7 @@
 """Stores the changes of a scheduler's term: progress, counts and learned estimates."""
 
 import asyncio
+import contextlib
 import time
 
 from clementinebay import errors, metrics
@@ -49,6 +50,7 @@
         self.clock = clock
         self.log = log
         self.changed = asyncio.Event()
+        self.urgently_changed = asyncio.Event()
         self.stored_condition = asyncio.Condition()
         self.write_lock = asyncio.Lock()
         self.recorded = {}
@@ -81,6 +83,7 @@
             self.recorded[endpoint.id] = used
             self.endpoints_changed = True
             self.changed.set()
+            self.urgently_changed.set()
 
     def drop_endpoints(self):
         """Stop naming endpoints at which no scheduler can have left runs."""
@@ -92,10 +95,22 @@
     def check_changes(self):
         """Schedule a write if the engine or the endpoints in use have changed."""
         self.drop_endpoints()
-        leases_due = self.engine.leases.is_due(self.clock.now())
-        if self.engine.changed or self.endpoints_changed or leases_due:
+        if self.is_urgent():
+            self.changed.set()
+            self.urgently_changed.set()
+        elif self.engine.changed:
             self.changed.set()
 
+    def is_urgent(self):
+        """Return whether a write must not wait for further changes."""
+        engine = self.engine
+        return (
+            engine.urgent
+            or self.endpoints_changed
+            or any(e.has_unstored_ends for e in engine.endpoints.values())
+            or engine.leases.is_due(self.clock.now())
+        )
+
     def loops(self):
         """Return the coroutines to run during the term."""
         return (
@@ -122,15 +137,13 @@
         """Store changes in batches collected for a short time."""
         while True:
             await self.changed.wait()
-            engine = self.engine
-            urgent = (
-                engine.urgent
-                or self.endpoints_changed
-                or any(e.has_unstored_ends for e in engine.endpoints.values())
-                or engine.leases.is_due(self.clock.now())
-            )
-            await asyncio.sleep(URGENT_DELAY_SECONDS if urgent else BATCH_DELAY_SECONDS)
+            if not self.is_urgent():
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(BATCH_DELAY_SECONDS):
+                        await self.urgently_changed.wait()
+            await asyncio.sleep(URGENT_DELAY_SECONDS)
             self.changed.clear()
+            self.urgently_changed.clear()
             try:
                 await self.store_changes()
             except errors.PlatformError as error:
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -6,6 +6,7 @@
 
 from clementinebay import errors
 from clementinebay.clock import ManualClock
+from clementinebay.workflow import storing
 from clementinebay.workflow.jobstore import RECORDS_PER_WRITE
 from clementinebay.workflow.storing import ChangeWriter
 from tests.workflow import factory
@@ -20,7 +21,9 @@
         self.leases = []
         self.error = None
 
-    async def save(self, records, endpoints=None, addresses=None, leases=None):
+    async def save(
+        self, records, endpoints=None, addresses=None, leases=None, starting=None
+    ):
         """Block until ``unblocked`` is set, then save or raise ``error``."""
         await self.unblocked.wait()
         if self.error is not None:
@@ -215,6 +218,27 @@
     assert endpoint.recorded == ("e1" in stored)
 
 
+async def test_urgent_change_ends_the_wait_for_further_changes(monkeypatch):
+    """A change that is not urgent was waiting already."""
+    monkeypatch.setattr(storing, "BATCH_DELAY_SECONDS", 60.0)
+    changes = make_change_writer()
+    changes.writer.unblocked.set()
+    loop = asyncio.create_task(changes.store_loop())
+    first = changes.engine.add_job(factory.make_spec("1" * 16), factory.QUEUE, 0.0)
+    changes.engine.mark_changed(first)
+    changes.check_changes()
+    await asyncio.sleep(0)
+    second = changes.engine.add_job(factory.make_spec("2" * 16), factory.QUEUE, 0.0)
+    changes.engine.mark_changed(second, urgent=True)
+    changes.check_changes()
+    async with asyncio.timeout(5.0):
+        while not changes.writer.saved:
+            await asyncio.sleep(0.01)
+    loop.cancel()
+    ((records, _endpoints),) = changes.writer.saved
+    assert [job_id for job_id, _progress in records] == [first.id, second.id]
+
+
 class SlowWriter(BlockingWriter):
     """A writer that takes ``seconds`` of the change writer's clock for each write."""
 
@@ -223,7 +247,9 @@
         self.seconds = seconds
         self.clock = None
 
-    async def save(self, records, endpoints=None, addresses=None, leases=None):
+    async def save(
+        self, records, endpoints=None, addresses=None, leases=None, starting=None
+    ):
         """Save after ``seconds``; note whether the limit of leases is renewed."""
         self.clock.advance(self.seconds)
         self.saved.append((records, leases))
