Name a job in the store before its first start

Callers saw a task run twice: an endpoint restarted under its id while a start for it was under way, the next incarnation took the start and held the longest lease (10 s), and endpoint and scheduler were cut off or killed before anything of that was stored. The successor waited only for the leases that were granted (6.1 s), as nothing that it could read told of the start.

The class: a successor was told less than what an endpoint may hold. A wait for the longest lease at every lost endpoint would keep jobs from running within the 7 s that the platform allows. So a job is now started only once a record names it as being started (StartingRecord). At an endpoint that is lost without stored leases of its own, a successor waits for the longest lease for the named jobs alone, and for those granted for all others. A job is named until all its starts are tied to an incarnation, and a job with waiting tasks for 0.5 s more. A task that waits for the record holds its room meanwhile.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -26,6 +26,7 @@
     RunEnd,
 )
 from clementinebay.workflow.quotas import Quotas
+from clementinebay.workflow.starting import StartingJobs
 from clementinebay.workflow.stops import PendingStops
 
 #: First and longest backoff before a failed task is run again, in seconds.
@@ -49,7 +50,8 @@
     ``occupants`` has the newest incarnation at each address.
     ``late_order_deadlines`` maps the names of tasks with an unanswered start order to
     the time until which the order may still be executed.  ``leases`` limits the leases
-    that may be granted, ``quotas`` what organisations may run.  ``unplaced`` has
+    that may be granted, ``starting`` holds jobs back until they are stored as started,
+    ``quotas`` limits what organisations may run.  ``unplaced`` has
     some of the tasks for which the last plan found no endpoint.  ``start_seconds`` is
     the time between two starts while tasks wait for them, else 0.
     """
@@ -63,6 +65,7 @@
             inherited_until, leases.longest_until(inherited_until, max_lease_seconds)
         )
         self.leases = leases.LeaseLimits(self, max_lease_seconds)
+        self.starting = StartingJobs(self)
         self.jobs = {}
         self.active = {}
         self.endpoints = {}
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -45,17 +45,33 @@
 
     ``until`` is the time by which every lease that earlier schedulers meant to grant
     has expired, ``longest_until`` that by which the longest leases that endpoints
-    accept have.  ``by_id`` has each `InheritedEndpoint`.
+    accept have.  ``by_id`` has each `InheritedEndpoint`.  ``starting`` has the ids of
+    the jobs that may have starts in progress, or is ``None`` if any job may.
     """
 
-    __slots__ = ("until", "longest_until", "by_id", "awaited_jobs", "awaited_domains")
+    __slots__ = (
+        "until",
+        "longest_until",
+        "by_id",
+        "starting",
+        "awaited_jobs",
+        "awaited_domains",
+        "late_domains",
+    )
 
     def __init__(self, until, longest_until):
         self.until = until
         self.longest_until = longest_until
         self.by_id = {}
+        self.starting = None
         self.awaited_jobs = None
         self.awaited_domains = None
+        self.late_domains = None
+
+    def load_starting_jobs(self, record):
+        """Adopt a `StartingRecord`, or ``None`` if there is none."""
+        is_unknown = record is None or record.jobs is None
+        self.starting = None if is_unknown else frozenset(record.jobs)
 
     def expect(self, endpoint_id, domain, stored=None, born_ms=None):
         """Expect runs at an endpoint that an earlier scheduler used.
@@ -166,6 +182,28 @@
         stored = self.by_id[endpoint_id].leases
         return set() if stored is None else set(stored.late_jobs)
 
+    def may_have_any_late(self, endpoint_id):
+        """Return whether late orders may run any job with a start in progress there."""
+        inherited = self.by_id.get(endpoint_id)
+        stored = None if inherited is None else inherited.leases
+        return stored is not None and stored.any_late and not inherited.reported
+
+    def may_start_late(self, job):
+        """Return whether a start in progress may run ``job`` at an awaited endpoint."""
+        if self.awaited_jobs is None:
+            self.find_awaited()
+        is_starting = self.starting is None or job.id in self.starting
+        return is_starting and not self.late_domains.isdisjoint(job.inherited_domains)
+
+    def starting_jobs(self):
+        """Return the ids of the jobs with starts in progress at awaited endpoints.
+
+        That is ``None`` if they are unknown.
+        """
+        if any(self.may_have_any_late(name) for name in self.by_id):
+            return self.starting
+        return frozenset()
+
     def read_clocks(self, endpoints, now):
         """Learn from the clocks of ``endpoints``, by id, when leases have ended."""
         for endpoint_id in self.awaited():
@@ -197,7 +235,7 @@
             elif now >= inherited.end and not inherited.expired:
                 inherited.expired = True
                 self.awaited_jobs = None
-                is_over = not self.late_jobs_at(endpoint_id)
+                is_over = not self.has_late(inherited)
             else:
                 is_over = False
             if is_over:
@@ -210,29 +248,42 @@
 
         It may have restarted unseen, so that they have the longest lease.
         """
-        has_late = inherited.leases is not None and inherited.leases.late_jobs
-        bound = self.longest_until if has_late else inherited.bound
+        bound = self.longest_until if self.has_late(inherited) else inherited.bound
         return bound + LATE_ORDER_MARGIN_SECONDS
 
+    def has_late(self, inherited):
+        """Return whether late orders may start runs at an endpoint."""
+        stored = inherited.leases
+        if stored is None:
+            return False
+        has_starting = self.starting is None or bool(self.starting)
+        return bool(stored.late_jobs) or (stored.any_late and has_starting)
+
     def all_reported(self, job):
         """Return whether every run of ``job`` is known to this scheduler."""
         if self.awaited_jobs is None:
             self.find_awaited()
-        return job.id not in self.awaited_jobs and not (
-            self.awaited_domains & job.inherited_domains
+        return (
+            job.id not in self.awaited_jobs
+            and self.awaited_domains.isdisjoint(job.inherited_domains)
+            and not self.may_start_late(job)
         )
 
     def find_awaited(self):
         """Find the jobs that may have runs at endpoints that were not heard of.
 
-        ``awaited_domains`` are the domains of endpoints at which any job may have runs.
+        ``awaited_domains`` are the domains of endpoints at which any job may have runs,
+        ``late_domains`` those of endpoints at which any job that was being started may.
         """
         self.awaited_jobs = set()
         self.awaited_domains = set()
+        self.late_domains = set()
         for endpoint_id in self.awaited():
             inherited = self.by_id[endpoint_id]
             jobs = self.jobs_at(endpoint_id)
             self.awaited_jobs |= self.late_jobs_at(endpoint_id)
+            if self.may_have_any_late(endpoint_id):
+                self.late_domains.add(inherited.domain)
             if not inherited.expired:
                 if jobs is None:
                     self.awaited_domains.add(inherited.domain)
--- a/clementinebay/workflow/jobstore.py
+++ b/clementinebay/workflow/jobstore.py
@@ -31,6 +31,7 @@
 from clementinebay.workflow.leases import LeaseRecord
 from clementinebay.workflow.model import JobSpec
 from clementinebay.workflow.organisations import ANYONE
+from clementinebay.workflow.starting import StartingRecord
 
 JOBS = "clementine/jobs/"
 CANCEL = "/cancel"
@@ -41,6 +42,7 @@
 ENDPOINTS = TERM + "endpoints"
 ADDRESSES = TERM + "addresses"
 LEASES = TERM + "leases"
+STARTING = TERM + "starting"
 PENDING = "clementine/pending"
 LEARNED = "clementine/learned"
 BACKLOG = "clementine/backlog"
@@ -88,6 +90,7 @@
 _domains_decoder = decoding.Decoder(dict[str, str])
 _backlog_decoder = decoding.Decoder(Backlog)
 _leases_decoder = decoding.Decoder(LeaseRecord)
+_starting_decoder = decoding.Decoder(StartingRecord)
 _addresses_decoder = decoding.Decoder(dict[str, tuple[str, decoding.WholeNumber]])
 
 
@@ -292,6 +295,10 @@
         """
         return await read_leases(self.store, term)
 
+    async def starting_record(self, term):
+        """Return the `StartingRecord` of all terms up to ``term``, or ``None``."""
+        return await read_starting(self.store, term)
+
 
 class TermWriter:
     """Makes the writes of one scheduler in its term.
@@ -349,11 +356,14 @@
             and found.writes == self.writes
         )
 
-    async def save(self, records, endpoints=None, addresses=None, leases=None):
+    async def save(
+        self, records, endpoints=None, addresses=None, leases=None, starting=None
+    ):
         """Store (job id, `Progress`) pairs, and what else is given.
 
         ``endpoints`` are the endpoints in use, ``addresses`` has their (address,
-        ``born_ms``) by id, and ``leases`` is a `LeaseRecord`.
+        ``born_ms``) by id, ``leases`` is a `LeaseRecord`, ``starting`` a
+        `StartingRecord`.
         """
         puts = [
             Put(PROGRESS + job_id, _encode(progress)) for job_id, progress in records
@@ -363,6 +373,8 @@
             puts.append(Put(ADDRESSES, _encode(addresses or {})))
         if leases is not None:
             puts.append(Put(LEASES, _encode(leases)))
+        if starting is not None:
+            puts.append(Put(STARTING, _encode(starting)))
         await self.commit(puts)
 
 
@@ -391,13 +403,27 @@
 
 async def read_leases(store, term):
     """Return the `LeaseRecord` that was stored in ``term``, or ``None``."""
-    entry = await store.get(LEASES)
+    # Without a record, leases are taken to be the longest.
+    return await read_record(store, LEASES, _leases_decoder, term)
+
+
+async def read_starting(store, term):
+    """Return the `StartingRecord` that was stored in ``term``, or ``None``."""
+    # Without a record, any job is taken to have a start in progress.
+    return await read_record(store, STARTING, _starting_decoder, term)
+
+
+async def read_record(store, key, decoder, term):
+    """Return the record at ``key`` if it was stored in ``term``, else ``None``.
+
+    A record that cannot be read counts as that of an earlier build, which has none.
+    """
+    entry = await store.get(key)
     if entry is None:
         return None
     try:
-        record = decode_entry(_leases_decoder, entry)
+        record = decode_entry(decoder, entry)
     except errors.EntryInvalidError:
-        # As if an earlier build had written none: leases are taken to be the longest.
         return None
     return record if record.term == term else None
 
@@ -421,16 +447,19 @@
     last = await store.get(NUMBER)
     number = 0 if last is None else decode_entry(_number_decoder, last).number + 1
     leases = await read_leases(store, number - 1)
+    starting = await read_starting(store, number - 1)
     lease = await store.grant(ttl)
     compares = [(HOLDER, 0), (NUMBER, 0 if last is None else last.version)]
     puts = [
         Put(HOLDER, _encode(Holder(node, token, front)), lease),
         Put(NUMBER, _encode(TermNumber(number, token, 0))),
     ]
-    if leases is not None:
-        # The new term grants no lease beyond these before it has stored its own.
-        leases.term = number
-        puts.append(Put(LEASES, _encode(leases)))
+    # The new term grants no lease and starts no job beyond these before it has stored
+    # its own.
+    for key, record in ((LEASES, leases), (STARTING, starting)):
+        if record is not None:
+            record.term = number
+            puts.append(Put(key, _encode(record)))
     try:
         revision = await store.commit(compares, puts)
     except errors.CompareFailedError as error:
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -63,20 +63,22 @@
     runs at the endpoint, or ``None`` if they are unknown.  ``late_jobs`` has the ids of
     those with a start order that no report confirms: if the endpoint has restarted, the
     order may grant its next incarnation another lease, so the deadline does not hold
-    for them.  ``longest`` is true if the leases may be as long as the endpoint accepts.
-    ``born_ms`` is the start of the latest incarnation for which this holds, or 0 if it
-    is stored with the address only.
+    for them.  ``any_late`` is true if the jobs of the `StartingRecord` may have such
+    orders, too.  ``longest`` is true if the leases may be as long as the endpoint
+    accepts.  ``born_ms`` is the start of the latest incarnation for which this holds,
+    or 0 if it is stored with the address only.
     """
 
     deadline: Deadline
     jobs: list[str] | None = None
     late_jobs: list[str] = []
+    any_late: bool = False
     longest: bool = False
     born_ms: WholeNumber = 0
 
 
 #: The leases of endpoints if no record of them can be read.
-UNKNOWN = EndpointLeases([], longest=True)
+UNKNOWN = EndpointLeases([], any_late=True, longest=True)
 
 
 class LeaseRecord(msgspec.Struct):
@@ -95,7 +97,9 @@
     def of(self, endpoint_id):
         """Return the `EndpointLeases` of an endpoint."""
         stored = self.final.get(endpoint_id)
-        return stored or EndpointLeases(self.deadline, longest=self.longest)
+        return stored or EndpointLeases(
+            self.deadline, any_late=True, longest=self.longest
+        )
 
 
 class PreparedRecord:
@@ -224,6 +228,7 @@
                 self.express(clocks, endpoint, end),
                 own.jobs,
                 sorted(own.late_jobs),
+                engine.inherited_endpoints.may_have_any_late(endpoint.id),
                 end > until,
                 engine.inherited_endpoints.known_start(endpoint),
             )
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -61,7 +61,10 @@
 
 def plan(engine, now, limit):
     """Return at most ``limit`` start orders to send now."""
-    return list(itertools.islice(generate_orders(engine, now), limit))
+    try:
+        return list(itertools.islice(generate_orders(engine, now), limit))
+    finally:
+        engine.starting.release_held()
 
 
 def generate_orders(engine, now):
@@ -247,6 +250,8 @@
     for task in list(job.waiting[number]):
         if task.due_at > latest or task in engine.suspects.tasks:
             continue
+        if task in engine.starting.held:
+            continue
         if not engine.quotas.allows(job.spec.organisation, step):
             break
         restricted = task.avoided_endpoints is not None or now < task.pinned_until
@@ -262,6 +267,10 @@
             if ranking is not None:
                 ranking.rescore(order.endpoint)
             continue
+        if task in engine.starting.held:
+            if ranking is not None:
+                ranking.rescore(choice.endpoint)
+            continue
         if choice is None:
             search.record_failure(task, now)
             if not restricted and len(engine.unplaced) < MAX_UNPLACED:
@@ -293,7 +302,7 @@
     if choice is None or not engine.quotas.allows(job.spec.organisation, task.step):
         return None
     endpoint = open_endpoint(engine, job, choice, now)
-    if endpoint is None:
+    if endpoint is None or not engine.starting.request_start(task, endpoint, now):
         return None
     metrics.DUE_SECONDS.observe(max(0.0, now - task.due_at))
     run = max(task.last_run, engine.term * RUNS_PER_TERM) + 1
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -136,6 +136,8 @@
         self.change_writer.load_endpoints(used_endpoints, addresses)
         await self.load_learned_weights()
         record = await self.jobs.lease_record(self.writer.number)
+        starting = await self.jobs.starting_record(self.writer.number)
+        self.engine.inherited_endpoints.load_starting_jobs(starting)
         for endpoint_id, domain in used_endpoints.items():
             stored = leases.UNKNOWN if record is None else record.of(endpoint_id)
             _address, born_ms = addresses.get(endpoint_id, (None, None))
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -108,9 +108,14 @@
             engine.urgent
             or self.endpoints_changed
             or any(e.has_unstored_ends for e in engine.endpoints.values())
-            or engine.leases.is_due(self.clock.now())
+            or self.has_due_record()
         )
 
+    def has_due_record(self):
+        """Return whether a record should be stored without waiting for other writes."""
+        now = self.clock.now()
+        return self.engine.leases.is_due(now) or self.engine.starting.is_due(now)
+
     def loops(self):
         """Return the coroutines to run during the term."""
         return (
@@ -177,6 +182,7 @@
         leases = self.engine.leases.prepare(
             self.clock.now(), is_forced=self.endpoints_changed
         )
+        starting = self.engine.starting.prepare(self.clock.now())
         # The new start of an endpoint is not stored without the leases found there.
         has_leases = leases is not None or not self.engine.leases.awaits_record()
         is_put_off = self.endpoints_changed and not has_leases
@@ -189,18 +195,27 @@
         }
         stored_count = 0
         try:
-            while stored_count < len(records) or endpoints is not None or leases:
+            while (
+                stored_count < len(records)
+                or endpoints is not None
+                or leases
+                or starting
+            ):
                 batch = records[
                     stored_count : stored_count + jobstore.RECORDS_PER_WRITE
                 ]
-                await self.save([(job.id, p) for job, p in batch], endpoints, leases)
+                rows = [(job.id, progress) for job, progress in batch]
+                await self.save(rows, endpoints, leases, starting)
                 if leases is not None:
                     opened = self.engine.leases.mark_stored() or opened
-                endpoints = leases = None
+                if starting is not None:
+                    opened = self.engine.starting.mark_stored() or opened
+                endpoints = leases = starting = None
                 stored_count += len(batch)
                 if stored_count < len(records):
                     # Many batches may take longer than leases last.
                     leases = self.engine.leases.prepare(self.clock.now())
+                    starting = self.engine.starting.prepare(self.clock.now())
         except BaseException:
             self.endpoints_changed = self.endpoints_changed or endpoints is not None
             self.engine.requeue_changes(
@@ -221,10 +236,10 @@
                 endpoint.recorded = opened = True
         return opened
 
-    async def save(self, records, used_endpoints, leases):
-        """Write records, and the endpoints in use and the `LeaseRecord` if given."""
+    async def save(self, records, used_endpoints, leases, starting):
+        """Write records and, if given, the endpoints in use and the other records."""
         if used_endpoints is None:
-            await self.writer.save(records, leases=leases)
+            await self.writer.save(records, leases=leases, starting=starting)
             return
         await self.writer.save(
             records,
@@ -235,6 +250,7 @@
                 if used[1:] != UNKNOWN_ADDRESS
             },
             leases,
+            starting,
         )
 
     async def pending_loop(self):
--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -6,6 +6,7 @@
 from clementinebay.workflow.job import Progress
 from clementinebay.workflow.model import Endpoint, JobSpec, Queue, Step
 from clementinebay.workflow.orders import Report, RunEnd, RunReport
+from clementinebay.workflow.starting import StartingJobs
 
 MAX_LEASE = 6.0
 
@@ -17,10 +18,21 @@
     return EventLog(level=ERROR + 1)
 
 
+class NamedJobs(StartingJobs):
+    """Jobs that count as named in the store."""
+
+    def is_named(self, job):
+        return True
+
+
 def make_engine(term=0, inherited_until=0.0, max_lease=MAX_LEASE):
-    """Return an engine with a clock that does not advance, and no limit of leases."""
+    """Return an engine with a clock that does not advance.
+
+    It has no limit of leases, and its jobs count as named in the store.
+    """
     engine = Engine(term, quiet_log(), ManualClock(), max_lease, inherited_until)
     engine.leases.limit = engine.leases.until = float("inf")
+    engine.starting = NamedJobs(engine)
     return engine
 
 
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -18,6 +18,7 @@
     RunEnd,
     RunReport,
 )
+from clementinebay.workflow.starting import StartingJobs
 from tests.workflow import factory
 
 STEP_SECONDS = 0.1
@@ -157,6 +158,8 @@
         self.engine = factory.make_engine(term, until, max_lease)
         self.engine.leases.limit = now
         self.engine.leases.until = float("-inf")
+        self.engine.starting = StartingJobs(self.engine)
+        self.engine.inherited_endpoints.load_starting_jobs(world.starting_record)
         self.engine.quotas.adopt(world.organisations)
         self.started_at = now
         self.unreachable = set()
@@ -290,10 +293,14 @@
         jobs, ends = self.engine.drain_changes()
         records = [(job, job.progress()) for job in jobs]
         record = self.engine.leases.prepare(now)
+        starting = self.engine.starting.prepare(now)
         if self.world.random.random() < 0.1:
             self.engine.requeue_changes(jobs)
             return
         self.write(records, record)
+        if starting is not None:
+            self.world.starting_record = starting
+            self.engine.starting.mark_stored()
         if record is not None:
             self.engine.leases.mark_stored()
         self.engine.mark_stored(records, ends)
@@ -335,6 +342,7 @@
         self.stored = {}
         self.used_endpoints = {}
         self.lease_record = None
+        self.starting_record = None
         self.now = 0.0
         self.endpoints = [
             self.endpoint_class(f"e{number}", "ab"[number % 2], self)
--- a/tests/workflow/seriesmodel.py
+++ b/tests/workflow/seriesmodel.py
@@ -128,14 +128,18 @@
         jobs, ends = self.engine.drain_changes()
         records = [(job, job.progress()) for job in jobs]
         record = self.engine.leases.prepare(now)
+        starting = self.engine.starting.prepare(now)
         draw = self.world.random.random()
         if now < self.store_away_until:
             draw = self.store_away_draw
         if draw < 0.8:
             self.write(records, record)
+            self.world.starting_record = starting or self.world.starting_record
         if draw < 0.7:
             if record is not None:
                 self.engine.leases.mark_stored()
+            if starting is not None:
+                self.engine.starting.mark_stored()
             self.engine.mark_stored(records, ends)
         else:
             self.engine.requeue_changes(jobs)
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -6,6 +6,7 @@
 from clementinebay.workflow.fleet import MAX_CLOCK_DRIFT, longest_lease
 from clementinebay.workflow.inheritance import LATE_ORDER_MARGIN_SECONDS
 from clementinebay.workflow.model import Step
+from clementinebay.workflow.starting import StartingRecord
 from tests.workflow import factory
 from tests.workflow.test_leases import (
     JOB,
@@ -21,9 +22,14 @@
 )
 
 
-def make_successor(record, now=0.0, endpoints=("e1",), term=1):
-    """Return the engine of a term that begins at ``now`` and expects ``endpoints``."""
+def make_successor(record, now=0.0, endpoints=("e1",), term=1, starting=()):
+    """Return the engine of a term that begins at ``now`` and expects ``endpoints``.
+
+    ``starting`` has the ids of the jobs that are stored as being started.
+    """
     engine = make_engine(term, leases.inherited_until(factory.MAX_LEASE, now))
+    stored = StartingRecord(term, list(starting))
+    engine.inherited_endpoints.load_starting_jobs(stored)
     for endpoint_id in endpoints:
         stored = None if record is None else record.of(endpoint_id)
         engine.inherited_endpoints.expect(endpoint_id, "a", stored)
--- a/tests/workflow/test_jobstore.py
+++ b/tests/workflow/test_jobstore.py
@@ -8,6 +8,9 @@
 from clementinebay.workflow import jobstore
 from clementinebay.workflow.jobstore import JobStore, TermNumber
 from clementinebay.workflow.leases import EndpointLeases, LeaseRecord
+from clementinebay.workflow.starting import StartingRecord
+
+JOB = "a" * 16
 
 
 def make_record(term, clock_ms=1000):
@@ -52,6 +55,26 @@
     assert await JobStore(store).lease_record(3) == make_record(3)
 
 
+async def test_starting_jobs_are_handed_on_by_terms_without_a_write(store):
+    first, lease = await acquire(store, "d1")
+    assert await JobStore(store).starting_record(0) is None
+    await first.save([], starting=StartingRecord(0, [JOB]))
+    for number, name in enumerate(("d2", "d3"), 1):
+        await store.revoke(lease)
+        _writer, lease = await acquire(store, name)
+        found = await JobStore(store).starting_record(number)
+        assert found == StartingRecord(number, [JOB])
+
+
+@pytest.mark.parametrize("value", [b"{", b'{"term": 0}', b'{"term": 7, "jobs": []}'])
+async def test_unreadable_starting_jobs_and_those_of_another_term_are_unknown(
+    store, space, value
+):
+    await acquire(store, "d1")
+    space.commit((), [Put(jobstore.STARTING, value)])
+    assert await JobStore(store).starting_record(0) is None
+
+
 async def test_record_of_an_older_term_is_ignored(store, space):
     """The term in between was one of a build that stores none."""
     first, lease = await acquire(store, "d1")
--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -19,6 +19,9 @@
 
 MAX_LEASE = 10.0
 REPLICAS = [Step(count=10, processors_milli=490, replica=True)]
+#: Tasks that end, but mostly later than the longest lease.
+LONG_TASKS = [Step(count=10, processors_milli=490)]
+MAX_RUN_SECONDS = 90.0
 #: Time for which the endpoint is out of reach, more than the longest lease.
 CUT_SECONDS = 14.0
 
@@ -31,14 +34,17 @@
     scheduler.sender.spawn(scheduler.sender.send_pace(PaceOrder(endpoint, task, 50)))
 
 
-async def take_call(bed, model, call):
-    """Restart an endpoint whose next incarnation takes a call to this one."""
+async def take_call(bed, model, call, steps):
+    """Restart an endpoint whose next incarnation takes a call to this one.
+
+    A start is that of a task of ``steps``.
+    """
     delayed = bed.delay_calls(model, call)
     if call == "stop":
         bed.cancel(next(iter(model.runs)).partition(".")[0])
     for _number in range(8):
         if call == "start":
-            bed.submit(steps=REPLICAS)
+            bed.submit(steps=steps)
         elif call == "pace":
             pace_run(bed, model)
         for _step in range(300):
@@ -133,20 +139,22 @@
     return (model.deadline_ms - model.clock_ms(bed.now())) / 1000
 
 
-async def play(call, belief, end, request_delay=None):
+async def play(call, belief, end, request_delay=None, steps=REPLICAS):
     """Play one case; raise an error if a task runs twice.
 
-    A request for a report arrives ``request_delay`` seconds late, if that is given.
+    The tasks that may run twice are of ``steps``.  A request for a report arrives
+    ``request_delay`` seconds late, if that is given.
     """
     async with TestBed(endpoints=6, daemons=2, max_lease=MAX_LEASE) as bed:
+        bed.max_run_seconds = MAX_RUN_SECONDS
         await bed.run(12.0)
         async with bed.disturbance(0.0):
-            bed.submit(steps=REPLICAS)
+            bed.submit(steps=steps)
             await bed.run(2.0)
             model = min(bed.endpoints, key=lambda m: (call == "start") == bool(m.runs))
             if request_delay is not None:
                 leave_request(bed, model, request_delay)
-            await take_call(bed, model, call)
+            await take_call(bed, model, call, steps)
             if call in ("start", "report"):
                 assert lease_left(bed, model) > 9.0
             if call == "start":
@@ -188,10 +196,11 @@
 
 @pytest.mark.parametrize("end", ENDS)
 @pytest.mark.parametrize("belief", ["unaware", "unreachable"])
+@pytest.mark.parametrize("steps", [REPLICAS, LONG_TASKS], ids=["replicas", "tasks"])
 def test_start_taken_before_anything_of_it_is_stored_leads_to_no_second_run(
-    belief, end
+    belief, end, steps
 ):
-    virtualtime.run(play("start", belief, end))
+    virtualtime.run(play("start", belief, end, steps=steps))
 
 
 @pytest.mark.parametrize("belief", ["unreachable-stored", "listed", "listed-stored"])
--- /dev/null
+++ b/tests/workflow/test_starting.py
@@ -0,0 +1,210 @@
+"""Jobs are started once the store names them, and wait at a successor if it does."""
+
+import pytest
+
+from clementinebay.workflow import leases, starting
+from clementinebay.workflow.fleet import longest_lease
+from clementinebay.workflow.inheritance import LATE_ORDER_MARGIN_SECONDS
+from clementinebay.workflow.model import Step
+from clementinebay.workflow.starting import ANY_JOB, StartingJobs
+from tests.workflow import factory
+from tests.workflow.test_inheritance import add_job, make_record, make_successor
+from tests.workflow.test_leases import JOB, LONGEST, OTHER, STEPS, connect
+
+REPLICAS = (Step(count=2, processors_milli=1000, replica=True),)
+#: Fills an endpoint.
+LARGE = (Step(count=1, processors_milli=8000),)
+#: Wait for the longest lease at an endpoint that may have restarted, in seconds.
+LONGEST_WAIT = longest_lease(factory.MAX_LEASE) + LATE_ORDER_MARGIN_SECONDS
+
+
+def make_engine(endpoints=("e1",)):
+    """Return an engine that starts only jobs that are named in the store."""
+    engine = factory.make_engine()
+    engine.starting = StartingJobs(engine)
+    for endpoint_id in endpoints:
+        connect(engine, endpoint_id)
+    return engine
+
+
+def submit(engine, job_id=JOB, steps=STEPS):
+    """Add a new job; return it."""
+    return engine.add_job(factory.make_spec(job_id, steps), factory.QUEUE, 0.0)
+
+
+def store(engine, now):
+    """Store the jobs to be named; return their ids, or ``None`` without a write."""
+    record = engine.starting.prepare(now)
+    if record is None:
+        return None
+    engine.starting.mark_stored()
+    return record.jobs
+
+
+def test_job_is_started_once_a_record_names_it():
+    engine = make_engine()
+    assert store(engine, 0.0) == []
+    submit(engine)
+    assert not engine.plan(0.0)
+    assert engine.starting.is_due(0.0)
+    assert engine.starting.prepare(0.1).jobs == [JOB]
+    assert not engine.plan(0.1)
+    assert engine.starting.mark_stored()
+    assert not engine.starting.is_due(0.1)
+    assert [order.task.job.id for order in engine.plan(0.1)] == [JOB]
+
+
+def test_job_without_an_endpoint_is_not_named():
+    engine = make_engine(endpoints=())
+    store(engine, 0.0)
+    submit(engine)
+    assert not engine.plan(0.0)
+    assert store(engine, 0.1) is None
+
+
+@pytest.mark.parametrize("case", ["unanswered", "answered", "located"])
+def test_job_is_named_until_its_starts_are_over(case):
+    engine = make_engine()
+    submit(engine, steps=REPLICAS)
+    engine.plan(0.0)
+    store(engine, 0.0)
+    for order in engine.plan(0.1):
+        if case != "unanswered":
+            engine.start_answered(order, 0.2, is_located=case == "located")
+    assert store(engine, 0.3) == ([] if case == "located" else None)
+
+
+def test_stopped_start_is_named_until_it_can_no_longer_be_executed():
+    engine = make_engine()
+    submit(engine)
+    engine.plan(0.0)
+    store(engine, 0.0)
+    (order,) = engine.plan(0.1)
+    engine.start_unanswered(order, 1.0)
+    engine.request_stop(order.task, "stopped")
+    assert store(engine, 2.0) is None
+
+
+def test_job_with_waiting_tasks_stays_named_between_its_starts():
+    engine = make_engine()
+    submit(engine, steps=(Step(count=12, processors_milli=1000),))
+    engine.plan(0.0)
+    store(engine, 0.0)
+    orders = engine.plan(0.1)
+    assert len(orders) == 8
+    for order in orders:
+        engine.start_answered(order, 0.2, is_located=True)
+    assert store(engine, 0.3) is None
+    assert store(engine, 0.1 + starting.NAMED_SECONDS) == []
+
+
+def test_job_that_a_write_may_have_left_out_is_not_started():
+    """The write may have succeeded without an answer."""
+    engine = make_engine()
+    job = submit(engine, steps=REPLICAS)
+    engine.plan(0.0)
+    store(engine, 0.0)
+    for order in engine.plan(0.1):
+        engine.start_answered(order, 0.1, is_located=True)
+    engine.starting.prepare(0.2)
+    engine.lose_run(job.task(0, 0), "missing", 0.3)
+    assert not engine.plan(0.3)
+    # The next write names it again, also if the one before had no effect.
+    assert store(engine, 0.4) == [JOB]
+    assert engine.plan(0.4)
+
+
+def test_task_that_waits_for_a_record_holds_its_room():
+    engine = make_engine()
+    submit(engine, JOB, LARGE)
+    submit(engine, OTHER, LARGE)
+    assert not engine.plan(0.0)
+    assert len(store(engine, 0.0)) == 1
+    assert not engine.endpoints["e1"].tasks
+    (order,) = engine.plan(0.1)
+    assert order.endpoint.id == "e1"
+
+
+def test_number_of_named_jobs_is_bounded(monkeypatch):
+    monkeypatch.setattr(starting, "MAX_STARTING_JOBS", 1)
+    engine = make_engine()
+    for job_id in (JOB, OTHER):
+        submit(engine, job_id)
+    engine.plan(0.0)
+    named = store(engine, 0.0)
+    assert len(named) == 1
+    (order,) = engine.plan(0.1)
+    assert order.task.job.id == named[0]
+    engine.start_answered(order, 0.2, is_located=True)
+    later = starting.NAMED_SECONDS + 0.2
+    engine.plan(later)
+    assert set(store(engine, later)) == {JOB, OTHER} - set(named)
+
+
+def wait_at_successor(engine, until):
+    """Return the jobs that are started shortly before ``until``, and then."""
+    engine.expire(until - 0.01)
+    before = [order.task.job.id for order in engine.plan(until - 0.01)]
+    engine.expire(until + 0.01)
+    return before, [order.task.job.id for order in engine.plan(until + 0.01)]
+
+
+def test_only_named_jobs_wait_for_the_longest_lease():
+    engine = make_successor(make_record([]), starting=[JOB])
+    connect(engine, "e2")
+    for job_id in (JOB, OTHER):
+        add_job(engine, job_id)
+    assert wait_at_successor(engine, LONGEST) == ([], [OTHER])
+    assert wait_at_successor(engine, LONGEST_WAIT) == ([], [JOB])
+
+
+def test_named_jobs_do_not_wait_once_the_endpoint_has_reported():
+    engine = make_successor(make_record([]), starting=[JOB])
+    connect(engine, "e2")
+    add_job(engine)
+    assert not engine.plan(0.0)
+    connect(engine, "e1")
+    assert engine.plan(0.0)
+
+
+def test_named_jobs_do_not_wait_for_an_endpoint_whose_leases_are_stored_as_final():
+    """What may be started there late is stored with these leases."""
+    record = make_record([], {"e1": ([], [OTHER])})
+    engine = make_successor(record, starting=[JOB])
+    connect(engine, "e2")
+    for job_id in (JOB, OTHER):
+        add_job(engine, job_id)
+    assert [order.task.job.id for order in engine.plan(0.0)] == [JOB]
+
+
+def test_any_job_waits_for_the_longest_lease_without_a_record():
+    engine = make_successor(make_record([]))
+    engine.inherited_endpoints.load_starting_jobs(None)
+    connect(engine, "e2")
+    add_job(engine)
+    assert wait_at_successor(engine, LONGEST) == ([], [])
+    assert wait_at_successor(engine, LONGEST_WAIT) == ([], [JOB])
+
+
+@pytest.mark.parametrize("named", [[OTHER], None])
+def test_jobs_named_by_an_earlier_term_stay_named_while_its_endpoints_are_awaited(
+    named,
+):
+    engine = make_successor(make_record([("w", 1, 9000)]), starting=named or ())
+    if named is None:
+        engine.inherited_endpoints.load_starting_jobs(None)
+    engine.starting = StartingJobs(engine)
+    connect(engine, "w")
+    engine.await_endpoint(factory.make_info("e1"), 0.0)
+    assert store(engine, 0.0) == named
+    assert engine.leases.prepare(0.0).of("e1").any_late
+    connect(engine, "e1", 1.0)
+    assert store(engine, 1.0) == []
+
+
+def test_intersection_with_any_job():
+    some = frozenset([JOB])
+    assert starting.intersection(ANY_JOB, some) == some
+    assert starting.intersection(some, ANY_JOB) == some
+    assert starting.intersection(some, frozenset([JOB, OTHER])) == some
+    assert leases.UNKNOWN.any_late
--- a/tests/workflow/test_unreadable.py
+++ b/tests/workflow/test_unreadable.py
@@ -112,7 +112,14 @@
 
 
 @pytest.mark.parametrize(
-    "key", [jobstore.ADDRESSES, jobstore.LEASES, jobstore.LEARNED, jobstore.PENDING]
+    "key",
+    [
+        jobstore.ADDRESSES,
+        jobstore.LEASES,
+        jobstore.STARTING,
+        jobstore.LEARNED,
+        jobstore.PENDING,
+    ],
 )
 @pytest.mark.parametrize("value", [b"?", DEEP, b'[["x"]]'], ids=["?", "deep", "rows"])
 def test_successor_goes_on_without_a_record_that_cannot_be_read(key, value):
