Let only named jobs wait for an endpoint that restarted unseen

Replicas that were lost with the scheduler ran again 12 s later if another endpoint of the domain was listed with a new start and was gone before the scheduler had reached it; the platform allows 7 s. A successor took any job to have runs of the longest lease there.

The runs of the incarnation before have ended with it, and only a start that was in progress can have begun others. The test of the bed and that of the engine fail without the change.

--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -282,9 +282,12 @@
             inherited = self.by_id[endpoint_id]
             jobs = self.jobs_at(endpoint_id)
             self.awaited_jobs |= self.late_jobs_at(endpoint_id)
-            if self.may_have_any_late(endpoint_id):
+            any_late = self.may_have_any_late(endpoint_id)
+            if any_late:
                 self.late_domains.add(inherited.domain)
-            if not inherited.expired:
+            # All other runs have ended with the incarnation before.
+            only_late = inherited.expired or (any_late and inherited.restarted)
+            if not only_late:
                 if jobs is None:
                     self.awaited_domains.add(inherited.domain)
                 else:
--- a/tests/workflow/test_schedule.py
+++ b/tests/workflow/test_schedule.py
@@ -363,6 +363,30 @@
     virtualtime.run(main())
 
 
+def test_replicas_lost_with_the_scheduler_do_not_wait_for_a_restarted_endpoint():
+    """It is listed with a new start, but gone before the scheduler has reached it."""
+
+    async def main():
+        async with TestBed(endpoints=6, max_lease=10.0) as bed:
+            await bed.run(1.0)
+            bed.submit(steps=[Step(count=10, processors_milli=500, replica=True)])
+            await bed.run(2.0)
+            lost, restarted = [model for model in bed.endpoints if model.runs][:2]
+            bed.cuts[restarted.id] = "refused"
+            bed.restart_unlisted(restarted)
+            bed.list(restarted)
+            losing = [
+                asyncio.create_task(bed.lose(model, "silent"))
+                for model in (restarted, lost)
+            ]
+            await asyncio.sleep(0)
+            await bed.kill_scheduler()
+            await bed.run(14.0)
+            await asyncio.gather(*losing)
+
+    virtualtime.run(main())
+
+
 @pytest.mark.parametrize("how", ["refused", "silent"])
 def test_task_of_a_crashed_endpoint_runs_again_once_its_address_answers(how):
     async def main():
--- a/tests/workflow/test_starting.py
+++ b/tests/workflow/test_starting.py
@@ -158,6 +158,20 @@
     assert wait_at_successor(engine, LONGEST_WAIT) == ([], [JOB])
 
 
+def test_only_named_jobs_wait_for_an_endpoint_that_restarted_unseen():
+    """The runs of all others have ended with the incarnation before."""
+    engine = make_successor(make_record([]), endpoints=(), starting=[JOB])
+    stored = make_record([]).of("e1")
+    engine.inherited_endpoints.expect("e1", "a", stored, born_ms=1)
+    connect(engine, "e2")
+    restarted = engine.register_endpoint(factory.make_info("e1", born_ms=2), 0.0)
+    restarted.mark_silent(0.0)
+    for job_id in (JOB, OTHER):
+        add_job(engine, job_id)
+    assert [order.task.job.id for order in engine.plan(0.0)] == [OTHER]
+    assert wait_at_successor(engine, LONGEST_WAIT) == ([], [JOB])
+
+
 def test_named_jobs_do_not_wait_once_the_endpoint_has_reported():
     engine = make_successor(make_record([]), starting=[JOB])
     connect(engine, "e2")
