Share the steps of tests that restart an endpoint during starts

Five tests in test_incarnations.py and test_recut.py waited for a start under way, restarted its endpoint unseen and cut it off, each with the same lines.

--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -33,6 +33,23 @@
     await bed.run(0.8)
 
 
+async def order_starts(bed, model, steps):
+    """Submit jobs of ``steps`` until starts are under way to an endpoint."""
+    endpoint = bed.scheduler.engine.endpoints[model.id]
+    for _number in range(4):
+        bed.submit(steps=steps)
+    while not endpoint.tasks:
+        await bed.run(0.001)
+
+
+async def restart_and_cut(bed, model, how):
+    """Restart an endpoint unseen and cut it off once it has taken starts."""
+    bed.restart_unlisted(model)
+    await bed.run(0.02)
+    assert model.runs
+    bed.cuts[model.id] = how
+
+
 # Incarnations that have ended
 
 
@@ -308,15 +325,8 @@
             await bed.run(1.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                endpoint = bed.scheduler.engine.endpoints[model.id]
-                for _number in range(4):
-                    bed.submit(steps=REPLICAS)
-                while not endpoint.tasks:
-                    await bed.run(0.001)
-                bed.restart_unlisted(model)
-                await bed.run(0.02)
-                assert model.runs
-                bed.cuts[model.id] = "silent"
+                await order_starts(bed, model, REPLICAS)
+                await restart_and_cut(bed, model, "silent")
                 await bed.kill_scheduler()
                 await bed.run(14.0)
 
@@ -337,15 +347,8 @@
             await bed.run(8.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                endpoint = bed.scheduler.engine.endpoints[model.id]
-                for _number in range(4):
-                    bed.submit(steps=REPLICAS)
-                while not endpoint.tasks:
-                    await bed.run(0.001)
-                bed.restart_unlisted(model)
-                await bed.run(0.02)
-                assert model.runs
-                bed.cuts[model.id] = "silent"
+                await order_starts(bed, model, REPLICAS)
+                await restart_and_cut(bed, model, "silent")
                 await bed.run(delay)
                 await bed.kill_scheduler()
                 await bed.run(14.0)
@@ -361,15 +364,8 @@
             await bed.run(8.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                endpoint = bed.scheduler.engine.endpoints[model.id]
-                for _number in range(4):
-                    bed.submit(steps=REPLICAS)
-                while not endpoint.tasks:
-                    await bed.run(0.001)
-                bed.restart_unlisted(model)
-                await bed.run(0.02)
-                assert model.runs
-                bed.cuts[model.id] = "silent"
+                await order_starts(bed, model, REPLICAS)
+                await restart_and_cut(bed, model, "silent")
                 bed.list(model)
                 await bed.run(1.5)
                 await bed.kill_scheduler()
@@ -433,15 +429,8 @@
             await bed.run(8.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                endpoint = bed.scheduler.engine.endpoints[model.id]
-                for _number in range(4):
-                    bed.submit(steps=REPLICAS)
-                while not endpoint.tasks:
-                    await bed.run(0.001)
-                bed.restart_unlisted(model)
-                await bed.run(0.02)
-                assert model.runs
-                bed.cuts[model.id] = how
+                await order_starts(bed, model, REPLICAS)
+                await restart_and_cut(bed, model, how)
                 await bed.run(14.0)
 
     virtualtime.run(main())
--- a/tests/workflow/test_recut.py
+++ b/tests/workflow/test_recut.py
@@ -7,6 +7,7 @@
 
 from clementinebay.workflow.model import Step
 from tests.workflow import absence, virtualtime
+from tests.workflow.test_incarnations import order_starts, restart_and_cut
 from tests.workflow.testbed import TestBed
 
 ENDPOINTS = 8
@@ -148,16 +149,9 @@
             await bed.run(8.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                endpoint = bed.scheduler.engine.endpoints[model.id]
-                for _number in range(4):
-                    bed.submit(steps=absence.REPLICAS)
-                while not endpoint.tasks:
-                    await bed.run(0.001)
+                await order_starts(bed, model, absence.REPLICAS)
                 leave_request(bed, model, delay)
-                bed.restart_unlisted(model)
-                await bed.run(0.02)
-                assert model.runs
-                bed.cuts[model.id] = how
+                await restart_and_cut(bed, model, how)
                 await bed.run(0.3)
                 bed.add_endpoint()
                 await bed.run(24.0)
