--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -10,6 +10,9 @@
 
 MAX_LEASE = 6.0
 
+#: A step of one task, of which an endpoint has room for several.
+SMALL = Step(count=1, processors_milli=1000)
+
 QUEUE = Queue("q", "h", "/q/", "s", attempts=3, stretch=2.0, slack_ms=1000)
 
 
@@ -94,6 +97,16 @@
     return orders
 
 
+def plan_start(now, endpoints=("e1",)):
+    """Return an engine with a job of one task, and the order that starts the task."""
+    engine = make_engine()
+    for endpoint_id in endpoints:
+        connect_endpoint(engine, make_info(endpoint_id))
+    engine.add_job(make_spec(steps=(SMALL,)), QUEUE, 0.0)
+    [order] = engine.plan(now)
+    return engine, order
+
+
 def report_end(engine, endpoint, order, outcome, number, now):
     """Report the end of a run."""
     row = (number, order.task.name, order.run, outcome)
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -10,7 +10,6 @@
 from tests.workflow import factory, virtualtime
 from tests.workflow.testbed import ENTRY_SECONDS, TestBed
 
-SMALL = Step(count=1, processors_milli=1000)
 #: More than one endpoint can hold.
 REPLICAS = [Step(count=10, processors_milli=500, replica=True)]
 REPLICA = Step(
@@ -72,7 +71,7 @@
 def test_report_of_an_ended_incarnation_places_no_task():
     engine = factory.make_engine()
     first = factory.connect_endpoint(engine, factory.make_info("e1"))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    engine.add_job(factory.make_spec(steps=(factory.SMALL,)), factory.QUEUE, 0.0)
     [order] = factory.start_all(engine)
     engine.end_incarnation(first, 1.0)
     late = factory.report(running=[(order.task.name, order.run)])
@@ -83,7 +82,7 @@
 def test_ended_endpoint_is_used_again_once_it_restarts_and_forgotten_if_it_leaves():
     engine = factory.make_engine()
     endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    engine.add_job(factory.make_spec(steps=(factory.SMALL,)), factory.QUEUE, 0.0)
     engine.end_incarnation(endpoint, 1.0)
     engine.register_endpoint(factory.make_info(), 1.5)
     assert engine.plan(1.5) == []
@@ -103,7 +102,7 @@
     """The later one may crash again before it is asked."""
     engine = factory.make_engine()
     first = factory.connect_endpoint(engine, factory.make_info("e1", address="h:1"))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    engine.add_job(factory.make_spec(steps=(factory.SMALL,)), factory.QUEUE, 0.0)
     [order] = factory.start_all(engine)
     later = factory.make_info("e2", address="h:1", born_ms=2)
     engine.register_endpoint(later, 3.0)
@@ -119,7 +118,7 @@
     if odd_first:
         engine.register_endpoint(odd, 0.0)
     first = factory.connect_endpoint(engine, factory.make_info("e1", address="h:1"))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
+    engine.add_job(factory.make_spec(steps=(factory.SMALL,)), factory.QUEUE, 0.0)
     [order] = factory.start_all(engine)
     engine.register_endpoint(odd, 3.0)
     assert not first.has_ended
@@ -296,10 +295,8 @@
 
 def test_late_order_is_reckoned_with_after_a_report_that_shows_a_restart():
     """Nothing barred it, so it may start its run and grant the longest lease."""
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(0.0)
+    engine, order = factory.plan_start(0.0)
+    endpoint = order.endpoint
     engine.start_unanswered(order, 0.5)
     engine.process_report(endpoint, factory.report(born_ms=2), 0.9, 1.0)
     endpoint.mark_silent(1.1)
@@ -451,7 +448,7 @@
             model = bed.endpoints[0]
             for _round in range(4):
                 for _job in range(12):
-                    bed.submit(steps=[SMALL])
+                    bed.submit(steps=[factory.SMALL])
                 await bed.run(8.0)
                 async with bed.disturbance(0.0):
                     bed.crash(model, "silent")
@@ -459,7 +456,7 @@
                     model.up = True
                     bed.restart_unlisted(model)
                     for _job in range(4):
-                        bed.submit(steps=[SMALL])
+                        bed.submit(steps=[factory.SMALL])
                     await bed.run(2.0)
                     bed.list(model)
                     await bed.run(4.0)
@@ -576,11 +573,7 @@
 
 def test_run_that_a_restarted_endpoint_has_started_is_not_started_again():
     """The entry of the new incarnation arrives after its answer to the start."""
-    engine = factory.make_engine()
-    for name in ("e1", "e2"):
-        factory.connect_endpoint(engine, factory.make_info(name))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(1.2)
+    engine, order = factory.plan_start(1.2, endpoints=("e1", "e2"))
     engine.start_answered(order, 1.3)
     info = factory.make_info(order.endpoint.id, born_ms=1000)
     engine.register_endpoint(info, 1.5)
@@ -589,11 +582,7 @@
 
 def test_run_that_a_restarted_endpoint_has_started_survives_a_late_earlier_report():
     """The incarnation before compiled the report, which arrives after the answer."""
-    engine = factory.make_engine()
-    for name in ("e1", "e2"):
-        factory.connect_endpoint(engine, factory.make_info(name))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(1.2)
+    engine, order = factory.plan_start(1.2, endpoints=("e1", "e2"))
     engine.start_answered(order, 1.3)
     assert engine.process_report(order.endpoint, factory.report(), 1.0, 1.4)
     info = factory.make_info(order.endpoint.id, born_ms=1000)
@@ -602,22 +591,18 @@
 
 
 def test_run_that_the_incarnation_before_has_reported_is_started_again_at_once():
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = factory.start_all(engine, 1.2)
+    engine, order = factory.plan_start(1.2)
+    engine.start_answered(order, 1.2)
     row = (order.task.name, order.run)
-    engine.process_report(endpoint, factory.report(running=[row]), 1.0, 1.4)
+    report = factory.report(running=[row])
+    engine.process_report(order.endpoint, report, 1.0, 1.4)
     engine.register_endpoint(factory.make_info(born_ms=1000), 1.5)
     assert order.task.endpoint is None
 
 
 def test_run_that_the_incarnation_before_has_answered_is_started_again_at_once():
     """The clock in the answer was that of the incarnation before."""
-    engine = factory.make_engine()
-    factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(1.2)
+    engine, order = factory.plan_start(1.2)
     engine.start_answered(order, 1.2, is_located=True)
     engine.register_endpoint(factory.make_info(born_ms=1000), 1.5)
     assert order.task.endpoint is None
@@ -625,11 +610,8 @@
 
 def test_stopped_run_that_a_restarted_endpoint_may_have_started_is_not_started_again():
     """The stop may have been answered by the incarnation before."""
-    engine = factory.make_engine()
-    for name in ("e1", "e2"):
-        factory.connect_endpoint(engine, factory.make_info(name))
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = factory.start_all(engine, 1.2)
+    engine, order = factory.plan_start(1.2, endpoints=("e1", "e2"))
+    engine.start_answered(order, 1.2)
     engine.request_stop(order.task, "moved")
     engine.register_endpoint(factory.make_info(order.endpoint.id, born_ms=2), 1.5)
     assert engine.plan(1.6) == []
@@ -637,10 +619,8 @@
 
 def test_start_whose_stop_the_incarnation_before_answered_is_reckoned_with():
     """The next one has forgotten the stop, and may carry the start out late."""
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(0.0)
+    engine, order = factory.plan_start(0.0)
+    endpoint = order.endpoint
     engine.start_unanswered(order, 0.1)
     [stop] = engine.stops.due(0.1, engine.endpoints)
     engine.stop_answered(stop, 0.2)
@@ -657,10 +637,8 @@
 
 
 def test_late_order_is_refused_by_an_endpoint_that_is_back_after_its_address_was_not():
-    engine = factory.make_engine()
-    endpoint = factory.connect_endpoint(engine, factory.make_info())
-    engine.add_job(factory.make_spec(steps=(SMALL,)), factory.QUEUE, 0.0)
-    [order] = engine.plan(0.0)
+    engine, order = factory.plan_start(0.0)
+    endpoint = order.endpoint
     fence = endpoint.fence(100)
     engine.start_unanswered(order, 0.5)
     engine.end_incarnation(endpoint, 1.0)
