--- a/tests/workflow/test_openjobs.py
+++ b/tests/workflow/test_openjobs.py
@@ -63,6 +63,32 @@
     return engine.add_job(factory.make_spec(job_id, steps), factory.QUEUE, now)
 
 
+def start_job(engine):
+    """Add a job of one task, open endpoints to it, and start the task."""
+    submit(engine)
+    store_leases(engine, BACK_AT)
+    (_order,) = factory.start_all(engine, BACK_AT)
+
+
+def make_open_to_one_job(monkeypatch):
+    """Return as `make_restarted`; a record opens the endpoint to one job, ``OTHER``."""
+    monkeypatch.setattr(factory, "MAX_LEASE", 10.0)
+    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
+    monkeypatch.setattr(openjobs, "MIN_JOBS_PER_ENDPOINT", 1)
+    engine, endpoint = make_restarted()
+    submit(engine, OTHER)
+    store_leases(engine, BACK_AT)
+    return engine, endpoint
+
+
+def assert_starts_after(engine, end):
+    """Assert that a task waits until ``end``, and is started then."""
+    engine.expire(end - 0.01)
+    assert not engine.plan(end - 0.01)
+    engine.expire(end + 0.01)
+    assert engine.plan(end + 0.01)
+
+
 def test_record_states_the_longest_lease_of_an_endpoint_that_restarted():
     """A successor that waited for the common deadline started its tasks again."""
     engine, endpoint = make_restarted()
@@ -86,10 +112,7 @@
 
 def test_jobs_that_come_later_are_opened_soon_and_the_others_stay():
     engine, _endpoint = make_restarted()
-    submit(engine)
-    store_leases(engine, BACK_AT)
-    (order,) = engine.plan(BACK_AT)
-    engine.start_answered(order, BACK_AT)
+    start_job(engine)
     submit(engine, OTHER)
     assert not engine.plan(BACK_AT + 0.1)
     soon = BACK_AT + leases.MIN_RENEW_SECONDS
@@ -125,10 +148,7 @@
 def test_longest_lease_stays_stored_while_an_endpoint_is_not_final_yet(case):
     """Shortly silent, or leaving with a run: the limit for all did not cover it."""
     engine, endpoint = make_restarted()
-    submit(engine)
-    store_leases(engine, BACK_AT)
-    (order,) = engine.plan(BACK_AT)
-    engine.start_answered(order, BACK_AT)
+    start_job(engine)
     submit(engine, OTHER)
     if case == "silent":
         endpoint.mark_silent(BACK_AT + 0.2)
@@ -221,12 +241,7 @@
 
 
 def test_ended_jobs_do_not_bar_others_from_an_endpoint(monkeypatch):
-    monkeypatch.setattr(factory, "MAX_LEASE", 10.0)
-    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
-    monkeypatch.setattr(openjobs, "MIN_JOBS_PER_ENDPOINT", 1)
-    engine, endpoint = make_restarted()
-    submit(engine, OTHER)
-    store_leases(engine, BACK_AT)
+    engine, endpoint = make_open_to_one_job(monkeypatch)
     (order,) = factory.start_all(engine, BACK_AT)
     ends = [(1, order.task.name, order.run, "done")]
     report(engine, endpoint, BACK_AT + 0.1, clock_ms=200, ended=ends)
@@ -237,12 +252,7 @@
 
 
 def test_job_that_no_endpoint_admits_holds_up_no_others_of_its_shape(monkeypatch):
-    monkeypatch.setattr(factory, "MAX_LEASE", 10.0)
-    monkeypatch.setattr(openjobs, "MAX_JOBS_IN_RECORD", 1)
-    monkeypatch.setattr(openjobs, "MIN_JOBS_PER_ENDPOINT", 1)
-    engine, _endpoint = make_restarted()
-    submit(engine, OTHER)
-    store_leases(engine, BACK_AT)
+    engine, _endpoint = make_open_to_one_job(monkeypatch)
     submit(engine, JOB, now=BACK_AT - 1.0)
     assert [order.task.job.id for order in engine.plan(BACK_AT)] == [OTHER]
 
@@ -344,11 +354,7 @@
     engine = make_successor(leases.LeaseRecord(0, [], {"e1": stored}))
     connect(engine, "w")
     add_job(engine, JOB)
-    bound = longest_lease(factory.MAX_LEASE)
-    engine.expire(bound - 0.01)
-    assert not engine.plan(bound - 0.01)
-    engine.expire(bound + 0.01)
-    assert engine.plan(bound + 0.01)
+    assert_starts_after(engine, longest_lease(factory.MAX_LEASE))
 
 
 def test_leases_stored_for_the_listed_incarnation_need_no_longer_wait():
@@ -368,8 +374,4 @@
     engine.inherited_endpoints.expect("e1", "a", leases.UNKNOWN)
     connect(engine, "w")
     add_job(engine, JOB)
-    bound = longest_lease(factory.MAX_LEASE)
-    engine.expire(bound - 0.01)
-    assert not engine.plan(bound - 0.01)
-    engine.expire(bound + 0.01)
-    assert engine.plan(bound + 0.01)
+    assert_starts_after(engine, longest_lease(factory.MAX_LEASE))
--- a/tests/workflow/test_storing.py
+++ b/tests/workflow/test_storing.py
@@ -45,6 +45,16 @@
     )
 
 
+async def store_endpoint():
+    """Return a `ChangeWriter` that does not block, and an endpoint that it stored."""
+    changes = make_change_writer()
+    changes.writer.unblocked.set()
+    endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
+    changes.record_endpoint(endpoint)
+    await changes.store_changes()
+    return changes, endpoint
+
+
 async def test_endpoint_recorded_during_a_write_is_not_marked_as_stored():
     changes = make_change_writer()
     first = changes.engine.register_endpoint(factory.make_info("e1"), 0.0)
@@ -154,11 +164,7 @@
 
 async def test_restarted_endpoint_is_stored_as_such_with_the_leases_found_there():
     """A successor takes the stored start as that of the incarnation it waits for."""
-    changes = make_change_writer()
-    changes.writer.unblocked.set()
-    endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
-    changes.record_endpoint(endpoint)
-    await changes.store_changes()
+    changes, endpoint = await store_endpoint()
     endpoint.granted_ms = 500_000
     changes.engine.register_endpoint(factory.make_info(born_ms=2), 0.0)
     changes.record_endpoint(endpoint)
@@ -175,11 +181,7 @@
 
 async def test_start_of_an_incarnation_is_not_stored_without_the_leases_found_there():
     """All endpoints fell silent between its first report and the write."""
-    changes = make_change_writer()
-    changes.writer.unblocked.set()
-    endpoint = factory.connect_endpoint(changes.engine, factory.make_info())
-    changes.record_endpoint(endpoint)
-    await changes.store_changes()
+    changes, endpoint = await store_endpoint()
     changes.clock.advance(2.0)
     endpoint.granted_ms = 10**12
     now = changes.clock.now()
