--- a/tests/workflow/test_model.py
+++ b/tests/workflow/test_model.py
@@ -9,15 +9,20 @@
 STEPS = 300
 
 
-def run_world(seed, faults, organisations=None):
-    """Run one world; ``faults`` is the probability of a fault in a step."""
-    world = World(seed, organisations=organisations)
+def run_steps(world, jobs, faults):
+    """Run a world; ``jobs`` and ``faults`` are their probabilities in a step."""
     for _step in range(STEPS):
-        if world.random.random() < 0.08:
+        if world.random.random() < jobs:
             world.submit()
         if world.random.random() < faults:
             world.inject_fault()
         world.step()
+
+
+def run_world(seed, faults, organisations=None):
+    """Run one world; ``faults`` is the probability of a fault in a step."""
+    world = World(seed, organisations=organisations)
+    run_steps(world, 0.08, faults)
     # An organisation at its limit takes longer.
     world.finish(60.0 if organisations is None else 240.0)
 
--- a/tests/workflow/test_restartmodel.py
+++ b/tests/workflow/test_restartmodel.py
@@ -4,18 +4,13 @@
 
 from tests.workflow import factory
 from tests.workflow.restartmodel import LONG_LEASE_SECONDS, RestartWorld
-from tests.workflow.test_model import STEPS
+from tests.workflow.test_model import run_steps
 
 
 def run_world(seed, *, faults=0.05, **options):
     """Run one world; ``faults`` is the probability of a fault in a step."""
     world = RestartWorld(seed, **options)
-    for _step in range(STEPS):
-        if world.random.random() < 0.1:
-            world.submit()
-        if world.random.random() < faults:
-            world.inject_fault()
-        world.step()
+    run_steps(world, 0.1, faults)
     world.finish()
 
 
--- a/tests/workflow/test_seriesmodel.py
+++ b/tests/workflow/test_seriesmodel.py
@@ -3,18 +3,13 @@
 import pytest
 
 from tests.workflow.seriesmodel import SeriesWorld
-from tests.workflow.test_model import STEPS
+from tests.workflow.test_model import run_steps
 
 
 def run_world(seed, faults=0.08, late_at_restarted=False):
     """Run one world; ``faults`` is the probability of a fault in a step."""
     world = SeriesWorld(seed, late_at_restarted)
-    for _step in range(STEPS):
-        if world.random.random() < 0.15:
-            world.submit()
-        if world.random.random() < faults:
-            world.inject_fault()
-        world.step()
+    run_steps(world, 0.15, faults)
     world.finish()
 
 
