Move the tests of endpoints that restart under their ids to a module

Its section on such restarts is now test_restarts.py; three tests of endpoints that were gone or had ended in between stay, as do the cases that docs/ places in test_incarnations.py.

--- a/tests/workflow/test_recut.py
+++ b/tests/workflow/test_recut.py
@@ -7,7 +7,7 @@
 
 from clementinebay.workflow.model import Step
 from tests.workflow import absence, virtualtime
-from tests.workflow.test_incarnations import order_starts, restart_and_cut
+from tests.workflow.test_restarts import order_starts, restart_and_cut
 from tests.workflow.testbed import TestBed
 
 ENDPOINTS = 8
@@ -149,7 +149,7 @@
             await bed.run(8.0)
             model = bed.endpoints[0]
             async with bed.disturbance(0.0):
-                await order_starts(bed, model, absence.REPLICAS)
+                await order_starts(bed, model)
                 leave_request(bed, model, delay)
                 await restart_and_cut(bed, model, how)
                 await bed.run(0.3)
