--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -39,6 +39,11 @@
         self.reported = False
         self.expired = False
 
+    @property
+    def any_late(self):
+        """Whether late orders may run any job with a start in progress there."""
+        return self.leases is not None and self.leases.any_late
+
 
 class InheritedEndpoints:
     """Endpoints used by earlier schedulers, until they have reported to this one.
@@ -73,6 +78,10 @@
         is_unknown = record is None or record.jobs is None
         self.starting = None if is_unknown else frozenset(record.jobs)
 
+    def count_starting(self):
+        """Return the number of jobs with starts in progress, ``None`` if unknown."""
+        return None if self.starting is None else len(self.starting)
+
     def expect(self, endpoint_id, domain, stored=None, born_ms=None):
         """Expect runs at an endpoint that an earlier scheduler used.
 
@@ -147,13 +156,14 @@
         """Return the fields for a log of why an endpoint was awaited for that long.
 
         ``jobs`` and ``late_jobs`` count those that may have runs there; ``jobs`` is
-        ``None`` if they are unknown.
+        ``None`` if they are unknown.  ``any_late`` is as in `EndpointLeases`.
         """
         jobs = self.jobs_at(endpoint_id)
         return {
             "by_stored_limit": self.has_stored_end(endpoint_id),
             "jobs": None if jobs is None else len(jobs),
             "late_jobs": len(self.late_jobs_at(endpoint_id)),
+            "any_late": self.by_id[endpoint_id].any_late,
             "restarted": self.has_restarted(endpoint_id),
         }
 
@@ -184,9 +194,7 @@
 
     def may_have_any_late(self, endpoint_id):
         """Return whether late orders may run any job with a start in progress there."""
-        inherited = self.by_id.get(endpoint_id)
-        stored = None if inherited is None else inherited.leases
-        return stored is not None and stored.any_late and not inherited.reported
+        return self.expects(endpoint_id) and self.by_id[endpoint_id].any_late
 
     def may_start_late(self, job):
         """Return whether a start in progress may run ``job`` at an awaited endpoint."""
@@ -253,11 +261,9 @@
 
     def has_late(self, inherited):
         """Return whether late orders may start runs at an endpoint."""
-        stored = inherited.leases
-        if stored is None:
-            return False
-        has_starting = self.starting is None or bool(self.starting)
-        return bool(stored.late_jobs) or (stored.any_late and has_starting)
+        if inherited.leases is not None and inherited.leases.late_jobs:
+            return True
+        return inherited.any_late and self.count_starting() != 0
 
     def all_reported(self, job):
         """Return whether every run of ``job`` is known to this scheduler."""
--- a/clementinebay/workflow/schedule.py
+++ b/clementinebay/workflow/schedule.py
@@ -148,6 +148,7 @@
                 endpoints=len(used_endpoints),
                 has_record=record is not None,
                 final=0 if record is None else len(record.final),
+                starting=self.engine.inherited_endpoints.count_starting(),
             )
         self.job_mirror = Mirror(
             self.store,
