Name jobs for the endpoints of their starts, with the leases stored then

A review of the names showed two more ways to a second run, and replicas that waited without need:

- The leases of an endpoint that has restarted are stored with its jobs, but not the starts sent after that record.
If it restarted again unseen, a successor waited too short (6 of 12 cells of the new test, with replicas).
Such an entry now counts for the named jobs, too.
- A scheduler that is cut off with its domain sends starts until its last leases end, but a successor reckoned from the begin of its own term (3 of 4 cells).
It now adds the longest lease to the end of the leases that were granted.
- A later batch of one write could drop a name before the leases found at the endpoint were stored.
Names are dropped only by a write that states leases.
A write that surely failed leaves the names as they were, so a scheduler without the store goes on with jobs that are named.
- A replica that was being started made all replicas of its job wait for any other endpoint that was lost with the scheduler (9 s and more, where 7 s are allowed; 9 of 12 cells).
A job is named for the endpoints of its starts now, replicas from the first request on, and replicas are dropped at once; starts at endpoints with final leases are not named, as these name their jobs.

The figures in brackets are cells that fail on.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -16,7 +16,7 @@
     planning,
     suspects,
 )
-from clementinebay.workflow.fleet import EndpointState
+from clementinebay.workflow.fleet import EndpointState, longest_lease
 from clementinebay.workflow.inheritance import InheritedEndpoints
 from clementinebay.workflow.job import Job, JobState, TaskState
 from clementinebay.workflow.model import unlisted_endpoint
@@ -62,7 +62,9 @@
         self.wall_clock = wall_clock
         self.log = log
         self.inherited_endpoints = InheritedEndpoints(
-            inherited_until, leases.longest_until(inherited_until, max_lease_seconds)
+            inherited_until,
+            leases.longest_until(inherited_until, max_lease_seconds),
+            longest_lease(max_lease_seconds),
         )
         self.leases = leases.LeaseLimits(self, max_lease_seconds)
         self.starting = StartingJobs(self)
--- a/clementinebay/workflow/inheritance.py
+++ b/clementinebay/workflow/inheritance.py
@@ -50,33 +50,37 @@
 
     ``until`` is the time by which every lease that earlier schedulers meant to grant
     has expired, ``longest_until`` that by which the longest leases that endpoints
-    accept have.  ``by_id`` has each `InheritedEndpoint`.  ``starting`` has the ids of
-    the jobs that may have starts in progress, or is ``None`` if any job may.
+    accept have.  ``longest_seconds`` is the longest time from a start to the end of the
+    lease that it grants.  ``by_id`` has each `InheritedEndpoint`, ``starting`` the jobs
+    that may have starts in progress, as in `StartingRecord`.
     """
 
     __slots__ = (
         "until",
         "longest_until",
+        "longest_seconds",
         "by_id",
         "starting",
         "awaited_jobs",
         "awaited_domains",
         "late_domains",
+        "late_endpoints",
     )
 
-    def __init__(self, until, longest_until):
+    def __init__(self, until, longest_until, longest_seconds):
         self.until = until
         self.longest_until = longest_until
+        self.longest_seconds = longest_seconds
         self.by_id = {}
         self.starting = None
         self.awaited_jobs = None
         self.awaited_domains = None
         self.late_domains = None
+        self.late_endpoints = None
 
     def load_starting_jobs(self, record):
         """Adopt a `StartingRecord`, or ``None`` if there is none."""
-        is_unknown = record is None or record.jobs is None
-        self.starting = None if is_unknown else frozenset(record.jobs)
+        self.starting = None if record is None else record.jobs
 
     def count_starting(self):
         """Return the number of jobs with starts in progress, ``None`` if unknown."""
@@ -200,17 +204,27 @@
         """Return whether a start in progress may run ``job`` at an awaited endpoint."""
         if self.awaited_jobs is None:
             self.find_awaited()
-        is_starting = self.starting is None or job.id in self.starting
-        return is_starting and not self.late_domains.isdisjoint(job.inherited_domains)
+        endpoints = [] if self.starting is None else self.starting.get(job.id)
+        if endpoints is None:
+            return False
+        if endpoints:
+            return not self.late_endpoints.isdisjoint(endpoints)
+        return not self.late_domains.isdisjoint(job.inherited_domains)
 
     def starting_jobs(self):
-        """Return the ids of the jobs with starts in progress at awaited endpoints.
+        """Return the jobs with starts in progress at awaited endpoints.
 
-        That is ``None`` if they are unknown.
+        They are given as in `StartingRecord`.
         """
-        if any(self.may_have_any_late(name) for name in self.by_id):
-            return self.starting
-        return frozenset()
+        if self.awaited_jobs is None:
+            self.find_awaited()
+        if not self.late_endpoints or self.starting is None:
+            return self.starting if self.late_endpoints else {}
+        return {
+            job_id: endpoints
+            for job_id, endpoints in self.starting.items()
+            if not (endpoints and self.late_endpoints.isdisjoint(endpoints))
+        }
 
     def read_clocks(self, endpoints, now):
         """Learn from the clocks of ``endpoints``, by id, when leases have ended."""
@@ -257,6 +271,9 @@
         It may have restarted unseen, so that they have the longest lease.
         """
         bound = self.longest_until if self.has_late(inherited) else inherited.bound
+        if inherited.any_late and self.count_starting() != 0:
+            # An earlier scheduler may send starts until its last leases end.
+            bound = min(inherited.end, self.until) + self.longest_seconds
         return bound + LATE_ORDER_MARGIN_SECONDS
 
     def has_late(self, inherited):
@@ -279,11 +296,13 @@
         """Find the jobs that may have runs at endpoints that were not heard of.
 
         ``awaited_domains`` are the domains of endpoints at which any job may have runs,
-        ``late_domains`` those of endpoints at which any job that was being started may.
+        ``late_domains`` those of the ``late_endpoints``, at which jobs that were being
+        started may have runs.
         """
         self.awaited_jobs = set()
         self.awaited_domains = set()
         self.late_domains = set()
+        self.late_endpoints = set()
         for endpoint_id in self.awaited():
             inherited = self.by_id[endpoint_id]
             jobs = self.jobs_at(endpoint_id)
@@ -291,6 +310,7 @@
             any_late = self.may_have_any_late(endpoint_id)
             if any_late:
                 self.late_domains.add(inherited.domain)
+                self.late_endpoints.add(endpoint_id)
             # All other runs have ended with the incarnation before.
             only_late = inherited.expired or (any_late and inherited.restarted)
             if not only_late:
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -228,7 +228,8 @@
                 self.express(clocks, endpoint, end),
                 own.jobs,
                 sorted(own.late_jobs),
-                engine.inherited_endpoints.may_have_any_late(endpoint.id),
+                own.open_jobs is not None
+                or engine.inherited_endpoints.may_have_any_late(endpoint.id),
                 end > until,
                 engine.inherited_endpoints.known_start(endpoint),
             )
--- a/clementinebay/workflow/planning.py
+++ b/clementinebay/workflow/planning.py
@@ -62,13 +62,17 @@
 def plan(engine, now, limit):
     """Return at most ``limit`` start orders to send now."""
     try:
-        return list(itertools.islice(generate_orders(engine, now), limit))
+        orders = itertools.islice(generate_orders(engine, now), limit)
+        return [order for order in orders if order is not None]
     finally:
         engine.starting.release_held()
 
 
 def generate_orders(engine, now):
-    """Place waiting tasks; yield the start order of each."""
+    """Place waiting tasks; yield the start order of each.
+
+    Yields ``None`` in place of an order that waits until its job is named in the store.
+    """
     jobs = startable_jobs(engine, now)
     engine.unplaced = []
     engine.quotas.begin_plan(engine)
@@ -270,6 +274,7 @@
         if task in engine.starting.held:
             if ranking is not None:
                 ranking.rescore(choice.endpoint)
+            yield None
             continue
         if choice is None:
             search.record_failure(task, now)
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -182,7 +182,7 @@
         leases = self.engine.leases.prepare(
             self.clock.now(), is_forced=self.endpoints_changed
         )
-        starting = self.engine.starting.prepare(self.clock.now())
+        starting = self.prepare_starting(leases)
         # The new start of an endpoint is not stored without the leases found there.
         has_leases = leases is not None or not self.engine.leases.awaits_record()
         is_put_off = self.endpoints_changed and not has_leases
@@ -215,8 +215,10 @@
                 if stored_count < len(records):
                     # Many batches may take longer than leases last.
                     leases = self.engine.leases.prepare(self.clock.now())
-                    starting = self.engine.starting.prepare(self.clock.now())
-        except BaseException:
+                    starting = self.prepare_starting(leases)
+        except BaseException as error:
+            if starting and isinstance(error, errors.PlatformUnavailableError):
+                self.engine.starting.discard_prepared()
             self.endpoints_changed = self.endpoints_changed or endpoints is not None
             self.engine.requeue_changes(
                 job for job, _progress in records[stored_count:]
@@ -236,6 +238,11 @@
                 endpoint.recorded = opened = True
         return opened
 
+    def prepare_starting(self, leases):
+        """Return the `StartingRecord` to store with a `LeaseRecord`, if any."""
+        final = None if leases is None else self.engine.leases.prepared.final
+        return self.engine.starting.prepare(self.clock.now(), final)
+
     async def save(self, records, used_endpoints, leases, starting):
         """Write records and, if given, the endpoints in use and the other records."""
         if used_endpoints is None:
--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -24,7 +24,7 @@
 class NamedJobs(StartingJobs):
     """Jobs that count as named in the store."""
 
-    def is_named(self, job):
+    def is_named(self, job_id, endpoint_id):
         return True
 
 
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -293,7 +293,8 @@
         jobs, ends = self.engine.drain_changes()
         records = [(job, job.progress()) for job in jobs]
         record = self.engine.leases.prepare(now)
-        starting = self.engine.starting.prepare(now)
+        final = None if record is None else self.engine.leases.prepared.final
+        starting = self.engine.starting.prepare(now, final)
         if self.world.random.random() < 0.1:
             self.engine.requeue_changes(jobs)
             return
--- a/tests/workflow/seriesmodel.py
+++ b/tests/workflow/seriesmodel.py
@@ -128,7 +128,8 @@
         jobs, ends = self.engine.drain_changes()
         records = [(job, job.progress()) for job in jobs]
         record = self.engine.leases.prepare(now)
-        starting = self.engine.starting.prepare(now)
+        final = None if record is None else self.engine.leases.prepared.final
+        starting = self.engine.starting.prepare(now, final)
         draw = self.world.random.random()
         if now < self.store_away_until:
             draw = self.store_away_draw
--- a/tests/workflow/test_handover.py
+++ b/tests/workflow/test_handover.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinebay.workflow.job import TaskState
 from clementinebay.workflow.model import Step
 from tests.workflow import virtualtime
 from tests.workflow.model import CAPACITY
@@ -168,3 +169,52 @@
             assert bed.pending_counts() == {}
 
     virtualtime.run(main())
+
+
+async def fail_replica(bed, model):
+    """Let a replica at an endpoint fail, which is started again at once."""
+    model.end(next(iter(model.runs)), "failed")
+    await bed.run(0.12)
+
+
+async def lose_start(bed, model, other):
+    """Let a replica fail whose next start is unanswered for 1.2 s, not at ``other``."""
+    model.end(next(iter(model.runs)), "failed")
+    endpoints = bed.scheduler.engine.endpoints
+    while not any(
+        task.state is TaskState.STARTING
+        for endpoint in endpoints.values()
+        for task in endpoint.tasks.values()
+    ):
+        await bed.run(0.001)
+    for endpoint in endpoints.values():
+        if endpoint.id != other.id and endpoint.tasks:
+            bed.cuts[endpoint.id] = "silent"
+    await bed.run(1.2)
+    bed.cuts.clear()
+    await bed.run(0.8)
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.1, 0.2, 0.3, 0.5, 3.0])
+@pytest.mark.parametrize("fault", ["failed", "unanswered"])
+def test_replicas_run_again_in_time_though_another_was_being_started(fault, delay):
+    """The start is at another endpoint than the one that is lost with the scheduler."""
+
+    async def main():
+        async with TestBed(endpoints=6, daemons=2, max_lease=10.0) as bed:
+            await bed.run(12.0)
+            bed.submit(steps=[Step(count=6, processors_milli=1400, replica=True)])
+            await bed.run(3.0)
+            first, second, lost = [model for model in bed.endpoints if model.runs][:3]
+            async with bed.disturbance(0.0):
+                if fault == "failed":
+                    await fail_replica(bed, first)
+                else:
+                    await lose_start(bed, second, lost)
+                await bed.run(delay)
+                losing = asyncio.create_task(bed.lose(lost, "silent"))
+                await bed.kill_scheduler()
+            await bed.run(14.0)
+            await losing
+
+    virtualtime.run(main())
--- a/tests/workflow/test_inheritance.py
+++ b/tests/workflow/test_inheritance.py
@@ -28,7 +28,7 @@
     ``starting`` has the ids of the jobs that are stored as being started.
     """
     engine = make_engine(term, leases.inherited_until(factory.MAX_LEASE, now))
-    stored = StartingRecord(term, list(starting))
+    stored = StartingRecord(term, {job_id: [] for job_id in starting})
     engine.inherited_endpoints.load_starting_jobs(stored)
     for endpoint_id in endpoints:
         stored = None if record is None else record.of(endpoint_id)
--- a/tests/workflow/test_jobstore.py
+++ b/tests/workflow/test_jobstore.py
@@ -58,15 +58,15 @@
 async def test_starting_jobs_are_handed_on_by_terms_without_a_write(store):
     first, lease = await acquire(store, "d1")
     assert await JobStore(store).starting_record(0) is None
-    await first.save([], starting=StartingRecord(0, [JOB]))
+    await first.save([], starting=StartingRecord(0, {JOB: ["e1"]}))
     for number, name in enumerate(("d2", "d3"), 1):
         await store.revoke(lease)
         _writer, lease = await acquire(store, name)
         found = await JobStore(store).starting_record(number)
-        assert found == StartingRecord(number, [JOB])
+        assert found == StartingRecord(number, {JOB: ["e1"]})
 
 
-@pytest.mark.parametrize("value", [b"{", b'{"term": 0}', b'{"term": 7, "jobs": []}'])
+@pytest.mark.parametrize("value", [b"{", b'{"term": 0}', b'{"term": 7, "jobs": {}}'])
 async def test_unreadable_starting_jobs_and_those_of_another_term_are_unknown(
     store, space, value
 ):
--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -203,6 +203,109 @@
     virtualtime.run(play("start", belief, end, steps=steps))
 
 
+async def order_start(bed, model, steps):
+    """Submit jobs until a start is under way to an endpoint; return its calls."""
+    delayed = bed.delay_calls(model, "start")
+    for _number in range(8):
+        bed.submit(steps=steps)
+        for _step in range(300):
+            if delayed.calls:
+                return
+            await bed.run(0.001)
+    raise AssertionError("no start")
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("steps", [REPLICAS, LONG_TASKS], ids=["replicas", "tasks"])
+def test_start_taken_after_a_second_restart_leads_to_no_second_run(end, steps):
+    """The leases after the first restart are stored, but not this start."""
+
+    async def main():
+        async with TestBed(endpoints=6, daemons=2, max_lease=MAX_LEASE) as bed:
+            bed.max_run_seconds = MAX_RUN_SECONDS
+            await bed.run(12.0)
+            async with bed.disturbance(0.0):
+                bed.submit(steps=steps)
+                await bed.run(2.0)
+                model = max(bed.endpoints, key=lambda m: bool(m.runs))
+                bed.restart_unlisted(model)
+                bed.list(model)
+                await wait_for(bed, lambda: has_final_leases(bed, model))
+                await bed.run(2.5)
+                await order_start(bed, model, steps)
+                assert has_final_leases(bed, model)
+                bed.restart_unlisted(model)
+                await bed.run(0.01)
+                assert model.runs
+                cutting = asyncio.create_task(bed.cut([model], "silent", CUT_SECONDS))
+                await asyncio.sleep(0)
+                ending = await end_term(bed, end)
+                await bed.run(0.1)
+                bed.add_endpoint()
+                await bed.run(CUT_SECONDS + 1.0)
+                await cutting
+                if ending is not None:
+                    await ending
+
+    virtualtime.run(main())
+
+
+class DomainCut(dict):
+    """A cut between one daemon with one endpoint, and all others.
+
+    ``is_whole`` cuts the endpoint off from that daemon, too.
+    """
+
+    def __init__(self, daemon, endpoint_id):
+        self.daemon = daemon
+        self.endpoint_id = endpoint_id
+        self.is_whole = False
+
+    def get(self, endpoint_id, default=None):
+        is_inside = virtualtime.PROCESS.get() is self.daemon
+        if endpoint_id == self.endpoint_id:
+            return "silent" if self.is_whole or not is_inside else default
+        return "silent" if is_inside else default
+
+    def __contains__(self, endpoint_id):
+        return self.get(endpoint_id) is not None
+
+
+@pytest.mark.parametrize("seconds", [1.0, 3.0, 4.5, 5.0])
+def test_start_sent_after_the_end_of_the_term_leads_to_no_second_run(seconds):
+    """The scheduler is cut off with an endpoint, which restarts as the start comes."""
+
+    async def main():
+        async with TestBed(endpoints=6, daemons=2, max_lease=MAX_LEASE) as bed:
+            bed.max_run_seconds = 900.0
+            await bed.run(12.0)
+            async with bed.disturbance(0.0):
+                bed.submit(steps=[Step(count=200, processors_milli=490)])
+                await bed.run(0.25)
+                daemon = bed.scheduling_daemons()[0]
+                endpoints = daemon.scheduler.engine.endpoints
+                model = max(bed.endpoints, key=lambda m: len(m.runs))
+                other = next(m for m in bed.endpoints if m is not model)
+                other.end(next(iter(other.runs)), "failed")
+                tasks = endpoints[other.id].tasks
+                await wait_for(
+                    bed, lambda: any(t.state == "starting" for t in tasks.values())
+                )
+                bed.cuts = cut = DomainCut(daemon, model.id)
+                daemon.store.away = True
+                await bed.run(seconds)
+                delayed = bed.delay_calls(model, "start")
+                for name in list(model.runs)[:3]:
+                    model.end(name, "failed")
+                await wait_for(bed, lambda: delayed.calls)
+                bed.restart_unlisted(model)
+                cut.is_whole = True
+                await daemon.kill()
+                await bed.run(18.0)
+
+    virtualtime.run(main())
+
+
 @pytest.mark.parametrize("belief", ["unreachable-stored", "listed", "listed-stored"])
 def test_request_taken_seconds_after_the_restart_leads_to_no_second_run(belief):
     """It extends the lease of a run that a start under way had begun."""
