--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -255,9 +255,6 @@
             for task in list(endpoint.tasks.values()):
                 if now < self.late_order_deadlines.get(task.name, 0.0):
                     continue
-                if task.state is TaskState.STARTING:
-                    # Its order has no outcome yet, and may be unanswered.
-                    continue
                 self.lose_run(task, "lapsed", now)
             if not endpoint.listed and not endpoint.tasks:
                 self.forget_endpoint(endpoint, now)
--- a/tests/workflow/test_starting.py
+++ b/tests/workflow/test_starting.py
@@ -126,21 +126,6 @@
     assert engine.plan(0.4)
 
 
-def test_start_in_progress_outlasts_the_lease_that_it_grants():
-    """The lease is short shortly before the stored limit."""
-    engine = make_engine()
-    submit(engine)
-    engine.plan(0.0)
-    store(engine, 0.0)
-    (order,) = engine.plan(1.0)
-    order.endpoint.grant(1.0, 0.01)
-    order.endpoint.mark_silent(1.1)
-    engine.expire(1.5)
-    engine.start_unanswered(order, 1.8)
-    assert order.task.endpoint is order.endpoint
-    assert order.task.pinned_until > 1.8
-
-
 def test_task_that_waits_for_a_record_holds_its_room():
     engine = make_engine()
     submit(engine, JOB, LARGE)
