Keep an unanswered start named while the next run is at work

- A start that was not answered is barred by a stop, and the task runs again at the same endpoint.
Its job was no longer named then, nor among the late jobs of the endpoint, although the start may be executed for 13 s: taken by the next incarnation 2.4 s late, behind a cut, it led to a second run after a kill (test bed of the review).
The pin of the task counts now.
- Jobs that a late order may start at endpoints for which the record of leases has no room (more than 256) are named with them; a later successor that saw such an endpoint restarted started them at once.

Both new tests fail without the change. Found by review.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -354,6 +354,11 @@
                     if now < task.pinned_until:
                         endpoint_id = task.pinned_endpoint.id
                         pinned.setdefault(endpoint_id, set()).add(job.id)
+        # The next run of a pinned task may be at work.
+        for task in self.starting.started:
+            if now < task.pinned_until:
+                endpoint_id = task.pinned_endpoint.id
+                pinned.setdefault(endpoint_id, set()).add(task.job.id)
         return pinned
 
     def find_task(self, name):
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -108,16 +108,18 @@
     ``limit`` is the time up to which leases may be granted, ``until`` that by which
     they have ended, at endpoints without an entry.  ``final`` has the ids of the
     endpoints with final leases, ``open_jobs`` the jobs that may be started at those
-    whose leases last longer, by (incarnation, end of these leases).
+    whose leases last longer, by (incarnation, end of these leases).  ``left_out`` has
+    the jobs that a late order may start at endpoints for which there was no room.
     """
 
-    __slots__ = ("limit", "until", "final", "open_jobs")
+    __slots__ = ("limit", "until", "final", "open_jobs", "left_out")
 
     def __init__(self, limit, until):
         self.limit = limit
         self.until = until
         self.final = set()
         self.open_jobs = {}
+        self.left_out = {}
 
 
 class OwnLimit:
@@ -221,6 +223,7 @@
                 prepared.open_jobs[key] = own.open_jobs
             if len(entries) == MAX_FINAL_ENDPOINTS:
                 left_out_until = max(left_out_until, end)
+                prepared.left_out[endpoint.id] = own.late_jobs
                 continue
             if own.open_jobs is None:
                 prepared.final.add(endpoint.id)
--- a/clementinebay/workflow/starting.py
+++ b/clementinebay/workflow/starting.py
@@ -108,19 +108,19 @@
             for task, endpoint in self.started.items()
         )
 
-    def prepare(self, now, final=None):
+    def prepare(self, now, leases=None):
         """Return the `StartingRecord` to store, or ``None`` if it is stored already.
 
-        ``final`` has the ids of the endpoints whose final leases are stored by the same
-        write, or is ``None`` if it states no leases.  What was named stays so then, as
-        the leases found at an endpoint may have to be stored in its place.
+        ``leases`` is the `PreparedRecord` of the same write, or ``None`` if it states
+        no leases.  What was named stays so then, as the leases found at an endpoint may
+        have to be stored in its place.
         """
         self.wanted = {key: end for key, end in self.wanted.items() if now < end}
-        if final is None:
-            jobs = union(self.prepared, self.jobs_to_name(()))
+        if leases is None:
+            jobs = union(self.prepared, self.jobs_to_name((), {}))
         else:
             self.drop_started(now)
-            jobs = self.jobs_to_name(final)
+            jobs = self.jobs_to_name(leases.final, leases.left_out)
         if self.is_stored and jobs == self.prepared:
             return None
         self.allowed = intersection(self.allowed, jobs)
@@ -135,13 +135,17 @@
             if self.is_in_progress(task, endpoint, now)
         }
 
-    def jobs_to_name(self, final):
+    def jobs_to_name(self, final, left_out):
         """Return the jobs to name, as in `StartingRecord`.
 
         The leases at ``final`` endpoints are stored with the jobs that may be started
-        there late.
+        there late, unlike those at the ones that are ``left_out``, which maps them to
+        these jobs.
         """
         jobs = {}
+        for endpoint_id, job_ids in left_out.items():
+            for job_id in job_ids:
+                jobs.setdefault(job_id, set()).add(endpoint_id)
         for task, endpoint in self.started.items():
             if endpoint.id not in final:
                 jobs.setdefault(task.job.id, set()).add(endpoint.id)
@@ -176,10 +180,11 @@
 
     def is_in_progress(self, task, endpoint, now):
         """Return whether ``endpoint`` may still execute a start of ``task``."""
-        if task.endpoint is endpoint:
-            late = self.engine.late_order_deadlines
-            return not task.is_located or task.name in late
-        return now < task.pinned_until and task.pinned_endpoint is endpoint
+        if now < task.pinned_until and task.pinned_endpoint is endpoint:
+            return True
+        late = self.engine.late_order_deadlines
+        is_there = task.endpoint is endpoint
+        return is_there and (not task.is_located or task.name in late)
 
 
 def covers(jobs, job_id, endpoint_id):
--- a/clementinebay/workflow/storing.py
+++ b/clementinebay/workflow/storing.py
@@ -240,8 +240,8 @@
 
     def prepare_starting(self, leases):
         """Return the `StartingRecord` to store with a `LeaseRecord`, if any."""
-        final = None if leases is None else self.engine.leases.prepared.final
-        return self.engine.starting.prepare(self.clock.now(), final)
+        prepared = None if leases is None else self.engine.leases.prepared
+        return self.engine.starting.prepare(self.clock.now(), prepared)
 
     async def save(self, records, used_endpoints, leases, starting):
         """Write records and, if given, the endpoints in use and the other records."""
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -293,8 +293,8 @@
         jobs, ends = self.engine.drain_changes()
         records = [(job, job.progress()) for job in jobs]
         record = self.engine.leases.prepare(now)
-        final = None if record is None else self.engine.leases.prepared.final
-        starting = self.engine.starting.prepare(now, final)
+        prepared = None if record is None else self.engine.leases.prepared
+        starting = self.engine.starting.prepare(now, prepared)
         if self.world.random.random() < 0.1:
             self.engine.requeue_changes(jobs)
             return
--- a/tests/workflow/seriesmodel.py
+++ b/tests/workflow/seriesmodel.py
@@ -128,8 +128,8 @@
         jobs, ends = self.engine.drain_changes()
         records = [(job, job.progress()) for job in jobs]
         record = self.engine.leases.prepare(now)
-        final = None if record is None else self.engine.leases.prepared.final
-        starting = self.engine.starting.prepare(now, final)
+        prepared = None if record is None else self.engine.leases.prepared
+        starting = self.engine.starting.prepare(now, prepared)
         draw = self.world.random.random()
         if now < self.store_away_until:
             draw = self.store_away_draw
--- a/tests/workflow/test_starting.py
+++ b/tests/workflow/test_starting.py
@@ -15,6 +15,7 @@
     OTHER,
     STEPS,
     connect,
+    silence,
     store_leases,
 )
 from tests.workflow.test_openjobs import BACK_AT, make_restarted
@@ -41,12 +42,21 @@
     return engine.add_job(factory.make_spec(job_id, steps), factory.QUEUE, 0.0)
 
 
+def leases_of(final=()):
+    """Return the leases of a write, with those at ``final`` endpoints as final."""
+    prepared = leases.PreparedRecord(0.0, 0.0)
+    prepared.final.update(final)
+    return prepared
+
+
 def store(engine, now, final=()):
     """Store the jobs to be named; return them, or ``None`` without a write.
 
-    The write states leases, those at ``final`` endpoints as final.
+    The write states leases, those at ``final`` endpoints as final, unless ``final`` is
+    ``None``.
     """
-    record = engine.starting.prepare(now, final)
+    prepared = None if final is None else leases_of(final)
+    record = engine.starting.prepare(now, prepared)
     if record is None:
         return None
     engine.starting.mark_stored()
@@ -59,7 +69,7 @@
     submit(engine)
     assert not engine.plan(0.0)
     assert engine.starting.is_due(0.0)
-    assert engine.starting.prepare(0.1, ()).jobs == {JOB: []}
+    assert engine.starting.prepare(0.1, leases_of()).jobs == {JOB: []}
     assert not engine.plan(0.1)
     assert engine.starting.mark_stored()
     assert not engine.starting.is_due(0.1)
@@ -118,7 +128,7 @@
     store(engine, 0.0)
     for order in engine.plan(0.1):
         engine.start_answered(order, 0.1, is_located=True)
-    engine.starting.prepare(0.2, ())
+    engine.starting.prepare(0.2, leases_of())
     engine.lose_run(job.task(0, 0), "missing", 0.3)
     assert not engine.plan(0.3)
     # The next write names it again, also if the one before had no effect.
@@ -339,3 +349,33 @@
         submit(engine, f"{number:016x}", (Step(count=1, processors_milli=1000),))
     assert not engine.plan(0.0, limit=3)
     assert len(store(engine, 0.0)) == 3
+
+
+def test_unanswered_start_stays_named_while_the_next_run_is_at_the_same_endpoint():
+    engine = make_engine(("e1", "w"))
+    connect(engine, "w", 1.0, processors_milli=0)
+    submit(engine, steps=(Step(count=1, processors_milli=5000),))
+    engine.plan(0.0)
+    store(engine, 0.0)
+    (order,) = engine.plan(0.1)
+    endpoint = order.endpoint
+    engine.start_unanswered(order, 1.0)
+    for stop in engine.stops.due(1.0, engine.endpoints):
+        engine.stop_answered(stop, 1.1)
+    engine.process_report(endpoint, factory.report(clock_ms=1500), 1.5, 1.6)
+    (again,) = engine.plan(1.8)
+    engine.start_answered(again, 1.9, is_located=True)
+    assert store(engine, 3.0) == {JOB: [endpoint.id]}
+    silence(endpoint, 3.0)
+    assert store_leases(engine, 3.0).of(endpoint.id).late_jobs == [JOB]
+
+
+def test_late_jobs_of_an_endpoint_without_room_in_the_record_are_named(monkeypatch):
+    monkeypatch.setattr(leases, "MAX_FINAL_ENDPOINTS", 0)
+    record = make_record([("w", 1, 9000)], {"e1": ([("w", 1, 9000)], [JOB], [JOB])})
+    engine = make_successor(record)
+    engine.starting = StartingJobs(engine)
+    connect(engine, "w")
+    engine.await_endpoint(factory.make_info("e1"), 0.0)
+    assert store_leases(engine, 0.0).of("e1").late_jobs == []
+    assert engine.starting.prepare(0.0, engine.leases.prepared).jobs == {JOB: ["e1"]}
