Settle a crash once it is known which incarnation had the run

Cause: the start was sent to an endpoint that was down without having been found silent yet. The next incarnation, under the same id, took the order; the clock in its answer was that of another incarnation, so the run was not located. When the restart became known, the crash was counted at once against all runs at the endpoint, also those that may run at the next incarnation. The scheduler reckoned with that for leases and repeated starts only.

Fix: if an endpoint restarts under its id, the crash still counts at once, and is stored, but a task that may run at the next incarnation is not given up for it until a report shows that no run of it is there. If a report shows the run there, or its end, or the start is refused, the crash is discounted; for a run that goes on, the crash of the incarnation that has it is presumed instead. If nothing tells (the leases there lapse, or that incarnation has ended), the crash stays counted, but the job is not failed for it alone. The task is pinned to the endpoint meanwhile, so no start is added by the wait; crashes under runs that are located, and those of endpoints that come back under another id, are treated as before.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -295,6 +295,7 @@
         self.late_order_deadlines.pop(task.name, None)
         self.stops.drop(task.endpoint, task.name, task.run)
         suspects.withdraw_presumed(self, task)
+        self.suspects.unsettled.pop(task, None)
         task.unplace(now)
 
     # Reports of endpoints
@@ -401,6 +402,7 @@
             if end.outcome == RunEnd.FAILED:
                 self.process_failure(endpoint, task, end.run, now)
             if current:
+                suspects.withdraw_unsettled(self, task)
                 self.release(task, now)
 
     def process_success(self, task, current, now):
@@ -469,6 +471,7 @@
             return
         task.has_run = True
         task.is_located = True
+        suspects.locate_run(self, task)
         task.settle_start(endpoint, row.run)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
@@ -520,7 +523,9 @@
             elif task.state is TaskState.STOPPING:
                 stop = self.stops.find(endpoint, task.name, task.run)
                 if stop is None or (stop.answered_at and stop.answered_at < sent_at):
+                    given_up = suspects.confirm_crash(self, task)
                     self.release(task, now)
+                    suspects.give_up(self, given_up)
 
     # Orders
 
@@ -568,6 +573,7 @@
         task = order.task
         task.settle_start(order.endpoint, order.run)
         if task.endpoint is order.endpoint and task.run == order.run:
+            suspects.withdraw_unsettled(self, task)
             self.release(task, now)
             task.not_before = now + wait
 
--- a/clementinebay/workflow/incarnations.py
+++ b/clementinebay/workflow/incarnations.py
@@ -17,7 +17,7 @@
         runs=len(endpoint.tasks),
         born_ms=info.born_ms,
     )
-    given_up = suspects.count_crash(engine, endpoint, now)
+    given_up = suspects.count_crash(engine, endpoint, now, may_run_at_successor)
     for task in list(endpoint.tasks.values()):
         if may_run_at_successor(task):
             engine.mark_unconfirmed(task, now)
--- a/clementinebay/workflow/suspects.py
+++ b/clementinebay/workflow/suspects.py
@@ -10,15 +10,18 @@
 
     ``tasks`` has the tasks that are to run alone.  ``presumed`` maps those that run to
     their incarnation, whose crash is counted in advance: a successor cannot know of a
-    run that this scheduler has lost.  ``crashed_at`` has the times of recent crashes by
+    run that this scheduler has lost.  ``unsettled`` maps those that may run at the next
+    incarnation of a crashed endpoint to the crashed one, whose crash is counted, and
+    whether they are given up for it.  ``crashed_at`` has the times of recent crashes by
     incarnation.
     """
 
-    __slots__ = ("tasks", "presumed", "crashed_at")
+    __slots__ = ("tasks", "presumed", "unsettled", "crashed_at")
 
     def __init__(self):
         self.tasks = {}
         self.presumed = {}
+        self.unsettled = {}
         self.crashed_at = {}
 
     def restore(self, job):
@@ -30,14 +33,18 @@
     def clear(self, task):
         """Forget the crashes under a task that has proved sound."""
         task.job.crashes.pop(task.name, None)
-        self.tasks.pop(task, None)
-        self.presumed.pop(task, None)
+        self.forget(task)
 
     def forget_job(self, job):
         """Forget the tasks of an ended job."""
         for task in job.tasks.values():
-            self.tasks.pop(task, None)
-            self.presumed.pop(task, None)
+            self.forget(task)
+
+    def forget(self, task):
+        """Forget a task."""
+        self.tasks.pop(task, None)
+        self.presumed.pop(task, None)
+        self.unsettled.pop(task, None)
 
     def record_crash(self, endpoint, endpoints, now):
         """Count the crash of ``endpoint`` against its runs; return their tasks.
@@ -94,10 +101,12 @@
         return crashes.is_mass_crash(at, times.values(), len(endpoints))
 
 
-def count_crash(engine, endpoint, now):
+def count_crash(engine, endpoint, now, is_unsettled=lambda task: False):
     """Count a crash against the runs at ``endpoint``; return the tasks to give up.
 
-    The caller passes them to `give_up` once it has released the runs.
+    The caller passes them to `give_up` once it has released the runs.  A task that
+    ``is_unsettled`` may run at the next incarnation, and is given up only once a report
+    shows that it does not.
     """
     counted = engine.suspects.record_crash(endpoint, engine.endpoints.values(), now)
     for task, _given_up in counted:
@@ -107,7 +116,49 @@
             engine.log.warning(
                 "task.suspected", task=task.name, crashed=list(incarnations)
             )
-    return [task for task, given_up in counted if given_up]
+    given_up = []
+    for task, is_given_up in counted:
+        if is_unsettled(task):
+            engine.suspects.unsettled[task] = endpoint.incarnation, is_given_up
+        elif is_given_up:
+            given_up.append(task)
+    return given_up
+
+
+def confirm_crash(engine, task):
+    """Return the tasks to give up as no later incarnation has the run of ``task``."""
+    _incarnation, is_given_up = engine.suspects.unsettled.pop(task, (None, False))
+    return [task] if is_given_up else []
+
+
+def withdraw_unsettled(engine, task):
+    """Discount a crash before the start of a run, or of one that was never started.
+
+    Returns whether there was one.
+    """
+    incarnation, _is_given_up = engine.suspects.unsettled.pop(task, (None, False))
+    if incarnation is None:
+        return False
+    crashed = task.job.crashes[task.name]
+    crashed.remove(incarnation)
+    if not crashed:
+        engine.suspects.clear(task)
+    engine.mark_changed(task.job)
+    return True
+
+
+def locate_run(engine, task):
+    """Discount the crash of an incarnation if the one after it has a run of ``task``.
+
+    If the task is still suspected, the crash of that one is presumed.
+    """
+    presumed = engine.suspects.presumed.get(task, task.endpoint.incarnation)
+    if presumed != task.endpoint.incarnation:
+        withdraw_presumed(engine, task)
+    elif not withdraw_unsettled(engine, task):
+        return
+    if task in engine.suspects.tasks:
+        presume_crash(engine, task)
 
 
 def presume_crash(engine, task):
--- a/tests/workflow/test_suspects.py
+++ b/tests/workflow/test_suspects.py
@@ -331,6 +331,104 @@
     assert (task.job.state is JobState.FAILED) is is_given_up
 
 
+# Crashes before a start that the next incarnation has taken
+
+
+def restart_under(engine, task, confirm):
+    """Start a task that two endpoints crashed under; its endpoint has restarted.
+
+    ``confirm`` records the answer to the start.  Returns the endpoint and the order.
+    """
+    crash_alone(engine, task, 2)
+    factory.store(engine)
+    [order] = engine.plan(20.0)
+    confirm(order, 20.1)
+    endpoint = order.endpoint
+    endpoint.mark_silent(20.2)
+    info = factory.make_info(endpoint.id, born_ms=2)
+    engine.register_endpoint(info, 20.5)
+    return endpoint, order
+
+
+@pytest.mark.parametrize("outcome", ["start_answered", "start_unanswered"])
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_crash_before_a_start_that_the_next_incarnation_took_is_not_counted(
+    outcome, is_stopped
+):
+    """A job was failed for it, though its run went on."""
+    engine, task = make_engine()
+    endpoint, order = restart_under(engine, task, getattr(engine, outcome))
+    assert not task.job.ended
+    row = (task.name, order.run)
+    if is_stopped:
+        report = factory.report(ended=[(1, *row, "stopped")], born_ms=2)
+    else:
+        report = factory.report(running=[row], born_ms=2)
+    engine.process_report(endpoint, report, 20.6, 20.7)
+    assert not task.job.ended
+    # Two proved, and one presumed while the run goes on.
+    presumed = [] if is_stopped else [endpoint.incarnation]
+    assert factory.store(engine)[task.job.id].crashes[task.name][2:] == presumed
+
+
+def test_crash_before_a_start_that_the_next_incarnation_refused_is_not_counted():
+    engine, task = make_engine()
+    endpoint, order = restart_under(engine, task, lambda order, now: None)
+    engine.start_refused(order, 20.6)
+    assert not task.job.ended
+    assert len(factory.store(engine)[task.job.id].crashes[task.name]) == 2
+
+
+@pytest.mark.parametrize("outcome", ["start_answered", "start_unanswered"])
+def test_crash_is_counted_once_the_next_incarnation_has_no_run(outcome):
+    engine, task = make_engine()
+    endpoint, order = restart_under(engine, task, getattr(engine, outcome))
+    report = factory.report(born_ms=2)
+    engine.process_report(endpoint, report, 20.6, 20.7)
+    assert engine.plan(20.8) == []
+    [stop] = engine.stops.due(20.8, engine.endpoints)
+    engine.stop_answered(stop, 20.9)
+    engine.process_report(endpoint, report, 21.0, 21.1)
+    assert task.job.state is JobState.FAILED
+
+
+def test_presumed_crash_is_that_of_the_incarnation_that_has_the_run():
+    """The endpoint was leaving, so its crash was not counted."""
+    engine, task = make_engine()
+
+    def leave_unanswered(order, now):
+        engine.start_unanswered(order, now)
+        info = factory.make_info(order.endpoint.id, leaving=True)
+        engine.register_endpoint(info, now)
+
+    endpoint, order = restart_under(engine, task, leave_unanswered)
+    report = factory.report(running=[(task.name, order.run)], born_ms=2)
+    engine.process_report(endpoint, report, 20.6, 20.7)
+    stored = factory.store(engine)[task.job.id].crashes
+    assert stored[task.name][2:] == [endpoint.incarnation]
+
+
+def test_task_is_not_given_up_if_nothing_tells_which_incarnation_had_its_run():
+    """The next incarnation took the start and was cut off."""
+    engine, task = make_engine()
+    endpoint, _order = restart_under(engine, task, engine.start_answered)
+    endpoint.mark_silent(20.6)
+    engine.expire(60.0)
+    assert task.endpoint is None
+    assert not task.job.ended
+    assert len(factory.store(engine)[task.job.id].crashes[task.name]) == 3
+
+
+def test_run_at_the_next_incarnation_counts_for_the_crash_of_that_one():
+    engine, task = make_engine(endpoints=8)
+    endpoint, order = restart_under(engine, task, engine.start_answered)
+    row = (task.name, order.run)
+    report = factory.report(running=[row], clock_ms=AGE_MS, born_ms=2)
+    engine.process_report(endpoint, report, 20.6, 20.7)
+    crash(engine, task, 20.8, "s9")
+    assert task.job.state is JobState.FAILED
+
+
 # Terms of the real scheduler
 
 
