--- a/tests/workflow/test_starting.py
+++ b/tests/workflow/test_starting.py
@@ -379,3 +379,18 @@
     engine.await_endpoint(factory.make_info("e1"), 0.0)
     assert store_leases(engine, 0.0).of("e1").late_jobs == []
     assert engine.starting.prepare(0.0, engine.leases.prepared).jobs == {JOB: ["e1"]}
+
+
+def test_start_in_progress_outlasts_the_lease_that_it_grants():
+    """The lease is short shortly before the stored limit."""
+    engine = make_engine()
+    submit(engine)
+    engine.plan(0.0)
+    store(engine, 0.0)
+    (order,) = engine.plan(1.0)
+    order.endpoint.grant(1.0, 0.01)
+    order.endpoint.mark_silent(1.1)
+    engine.expire(1.5)
+    engine.start_unanswered(order, 1.8)
+    assert order.task.endpoint is order.endpoint
+    assert order.task.pinned_until > 1.8
