--- a/tests/workflow/test_misdirected.py
+++ b/tests/workflow/test_misdirected.py
@@ -134,6 +134,19 @@
     return None
 
 
+async def cut_off_and_end_term(bed, model, end):
+    """Cut an endpoint off from all daemons, end the term, and wait for the outcome."""
+    cutting = asyncio.create_task(bed.cut([model], "silent", CUT_SECONDS))
+    await asyncio.sleep(0)
+    ending = await end_term(bed, end)
+    await bed.run(0.1)
+    bed.add_endpoint()
+    await bed.run(CUT_SECONDS + 1.0)
+    await cutting
+    if ending is not None:
+        await ending
+
+
 def lease_left(bed, model):
     """Return how long the leases at an endpoint still last, in seconds."""
     return (model.deadline_ms - model.clock_ms(bed.now())) / 1000
@@ -161,15 +174,7 @@
                 assert model.runs
             await let_believe(bed, model, belief)
             bed.cuts.pop(model.id, None)
-            cutting = asyncio.create_task(bed.cut([model], "silent", CUT_SECONDS))
-            await asyncio.sleep(0)
-            ending = await end_term(bed, end)
-            await bed.run(0.1)
-            bed.add_endpoint()
-            await bed.run(CUT_SECONDS + 1.0)
-            await cutting
-            if ending is not None:
-                await ending
+            await cut_off_and_end_term(bed, model, end)
 
 
 CASES = [
@@ -204,7 +209,7 @@
 
 
 async def order_start(bed, model, steps):
-    """Submit jobs until a start is under way to an endpoint; return its calls."""
+    """Submit jobs until a start is under way to an endpoint."""
     delayed = bed.delay_calls(model, "start")
     for _number in range(8):
         bed.submit(steps=steps)
@@ -237,15 +242,7 @@
                 bed.restart_unlisted(model)
                 await bed.run(0.01)
                 assert model.runs
-                cutting = asyncio.create_task(bed.cut([model], "silent", CUT_SECONDS))
-                await asyncio.sleep(0)
-                ending = await end_term(bed, end)
-                await bed.run(0.1)
-                bed.add_endpoint()
-                await bed.run(CUT_SECONDS + 1.0)
-                await cutting
-                if ending is not None:
-                    await ending
+                await cut_off_and_end_term(bed, model, end)
 
     virtualtime.run(main())
 
--- a/tests/workflow/test_starting.py
+++ b/tests/workflow/test_starting.py
@@ -63,6 +63,14 @@
     return record.jobs
 
 
+def start(engine, steps=STEPS):
+    """Submit a job, name it, and return its start orders of 0.1 s."""
+    submit(engine, steps=steps)
+    engine.plan(0.0)
+    store(engine, 0.0)
+    return engine.plan(0.1)
+
+
 def test_job_is_started_once_a_record_names_it():
     engine = make_engine()
     assert store(engine, 0.0) == {}
@@ -98,10 +106,7 @@
 
 def test_stopped_start_is_named_until_it_can_no_longer_be_executed():
     engine = make_engine()
-    submit(engine)
-    engine.plan(0.0)
-    store(engine, 0.0)
-    (order,) = engine.plan(0.1)
+    (order,) = start(engine)
     engine.start_unanswered(order, 1.0)
     engine.request_stop(order.task, "stopped")
     assert store(engine, 2.0) == {JOB: ["e1"]}
@@ -109,10 +114,7 @@
 
 def test_job_with_waiting_tasks_stays_named_between_its_starts():
     engine = make_engine()
-    submit(engine, steps=(Step(count=12, processors_milli=1000),))
-    engine.plan(0.0)
-    store(engine, 0.0)
-    orders = engine.plan(0.1)
+    orders = start(engine, (Step(count=12, processors_milli=1000),))
     assert len(orders) == 8
     for order in orders:
         engine.start_answered(order, 0.2, is_located=True)
@@ -290,10 +292,7 @@
 def test_start_at_an_endpoint_with_final_leases_is_not_named():
     """These are stored with the jobs that may be started there late."""
     engine = make_engine()
-    submit(engine)
-    engine.plan(0.0)
-    store(engine, 0.0)
-    (order,) = engine.plan(0.1)
+    (order,) = start(engine)
     engine.start_unanswered(order, 1.0)
     later = 1.0 + starting.NAMED_SECONDS
     assert store(engine, later, final={"e1"}) == {}
@@ -303,10 +302,7 @@
 def test_names_stay_in_a_write_that_states_no_leases():
     """The leases found at an endpoint may have to be stored in place of a name."""
     engine = make_engine()
-    submit(engine, steps=REPLICAS)
-    engine.plan(0.0)
-    store(engine, 0.0)
-    for order in engine.plan(0.1):
+    for order in start(engine, REPLICAS):
         engine.start_answered(order, 0.1, is_located=True)
     assert engine.starting.is_due(0.2)
     assert store(engine, 0.2, final=None) is None
@@ -354,10 +350,7 @@
 def test_unanswered_start_stays_named_while_the_next_run_is_at_the_same_endpoint():
     engine = make_engine(("e1", "w"))
     connect(engine, "w", 1.0, processors_milli=0)
-    submit(engine, steps=(Step(count=1, processors_milli=5000),))
-    engine.plan(0.0)
-    store(engine, 0.0)
-    (order,) = engine.plan(0.1)
+    (order,) = start(engine, (Step(count=1, processors_milli=5000),))
     endpoint = order.endpoint
     engine.start_unanswered(order, 1.0)
     for stop in engine.stops.due(1.0, engine.endpoints):
