--- a/clementinebay/workflow/starting.py
+++ b/clementinebay/workflow/starting.py
@@ -77,10 +77,11 @@
         key = (job.id, endpoint.id if job.replica else "")
         if self.is_named(job.id, endpoint.id):
             self.started[task] = endpoint
-            if job.replica:
-                self.wanted.pop(key, None)
-            else:
+            has_more = sum(map(len, job.waiting)) > 1
+            if has_more and not job.replica:
                 self.wanted[key] = now + NAMED_SECONDS
+            else:
+                self.wanted.pop(key, None)
             return True
         self.wanted[key] = now + NAMED_SECONDS
         endpoint.add(task)
--- a/tests/workflow/test_starting.py
+++ b/tests/workflow/test_starting.py
@@ -270,6 +270,13 @@
     assert store(engine, 0.1 + starting.NAMED_SECONDS) == {JOB: ["e1"]}
 
 
+def test_job_without_waiting_tasks_is_named_only_for_the_endpoint_of_its_start():
+    """It would have to wait for any other endpoint that is lost with the scheduler."""
+    engine = make_engine()
+    (_order,) = start(engine)
+    assert store(engine, 0.15) == {JOB: ["e1"]}
+
+
 def test_replicas_are_named_for_the_endpoints_that_they_have_found():
     engine = make_engine(("e1", "e2"))
     submit(engine, steps=(Step(count=2, processors_milli=5000, replica=True),))
