--- a/clementinebay/workflow/starting.py
+++ b/clementinebay/workflow/starting.py
@@ -77,8 +77,8 @@
         key = (job.id, endpoint.id if job.replica else "")
         if self.is_named(job.id, endpoint.id):
             self.started[task] = endpoint
-            has_more = sum(map(len, job.waiting)) > 1
-            if has_more and not job.replica:
+            others_wait = sum(map(len, job.waiting)) > 1
+            if others_wait and not job.replica:
                 self.wanted[key] = now + NAMED_SECONDS
             else:
                 self.wanted.pop(key, None)
