--- /dev/null
+++ b/review/lib2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and checks of the cases 6 to 10."""
