--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -34,7 +34,8 @@
     """One life of a worker.
 
     ``plan(worker, task, run)`` returns (seconds, how) of a run; "lasts" is a task that
-    lasts.  ``record(worker, event, **fields)`` takes each event.  While it is ``cut``,
+    lasts.  ``measure(worker, run)`` returns the fifth entry of a run's row.
+    ``record(worker, event, **fields)`` takes each event.  While it is ``cut``,
     nothing reaches it or leaves it, and it runs on.
     """
 
@@ -56,6 +57,7 @@
         self.tasks = []
         self.server = None
         self.lives = 0
+        self.measure = lambda worker, run: 0
 
     # Life
 
@@ -214,6 +216,9 @@
 
     async def do_pace(self, body):
         """Accept a pace."""
+        self.record(
+            self, "pace", task=body["task"], run=body["run"], percent=body["percent"]
+        )
         return self.reply()
 
     async def do_hold(self, body):
@@ -236,7 +241,13 @@
                 pass
         now = time.monotonic()
         running = [
-            [run.task, run.number, run.saved, run.percent(now), 0]
+            [
+                run.task,
+                run.number,
+                run.saved,
+                run.percent(now),
+                self.measure(self, run),
+            ]
             for run in self.running.values()
         ]
         return self.reply(running=running, ended=self.ended[:ENDS_PER_RESPONSE])
