--- a/review/lib2/store.py
+++ b/review/lib2/store.py
@@ -39,6 +39,7 @@
         self.commits = []
         self.expiring = None
         self.down_since = None
+        self.cut = 0
 
     async def start(self):
         """Open all ports."""
@@ -77,6 +78,17 @@
         for lease, (until, ttl) in self.leases.items():
             self.leases[lease] = (until + away, ttl)
 
+    async def forget_history(self):
+        """Drop the history; watches that wait are cut."""
+        self.events.clear()
+        self.forgotten = self.rev
+        # Watches from this revision on have missed nothing yet: a change makes them.
+        await self.write([], [])
+        self.forgotten = self.rev
+        async with self.changed:
+            self.cut += 1
+            self.changed.notify_all()
+
     async def end_lease(self, lease):
         """End a lease and remove its keys."""
         self.leases.pop(lease, None)
@@ -173,9 +185,10 @@
 
         if after < self.forgotten:
             return 410, None
+        cut = self.cut
         try:
             async with asyncio.timeout(int(query["wait_ms"]) / 1000), self.changed:
-                await self.changed.wait_for(found)
+                await self.changed.wait_for(lambda: found() or self.cut != cut)
         except TimeoutError:
             pass
         if after < self.forgotten:
