Review scripts: an error or a timeout exits with 2, and ends its processes

Cause: an unexpected exception ended a script with 1, which means that the rule was broken, and a timeout left the processes that it had started.

Done: any exception counts as a case that could not run; the timeout sends an interrupt.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -417,7 +417,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         code = asyncio.run(case(trouble))
-    except (CannotRunError, OSError) as error:
-        print(f"could not run: {error!r}")
+    except (Exception, KeyboardInterrupt) as error:
+        # A case that ends by an error has shown nothing.
+        print(f"could not run: {error!r}", file=sys.stderr)
         code = 2
     sys.exit(code)
