Runs whose ends are not read yet do not count as lost

Cause: an endpoint lists at most 500 ends at a time, and further ones once these are acknowledged. A run that a report lists neither as running nor as ended was taken as lost. The same conclusion was drawn in other places: - a run that was stopped, whose end (perhaps `done`) was not listed, was released as stopped; - a successor took the first report of an endpoint as all that had run there, and started tasks of its unread ends again; - a run that was not listed kept its last percent, counted as stuck and barred its endpoint; - the stored record named the jobs of an endpoint without those of its unread ends, so that a scheduler after that would not have waited.

Change: a report says whether it has all ends (the adapter knows the number); otherwise no run counts as missing, the endpoint does not count as reported to a successor (no tasks and no leases there), and its jobs are stored as unknown. Only runs that are listed can be stuck.

--- a/clementinebay/platform/endpoints.py
+++ b/clementinebay/platform/endpoints.py
@@ -28,9 +28,11 @@
 MAX_BORN_LEAD_MS = 86_400_000
 #: Greatest number of labels of an endpoint, which has two.
 MAX_LABELS = 64
-#: Greatest number of running or of ended tasks in a report.  An endpoint lists up to
-#: 500 ends at a time.
+#: Greatest number of running or of ended tasks in a report.
 MAX_ROWS = 20_000
+#: Number of ends that an endpoint lists at a time.  It lists further ones once these
+#: are acknowledged.
+ENDS_PER_REPORT = 500
 #: Longest checkpoint of a task, in characters; endpoints write 16.
 MAX_CHECKPOINT_LENGTH = 65_536
 #: "host:port"; a host has up to 253 characters.  It is sent in a header.
@@ -276,6 +278,7 @@
         answer.clock_ms,
         [run_report(row) for row in answer.running],
         [RunEnd(*msgspec.structs.astuple(row)) for row in answer.ended],
+        has_all_ends=len(answer.ended) < ENDS_PER_REPORT,
     )
 
 
--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -340,10 +340,12 @@
         self.set_orphaned(endpoint, report.running, sent_at)
         if endpoint.info.has_known_capacity:
             self.pressure.observe(endpoint, now)
-        self.release_missing(endpoint, seen, sent_at, now)
-        self.stop_stuck_runs(endpoint, now)
-        endpoint.has_reported = True
-        self.inherited_endpoints.mark_reported(endpoint.id)
+        self.stop_stuck_runs(endpoint, seen, now)
+        endpoint.has_unread_ends = not report.has_all_ends
+        if report.has_all_ends:
+            self.release_missing(endpoint, seen, sent_at, now)
+            endpoint.has_reported = True
+            self.inherited_endpoints.mark_reported(endpoint.id)
         return True
 
     def pinned_jobs(self, now):
@@ -514,7 +516,10 @@
             self.stops.add(endpoint, row.task, row.run, "unknown-job")
 
     def release_missing(self, endpoint, seen, sent_at, now):
-        """Release the tasks whose runs are missing from the endpoint's report."""
+        """Release the tasks whose runs are missing from the endpoint's report.
+
+        The report must have all ends: a run that it does not list may have ended.
+        """
         for task in list(endpoint.tasks.values()):
             if task.name in seen:
                 continue
@@ -637,12 +642,17 @@
         with moving.hold_room(self, now, limit):
             return planning.plan(self, now, limit)
 
-    def stop_stuck_runs(self, endpoint, now):
-        """Stop runs without progress, and bar their endpoint for a time."""
+    def stop_stuck_runs(self, endpoint, seen, now):
+        """Stop the runs without progress among those that the endpoint has reported.
+
+        Their endpoint is barred for a time.
+        """
         tasks = [
             task
             for task in endpoint.tasks.values()
-            if task.state is TaskState.RUNNING and progress_policy.stuck(task, now)
+            if task.name in seen
+            and task.state is TaskState.RUNNING
+            and progress_policy.stuck(task, now)
         ]
         if tasks and not endpoint.health.barred(now):
             endpoint.health.bar(now)
--- a/clementinebay/workflow/fleet.py
+++ b/clementinebay/workflow/fleet.py
@@ -31,8 +31,10 @@
     """The newest incarnation of an endpoint.
 
     ``restarts`` counts the restarts in this term.  ``has_reported`` is true once the
-    endpoint has reported to this scheduler; from then on it refuses orders of earlier
-    schedulers.  ``has_ended`` is true once the incarnation has certainly ended, with
+    endpoint has reported all its runs and ends to this scheduler; from then on it
+    refuses orders of earlier schedulers.  Until then it gets no tasks and no leases.
+    ``has_unread_ends`` is true if there may be ends that the last report had no room
+    for.  ``has_ended`` is true once the incarnation has certainly ended, with
     all its runs.  The endpoint is not forgotten before ``kept_until``, so that no late
     order grants a lease that is not reckoned with.  ``recorded`` is true if the store
     names the endpoint as in use.  ``has_valid_entry`` is false while its registry entry
@@ -72,6 +74,7 @@
         "has_valid_entry",
         "recorded",
         "has_reported",
+        "has_unread_ends",
         "has_ended",
         "kept_until",
         "tasks",
@@ -167,6 +170,7 @@
         self.info = info
         self.has_valid_entry = True
         self.has_reported = False
+        self.has_unread_ends = False
         self.has_ended = False
         self.unknown_runs = {}
         self.redundant_runs = {}
@@ -387,6 +391,8 @@
         """
         if self.clock_ms is None or not self.listed or seconds <= 0:
             return None
+        if self.has_unread_ends and not self.has_reported:
+            return None
         if self.unreachable_since is not None:
             return None
         return self.grant(now, seconds)
--- a/clementinebay/workflow/leases.py
+++ b/clementinebay/workflow/leases.py
@@ -142,7 +142,8 @@
         """Open the endpoint to jobs, which may have runs there from then on."""
         self.open_jobs = job_ids
         found = self.endpoint.found_jobs
-        if found is None or self.endpoint.has_orphans:
+        unread = self.endpoint.has_unread_ends
+        if found is None or unread or self.endpoint.has_orphans:
             self.jobs = None
         else:
             self.jobs = sorted(self.jobs | job_ids | found)
@@ -365,7 +366,7 @@
         return []
     if engine.inherited_endpoints.expects(endpoint.id):
         return engine.inherited_endpoints.jobs_at(endpoint.id)
-    if endpoint.has_orphans or endpoint.has_unstored_ends:
+    if endpoint.has_orphans or endpoint.has_unread_ends or endpoint.has_unstored_ends:
         return None
     jobs = {task.job.id for task in endpoint.tasks.values()}
     return sorted(jobs | others)
--- a/clementinebay/workflow/orders.py
+++ b/clementinebay/workflow/orders.py
@@ -41,15 +41,20 @@
 
 
 class Report:
-    """An endpoint's runs and ends of runs; ``clock_ms`` is its monotonic clock."""
+    """An endpoint's runs and ends of runs; ``clock_ms`` is its monotonic clock.
 
-    __slots__ = ("born_ms", "clock_ms", "running", "ended")
+    ``running`` has all runs in progress.  ``ended`` has the first of the ends that were
+    not acknowledged; ``has_all_ends`` is false if there may be more of them.
+    """
+
+    __slots__ = ("born_ms", "clock_ms", "running", "ended", "has_all_ends")
 
-    def __init__(self, born_ms, clock_ms, running, ended):
+    def __init__(self, born_ms, clock_ms, running, ended, has_all_ends=True):
         self.born_ms = born_ms
         self.clock_ms = clock_ms
         self.running = running
         self.ended = ended
+        self.has_all_ends = has_all_ends
 
 
 class StartOrder:
--- a/standins/kvendpoint.py
+++ b/standins/kvendpoint.py
@@ -11,6 +11,9 @@
 encode = msgspec.json.Encoder().encode
 decode = msgspec.json.Decoder().decode
 
+#: Number of ends that one report lists.
+ENDS_PER_REPORT = 500
+
 
 class EndpointStandIn:
     """An endpoint whose runs end as done after ``seconds``.
@@ -151,4 +154,4 @@
             except TimeoutError:
                 pass
         running = [[task, run, "", 50, 0] for task, run in self.running.items()]
-        return self.reply(running=running, ended=self.ended)
+        return self.reply(running=running, ended=self.ended[:ENDS_PER_REPORT])
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -275,3 +275,13 @@
     entry = ENTRY.replace(b'{"cpu":1000}', capacity)
     with pytest.raises(errors.EntryInvalidError):
         decode_endpoint("e1", "servers/e1", entry)
+
+
+@pytest.mark.parametrize(("ends", "expected"), [(0, True), (499, True), (500, False)])
+async def test_report_with_as_many_ends_as_it_has_room_for_may_lack_others(
+    ends, expected
+):
+    """The protocol lists 500 ends at a time; others of them may be done runs."""
+    rows = [[number, "t.0.0.0", number, "done", ""] for number in range(1, ends + 1)]
+    report = await ask(json.dumps({"clock_ms": 1, "ended": rows}).encode())
+    assert report.has_all_ends is expected
--- a/tests/workflow/factory.py
+++ b/tests/workflow/factory.py
@@ -67,7 +67,7 @@
     )
 
 
-def report(running=(), ended=(), clock_ms=0, born_ms=1):
+def report(running=(), ended=(), clock_ms=0, born_ms=1, has_all_ends=True):
     """Return an endpoint's report.
 
     Rows are tuples with the first fields of `RunReport` and `RunEnd`; the other fields
@@ -78,6 +78,7 @@
         clock_ms,
         [RunReport(*(row + ("", 0, 0)[len(row) - 2 :])) for row in running],
         [RunEnd(*(row + ("",) * (5 - len(row)))) for row in ended],
+        has_all_ends,
     )
 
 
--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -34,7 +34,12 @@
 
 
 class ModelEndpoint:
-    """An endpoint that follows the platform's protocol."""
+    """An endpoint that follows the platform's protocol.
+
+    A report has at most ``ends_per_report`` ends.
+    """
+
+    ends_per_report = 500
 
     def __init__(self, id, domain, world, max_lease_seconds=MAX_LEASE_SECONDS):
         self.id = id
@@ -125,7 +130,9 @@
             RunReport(task, run[0], "", self.percent(run, now), 0)
             for task, run in self.runs.items()
         ]
-        return Report(self.born, self.clock_ms(now), running, list(self.ended))
+        ended = self.ended[: self.ends_per_report]
+        has_all_ends = len(ended) < self.ends_per_report
+        return Report(self.born, self.clock_ms(now), running, ended, has_all_ends)
 
     @staticmethod
     def percent(run, now):
