A replica that ends done runs again

Cause: an end `done` completed its task whatever its step. That was also stored (`Progress.done`), so that no later scheduler started the task either, and a job of which all replicas had ended so was stored and shown as completed.

Change: for a replica an end `done` is one like any other: its run is over, and the next one follows after the wait of a replica that failed. It says nothing of the endpoint's health, and that of an earlier run leaves the current one alone. What an earlier build stored as done or completed of replicas is not taken over; such a job is stored anew.

--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -18,7 +18,7 @@
 )
 from clementinebay.workflow.fleet import EndpointState, longest_lease
 from clementinebay.workflow.inheritance import InheritedEndpoints
-from clementinebay.workflow.job import Job, JobState, TaskState
+from clementinebay.workflow.job import ENDED, Job, JobState, TaskState
 from clementinebay.workflow.model import unlisted_endpoint
 from clementinebay.workflow.orders import (
     MAX_ORDER_DELAY_SECONDS,
@@ -29,7 +29,8 @@
 from clementinebay.workflow.starting import StartingJobs
 from clementinebay.workflow.stops import PendingStops
 
-#: First and longest backoff before a failed task is run again, in seconds.
+#: First and longest backoff before a failed task is run again, in seconds.  A replica
+#: that has ended always waits for the first.
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 5.0
 #: Time after which a run of an unknown job is stopped, in seconds.  The job may have
@@ -97,6 +98,8 @@
         job = Job(spec, queue, now, self.wall_clock.now())
         if progress is not None:
             job.restore(progress)
+            if progress.state in ENDED and not job.ended:
+                self.mark_changed(job, urgent=True)
         if inherited:
             job.inherited_domains = frozenset(job.domains)
         self.jobs[spec.id] = job
@@ -397,15 +400,17 @@
         )
         if end.outcome in (RunEnd.DONE, RunEnd.FAILED):
             suspects.clear(self, task)
-        if end.outcome == RunEnd.DONE:
+        if end.outcome == RunEnd.DONE and not task.step.replica:
             endpoint.health.succeeded()
             self.process_success(task, current, now)
-        else:
-            if end.outcome == RunEnd.FAILED:
-                self.process_failure(endpoint, task, end.run, now)
-            if current:
-                suspects.withdraw_unsettled(self, task)
-                self.release(task, now)
+            return
+        if end.outcome == RunEnd.FAILED:
+            self.process_failure(endpoint, task, end.run, now)
+        if current:
+            suspects.withdraw_unsettled(self, task)
+            self.release(task, now)
+            if end.outcome == RunEnd.DONE:
+                task.not_before = now + RETRY_SECONDS
 
     def process_success(self, task, current, now):
         """Complete the task of a successful run, and its job after the last task."""
--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -370,9 +370,14 @@
         )
 
     def restore(self, progress):
-        """Restore the state that an earlier scheduler stored."""
-        if progress.state in ENDED:
+        """Restore the state that an earlier scheduler stored.
+
+        Earlier builds stored replicas that ended as done, and their jobs as completed.
+        """
+        is_completed = progress.state is JobState.COMPLETED
+        if progress.state in ENDED and not (is_completed and self.replica):
             self.state = progress.state
+            self.ended_at = progress.ended_at
         self.was_placed = progress.state is not JobState.QUEUED
         has_results = any(int(bits, 16) for bits in progress.done)
         self.has_started = (
@@ -380,11 +385,10 @@
         )
         self.domains = set(progress.domains) or {self.spec.domain}
         self.failures = {name: list(runs) for name, runs in progress.failures.items()}
-        self.ended_at = progress.ended_at
         self.crashes = {name: list(ids) for name, ids in progress.crashes.items()}
         self.stored_crashes = progress.crashes
         for number, text in enumerate(progress.done):
-            bits = int(text, 16)
+            bits = 0 if self.spec.steps[number].replica else int(text, 16)
             for index in range(self.spec.steps[number].count):
                 if bits >> index & 1:
                     task = self.task(number, index)
