A service's replica that ends as done runs again

Seen: on the product's own interface a replica whose process ended with success counted as a completed task of its service and was never started again. The glossary says that replicas do not end.

Change: such an end is recorded as a failure, `replica-ended`, so that the replica is started again with the waits of one that failed.

Evidence: test_replica_of_a_service_that_ends_as_done_is_to_run_again fails without the change.

--- a/clementinebay/policy/attempts.py
+++ b/clementinebay/policy/attempts.py
@@ -5,6 +5,9 @@
 from clementinebay.shard.entities import HOLDING_PHASES, Phase
 from clementinebay.shard.wire import ttypes as wire
 
+#: Reason of the failure of a service's replica that has ended as done.
+REPLICA_ENDED = "replica-ended"
+
 
 class Action(Enum):
     """Action that an endpoint is ordered to take on an attempt."""
@@ -106,12 +109,22 @@
         stopped = wire.Evidence.STOPPED
         released = wire.Released(*key, stopped, now, report.checkpoint)
         return wire.Record(released=released)
-    done = report.state == "done"
-    outcome = wire.Outcome.DONE if done else wire.Outcome.FAILED
-    reason = "" if done else report.reason
+    outcome, reason = outcome_of(report, state.jobs[report.job].spec)
     return wire.Record(finish=wire.Finish(*key, outcome, reason, now))
 
 
+def outcome_of(report, spec):
+    """Return the `wire.Outcome` and the reason of an attempt that has ended.
+
+    The replicas of a service do not end, so one that did, has failed.
+    """
+    if report.state != "done":
+        return wire.Outcome.FAILED, report.reason
+    if spec.workload == wire.Workload.SERVICE:
+        return wire.Outcome.FAILED, REPLICA_ENDED
+    return wire.Outcome.DONE, ""
+
+
 def running(state, endpoint):
     """Return the attempts that run on ``endpoint`` according to the state."""
     found = set()
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -3,6 +3,7 @@
 from clementinebay.endpoint.base import TaskReport
 from clementinebay.policy import attempts
 from clementinebay.policy.attempts import Action
+from clementinebay.shard.entities import Phase
 from clementinebay.shard.state import State
 from clementinebay.shard.wire import ttypes as wire
 from tests.shard import factory
@@ -43,6 +44,20 @@
     assert not attempts.unrecorded(state, "e-0", later, newer=True)
 
 
+def test_replica_of_a_service_that_ends_as_done_is_to_run_again():
+    """It was taken as completed, and never started again."""
+    state = State()
+    state.index = 1
+    submitted = factory.submit(workload=wire.Workload.SERVICE)
+    for record in (factory.endpoint(), submitted, factory.bind()):
+        state.apply(record)
+    record = attempts.record(state, "e-0", report(state="done"), 1.0)
+    state.apply(record)
+    job = state.jobs["minutes"]
+    assert (job.done, job.tasks[0].phase) == (0, Phase.WAITING)
+    assert job.tasks[0].reason == attempts.REPLICA_ENDED
+
+
 def test_running_attempt_without_resources_in_the_state_is_a_stray(state):
     state.apply(factory.started())
     assert not attempts.strays(state, "e-0", [report()])
