Failed runs of a task beside replicas count at a successor

After a change of the scheduler the task ran for its whole number of attempts again.

Cause: whether failed runs are stored was decided for the job, which has a step of replicas, not for the task's own step; the next scheduler read none back.

Change: failed runs of replicas are not recorded at all, as nothing limits them, and all recorded ones are stored.

Evidence: test_failed_runs_of_a_task_beside_replicas_count_at_a_successor fails without the change.

--- a/clementinebay/workflow/job.py
+++ b/clementinebay/workflow/job.py
@@ -326,11 +326,16 @@
             self.state = JobState.COMPLETED
 
     def record_failure(self, task, run):
-        """Record a failed run; return whether the task has no attempts left."""
+        """Record a failed run; return whether the task has no attempts left.
+
+        Replicas have no limit of attempts, and their failures are not recorded.
+        """
+        if task.step.replica:
+            return False
         runs = self.failures.setdefault(task.name, [])
         if run not in runs:
             runs.append(run)
-        return not task.step.replica and len(runs) >= self.spec.attempts
+        return len(runs) >= self.spec.attempts
 
     def record_crash(self, task, incarnation):
         """Record the crash of an incarnation under a task; return their number."""
@@ -357,11 +362,10 @@
         state = self.state
         if state is JobState.QUEUED and self.has_started:
             state = JobState.RUNNING
-        failures = {} if self.replica else self.failures
         return Progress(
             state=state,
             done=[f"{value:x}" for value in bits],
-            failures=failures,
+            failures=self.failures,
             domains=sorted(self.domains | self.requested_domains),
             ended_at=self.ended_at,
             crashes={name: list(ids) for name, ids in self.crashes.items()},
--- a/tests/workflow/test_replicaends.py
+++ b/tests/workflow/test_replicaends.py
@@ -120,3 +120,21 @@
             assert all(bed.running_at(task) for task in tasks)
 
     virtualtime.run(main())
+
+
+def test_failed_runs_of_a_task_beside_replicas_count_at_a_successor():
+    """Breaks "a task fails at most as often as it has attempts" otherwise."""
+    engine, job, [order, *_others] = start_job((ORDINARY, REPLICAS))
+    end_run(engine, order, "failed", 1, 1.0)
+    stored = factory.store(engine)[job.id]
+    assert stored.failures == {order.task.name: [order.run]}
+    successor = factory.make_engine(term=1)
+    inherited = successor.add_job(job.spec, factory.QUEUE, 2.0, factory.reload(stored))
+    assert not inherited.record_failure(inherited.task(0, 0), 1001)
+    assert inherited.record_failure(inherited.task(0, 0), 1002)
+
+
+def test_failed_runs_of_replicas_are_not_stored():
+    engine, job, [order, *_others] = start_job()
+    end_run(engine, order, "failed", 1, 1.0)
+    assert job.progress().failures == {}
