--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -188,7 +188,7 @@
         earlier, later = sorted((other, endpoint), key=lambda e: e.info.born_ms)
         if earlier.info.born_ms < later.info.born_ms:
             self.occupants[place] = later
-            self.end_incarnation(earlier, now)
+            self.end_incarnation(earlier, now, later.id)
 
     def await_endpoint(self, info, now):
         """Add an endpoint of an earlier term that is not listed; return its state.
@@ -208,10 +208,12 @@
         if endpoint is not None:
             endpoint.has_valid_entry = False
 
-    def end_incarnation(self, endpoint, now):
+    def end_incarnation(self, endpoint, now, occupant=""):
         """Release all tasks of an incarnation that has certainly ended.
 
         Other incarnations refuse its orders, so none of them can be executed late.
+        ``occupant`` is the id of a later one listed at its address, "" if the address
+        has answered as another.
         """
         if endpoint.has_ended:
             return
@@ -219,7 +221,10 @@
         endpoint.close_leases()
         endpoint.kept_until = now + MAX_ORDER_DELAY_SECONDS
         self.log.warning(
-            "endpoint.ended", endpoint=endpoint.id, runs=len(endpoint.tasks)
+            "endpoint.ended",
+            endpoint=endpoint.id,
+            runs=len(endpoint.tasks),
+            occupant=occupant,
         )
         given_up = suspects.count_crash(self, endpoint, now)
         for task in list(endpoint.tasks.values()):
@@ -349,13 +354,25 @@
         if endpoint.info.has_known_capacity:
             self.pressure.observe(endpoint, now)
         self.stop_stuck_runs(endpoint, seen, now)
-        endpoint.has_unread_ends = not report.has_all_ends
+        self.record_unread_ends(endpoint, report)
         if report.has_all_ends:
             self.release_missing(endpoint, seen, sent_at, now)
             endpoint.has_reported = True
             self.inherited_endpoints.mark_reported(endpoint.id)
         return True
 
+    def record_unread_ends(self, endpoint, report):
+        """Record whether an endpoint may have ends that its report does not list."""
+        if not report.has_all_ends and not endpoint.has_unread_ends:
+            self.log.info(
+                "endpoint.ends_unread",
+                endpoint=endpoint.id,
+                ends=len(report.ended),
+                processed=endpoint.last_processed_end,
+                acknowledged=endpoint.last_acknowledged_end,
+            )
+        endpoint.has_unread_ends = not report.has_all_ends
+
     def pinned_jobs(self, now):
         """Return the ids of the jobs of pinned tasks, by the id of their endpoint."""
         pinned = {}
