--- a/clementinebay/workflow/engine.py
+++ b/clementinebay/workflow/engine.py
@@ -175,8 +175,8 @@
     def end_earlier_occupant(self, endpoint, now):
         """End the earlier of two incarnations that were listed at one address.
 
-        An entry of another service may not be an endpoint's own, so neither is one of
-        an unknown service taken as proof, as that of an earlier term may be.
+        Only entries of one service are compared: one of another service may be another
+        writer's.  In records of earlier builds the service is unknown.
         """
         if not endpoint.info.service:
             return
