Known failure: ends of runs whose job cannot be read are lost

Found as the other places were read in which something is concluded from what is not there: a run of a job that this scheduler has not loaded ends, the end is acknowledged, and nobody has stored it. That is right for jobs that were deleted, but not for one whose progress cannot be read, as when an earlier build takes over from a later one: once a scheduler reads it again, the done task is started. Not fixed yet: an end that is not acknowledged holds back all later ones of its endpoint.

--- a/tests/workflow/test_unreadable.py
+++ b/tests/workflow/test_unreadable.py
@@ -199,3 +199,25 @@
     record = LeaseRecord(0, deadline, {"e2": EndpointLeases(deadline, ["a"])})
     await store.create(jobstore.LEASES, msgspec.json.encode(record))
     assert await jobstore.read_leases(store, 0) == record
+
+
+def test_task_done_while_its_progress_cannot_be_read_is_not_run_again():
+    """A scheduler of an earlier build may not read what a later one has stored."""
+
+    async def main():
+        async with TestBed(endpoints=2, daemons=2) as bed:
+            await bed.run(2.0)
+            task = bed.submit(steps=[Step(processors_milli=1000)])
+            await bed.run(0.6)
+            assert bed.running_at(task)
+            key = jobstore.PROGRESS + task.split(".")[0]
+            value = bed.space.get(key).value
+            put(bed, key, b'{"state":"later"}')
+            await bed.kill_scheduler()
+            await bed.run(4.0)
+            assert task in bed.done
+            put(bed, key, value)
+            await bed.kill_scheduler()
+            await bed.run(8.0)
+
+    virtualtime.run(main())
