--- a/tests/workflow/model.py
+++ b/tests/workflow/model.py
@@ -37,9 +37,9 @@
 class ModelEndpoint:
     """An endpoint that follows the platform's protocol.
 
-    A report has at most ``ends_per_report`` ends.  ``starts_before`` has, for each
-    listed end of a task that is done then, how often that had been started.  All ends
-    up to ``last_lapsed_end`` were followed by the end of the endpoint's lease.
+    A report has at most ``ends_per_report`` ends.  ``starts_before`` maps the number of
+    each end as done to how often its task had been started by then.  The lease of the
+    endpoint has ended after all ends up to ``last_lapsed_end``.
     """
 
     ends_per_report = 500
@@ -349,8 +349,9 @@
 class World:
     """Endpoints, a store and schedulers; ``seed`` determines all random choices.
 
-    ``organisations`` is the `OrganisationTable` in force; jobs belong to one of those
-    that it names at random.
+    ``acknowledged_tasks`` has the names of the tasks whose end as done was
+    acknowledged, ``starts`` counts the starts of each task.  ``organisations`` is the
+    `OrganisationTable` in force; jobs belong to one of those that it names at random.
     """
 
     endpoint_class = ModelEndpoint
--- a/tests/workflow/test_incarnations.py
+++ b/tests/workflow/test_incarnations.py
@@ -95,9 +95,9 @@
 @pytest.mark.parametrize("service", ["other", ""], ids=["stored", "unknown"])
 @pytest.mark.parametrize("awaited_first", [False, True])
 def test_stored_endpoint_of_another_service_ends_no_listed_one(service, awaited_first):
-    """Breaks "no task runs twice" (review/9): another writer's entry was stored.
+    """Guards against review/9: another writer's entry was stored, without its service.
 
-    Earlier builds store no services.
+    Records of earlier builds have no services.
     """
     engine = factory.make_engine(term=1)
     odd = unlisted_endpoint("odd", "a", "h:1", 2, service)
--- a/tests/workflow/test_model.py
+++ b/tests/workflow/test_model.py
@@ -38,7 +38,7 @@
 
 @pytest.mark.parametrize("seed", range(10))
 def test_promises_hold_while_ends_are_read_in_several_reports(monkeypatch, seed):
-    """Breaks "no task runs again once it is done" (review/6)."""
+    """Guards against review/6: runs whose ends were not read yet counted as lost."""
     monkeypatch.setattr(ModelEndpoint, "ends_per_report", 2)
     run_world(seed, faults=0.06)
 
--- a/tests/workflow/test_replicaends.py
+++ b/tests/workflow/test_replicaends.py
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize("outcome", OUTCOMES)
 def test_replica_is_started_again_however_its_run_ends(outcome):
-    """Breaks "a replica runs again within 9 s" (review/7)."""
+    """Guards against review/7: one that had ended done was never started again."""
     engine, _job, [order, *_others] = start_job()
     end_run(engine, order, outcome, 1, 1.0)
     [again] = engine.plan(2.0)
@@ -123,7 +123,7 @@
 
 
 def test_failed_runs_of_a_task_beside_replicas_count_at_a_successor():
-    """Breaks "a task fails at most as often as it has attempts" otherwise."""
+    """Guards against more failed runs of a task than it has attempts."""
     engine, job, [order, *_others] = start_job((ORDINARY, REPLICAS))
     end_run(engine, order, "failed", 1, 1.0)
     stored = factory.store(engine)[job.id]
--- a/tests/workflow/test_unreadends.py
+++ b/tests/workflow/test_unreadends.py
@@ -26,7 +26,7 @@
 
 
 def test_run_whose_end_may_be_unread_is_not_started_again():
-    """Breaks "no task runs again once it is done" (review/6)."""
+    """Guards against review/6: the run counted as lost, though it was done."""
     engine, order = factory.plan_start(0.0)
     engine.start_answered(order, 0.0)
     report_page(engine, order.endpoint, 1.0, ended=[OTHER_END])
--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -58,8 +58,9 @@
     ``cuts`` maps the ids of endpoints whose links are cut to "refused", "silent" or
     "reset", and ``delayed`` those of others to their `DelayedCalls`.  ``occupants`` has
     the newest incarnation at each address.  ``done`` has the names of the tasks that
-    ended done, ``last_run_at`` the last time of each replica, and ``failures`` what
-    ended a term unexpectedly.  ``absences`` has, for each replica that ran again, the
+    ended done, ``acknowledged_tasks`` of those whose end was acknowledged, ``starts``
+    counts the starts of each task.  ``last_run_at`` has the last time of each replica,
+    and ``failures`` what ended a term unexpectedly.  ``absences`` has, for each replica that ran again, the
     seconds for which it was away and for which it might have stayed away longer.
     ``shrunk_at`` has the time of the last shrinking of an endpoint and its capacity
     before, by id.
