--- a/tests/workflow/testbed.py
+++ b/tests/workflow/testbed.py
@@ -60,10 +60,10 @@
     the newest incarnation at each address.  ``done`` has the names of the tasks that
     ended done, ``acknowledged_tasks`` of those whose end was acknowledged, ``starts``
     counts the starts of each task.  ``last_run_at`` has the last time of each replica,
-    and ``failures`` what ended a term unexpectedly.  ``absences`` has, for each replica that ran again, the
-    seconds for which it was away and for which it might have stayed away longer.
-    ``shrunk_at`` has the time of the last shrinking of an endpoint and its capacity
-    before, by id.
+    and ``failures`` what ended a term unexpectedly.  ``absences`` has, for each replica
+    that ran again, the seconds for which it was away and for which it might have stayed
+    away longer.  ``shrunk_at`` has the time of the last shrinking of an endpoint and
+    its capacity before, by id.
     ``deadly`` maps the names of tasks that crash their endpoints to the names of the
     runs lost beside each run.  ``leaving`` has the ids of the endpoints that have
     announced that they leave.  A term begins ``election_seconds`` after the end of the
